--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -32,6 +32,10 @@
     pub places: usize,
     /// Start of the sequence that spreads the times to come back.
     pub seed: u64,
+    /// Running calls are cancelled for more important ones.
+    pub preempts: bool,
+    /// Share of the slots that is used, in percent: some backend servers turn slow when full.
+    pub fill: u32,
 }
 
 impl Default for Options {
@@ -43,10 +47,20 @@
             target_wait: Duration::from_millis(500),
             places: 4_096,
             seed: 1,
+            preempts: true,
+            fill: 100,
         }
     }
 }
 
+impl Options {
+    /// The slots that are used of those announced; at least one.
+    fn used(&self, slots: u32) -> u32 {
+        let used = u64::from(slots) * u64::from(self.fill) / 100;
+        u32::try_from(used).unwrap_or(slots).max(1)
+    }
+}
+
 /// A call that runs.
 #[derive(Clone, Debug)]
 struct Running {
@@ -75,7 +89,12 @@
     pub fn new(options: Options, now: Instant) -> Admission {
         Admission {
             options,
-            limit: Limit::new(options.policy, options.slots, now, options.cold),
+            limit: Limit::new(
+                options.policy,
+                options.used(options.slots),
+                now,
+                options.cold,
+            ),
             line: Line::default(),
             running: BTreeMap::new(),
             order: BTreeSet::new(),
@@ -88,7 +107,7 @@
 
     /// Takes over another number of announced slots.
     pub fn set_slots(&mut self, now: Instant, slots: u32) -> Vec<Effect> {
-        self.limit.set_slots(slots);
+        self.limit.set_slots(self.options.used(slots));
         self.fill(now)
     }
 
@@ -249,8 +268,9 @@
         waits || self.can_preempt(class)
     }
 
+    /// The running call that gives way first, if any does.
     fn worst_running(&self) -> Option<(Class, Ticket)> {
-        self.order.last().copied()
+        self.order.last().copied().filter(|_| self.options.preempts)
     }
 
     fn queue(&mut self, now: Instant, ticket: Ticket, arrival: Arrival) -> (Verdict, Vec<Effect>) {
--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -6,10 +6,14 @@
 mod admission;
 mod customers;
 mod effect;
+mod entry;
 mod estimate;
 mod limit;
 mod line;
+mod pressure;
 
 pub use admission::{Admission, Options};
 pub use effect::{Arrival, Effect, Finish, Refused, Ticket, Verdict};
+pub use entry::Entry;
 pub use limit::{Limit, LimitPolicy};
+pub use pressure::Pressures;
--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -102,6 +102,7 @@
     let set = rules(size);
     let (service, path) = (format!("s{}", (size - 1) % 38), format!("/p{}/x", size - 1));
     let subject = Subject {
+        host: "",
         service: &service,
         method: "GET",
         path: &path,
@@ -183,6 +184,8 @@
         slots: 70,
         connections: 500,
         state: State::Ready,
+        instance: "".into(),
+        leaving: false,
     }
 }
 
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -456,5 +456,7 @@
         slots,
         connections: slots * 8,
         state: State::Ready,
+        instance: "".into(),
+        leaving: false,
     }
 }
--- a/crates/indigospur-budget/src/ledger.rs
+++ b/crates/indigospur-budget/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The credits of the calls that a backend server runs, from which its own calls draw.
 
 use crate::credit::Credit;
-use indigospur_protocol::Context;
+use indigospur_protocol::{Context, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -18,10 +18,12 @@
     credit: Credit,
     retried: bool,
     shed_below: bool,
+    /// Slot time that calls below took, by service.
+    work: Vec<Work>,
 }
 
 /// What is left of a call that has ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Closed {
     /// Retry credit left.
     pub left: u32,
@@ -29,6 +31,18 @@
     pub retried: bool,
     /// A call below was shed for overload.
     pub shed_below: bool,
+    /// Slot time that calls below took, by service.
+    pub work: Vec<Work>,
+}
+
+/// Adds slot time to what is known by service.
+pub fn add_work(known: &mut Vec<Work>, more: &[Work]) {
+    for work in more {
+        match known.iter_mut().find(|known| known.service == work.service) {
+            Some(known) => known.time += work.time,
+            None => known.push(work.clone()),
+        }
+    }
 }
 
 /// The calls that run at the backend server.
@@ -50,6 +64,7 @@
                 credit,
                 retried: false,
                 shed_below: false,
+                work: Vec::new(),
             },
         );
     }
@@ -61,6 +76,7 @@
         let mut context = entry.context.clone();
         context.retries = entry.credit.lend().left();
         context.depth += 1;
+        context.repeated |= context.attempt > 0;
         context.remaining = entry.deadline.saturating_duration_since(now);
         Some(context)
     }
@@ -73,6 +89,18 @@
         }
     }
 
+    /// Adds the slot time that a call below took.
+    pub fn worked(&mut self, token: &str, work: &[Work]) {
+        if let Some(entry) = self.entries.get_mut(token) {
+            add_work(&mut entry.work, work);
+        }
+    }
+
+    /// Whether the call runs here.
+    pub fn knows(&self, token: &str) -> bool {
+        self.entries.contains_key(token)
+    }
+
     /// Notes that a call below was shed for overload.
     pub fn shed_below(&mut self, token: &str) {
         if let Some(entry) = self.entries.get_mut(token) {
@@ -89,6 +117,7 @@
             left: entry.credit.left(),
             retried: entry.retried,
             shed_below: entry.shed_below,
+            work: entry.work,
         }
     }
 }
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use credit::Credit;
 pub use decide::{Attempted, RetryOptions, decide_retry, is_pass};
-pub use ledger::{Closed, Ledger, Token};
-pub use ratio::RetryRatio;
+pub use ledger::{Closed, Ledger, Token, add_work};
+pub use ratio::{RatioOptions, RetryRatio};
 pub use seen::SeenRequests;
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -1,35 +1,64 @@
 //! The share of retries among the calls of one link.
 
-/// First attempts that earn one retry.
-const FIRST_PER_RETRY: u32 = 10;
-/// Retries a link can save up.
-const MOST_SAVED: u32 = 10;
+/// Cost of a retry, in the unit of a bucket's level.
+const RETRY: u32 = 100;
 
-/// A bucket that first attempts fill and retries empty, so that retries stay under a tenth of the
+/// How many retries a bucket allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RatioOptions {
+    /// Retries that a hundred first attempts earn.
+    pub percent: u32,
+    /// Retries that can be saved up.
+    pub saved: u32,
+}
+
+impl Default for RatioOptions {
+    fn default() -> Self {
+        RatioOptions {
+            percent: 10,
+            saved: 10,
+        }
+    }
+}
+
+/// A bucket that first attempts fill and retries empty, so that retries stay under a share of the
 /// calls however many fail.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryRatio {
-    /// In units of one first attempt; at most `MOST_SAVED * FIRST_PER_RETRY`.
+    options: RatioOptions,
+    /// In hundredths of a retry; at most what `options` let be saved.
     level: u32,
 }
 
 impl Default for RetryRatio {
     fn default() -> Self {
-        RetryRatio {
-            level: MOST_SAVED * FIRST_PER_RETRY,
-        }
+        RetryRatio::new(RatioOptions::default())
     }
 }
 
 impl RetryRatio {
+    /// A full bucket.
+    pub fn new(options: RatioOptions) -> RetryRatio {
+        RetryRatio {
+            options,
+            level: options.saved * RETRY,
+        }
+    }
+
+    /// Changes what is allowed from now on.
+    pub fn set_options(&mut self, options: RatioOptions) {
+        self.options = options;
+        self.level = self.level.min(options.saved * RETRY);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
-        self.level = (self.level + 1).min(MOST_SAVED * FIRST_PER_RETRY);
+        self.level = (self.level + self.options.percent).min(self.options.saved * RETRY);
     }
 
     /// Spends a retry; false if the link has spent its share.
     pub fn spend(&mut self) -> bool {
-        let Some(level) = self.level.checked_sub(FIRST_PER_RETRY) else {
+        let Some(level) = self.level.checked_sub(RETRY) else {
             return false;
         };
         self.level = level;
--- a/crates/indigospur-command/src/commands/explain.rs
+++ b/crates/indigospur-command/src/commands/explain.rs
@@ -24,9 +24,12 @@
     )
 )]
 pub(crate) struct Explain {
-    /// Service the call is for
-    #[bpaf(argument("NAME"))]
+    /// Service the call is for, where the caller names one
+    #[bpaf(argument("NAME"), fallback(String::new()))]
     service: String,
+    /// Host name the call is addressed to
+    #[bpaf(argument("NAME"), fallback(String::new()))]
+    host: String,
     /// HTTP method
     #[bpaf(argument("METHOD"), fallback("GET".to_owned()), display_fallback)]
     method: String,
@@ -51,8 +54,13 @@
 #[serde(rename_all = "kebab-case")]
 struct Explained<'a> {
     rule: Option<&'a str>,
+    /// No rule matches, and such calls are refused.
+    refused: bool,
+    /// Services that take the call, with their weights; empty for the one that the caller names.
+    services: Vec<String>,
     class: &'a str,
     deadline: String,
+    objective: String,
     retries: u32,
     idempotent: bool,
     at_most_once: bool,
@@ -69,6 +77,7 @@
             .position(|class| Some(&**class) == self.above.as_deref());
         let decided = rules.decide(&Subject {
             service: &self.service,
+            host: &self.host,
             method: &self.method,
             path: &self.path,
             customer: &self.customer,
@@ -86,8 +95,15 @@
     let before = decided.rule.unwrap_or(rules.rules.len());
     Explained {
         rule: decided.rule.map(|index| &*rules.rules[index].name),
+        refused: rules.closed && decided.rule.is_none(),
+        services: treatment
+            .targets
+            .iter()
+            .map(|target| format!("{} ({})", target.service, target.weight))
+            .collect(),
         class: rules.class_name(treatment.class),
         deadline: show_duration(treatment.deadline),
+        objective: show_duration(treatment.objective),
         retries: treatment.retries,
         idempotent: treatment.idempotent,
         at_most_once: treatment.once,
@@ -102,8 +118,13 @@
 fn describe(explained: &Explained<'_>) -> String {
     let rule = match explained.rule {
         Some(name) => format!("rule \"{name}\" matches"),
+        None if explained.refused => "no rule matches; the call is refused".to_owned(),
         None => "no rule matches; the defaults apply".to_owned(),
     };
+    let services = match explained.services.len() {
+        0 => String::new(),
+        _ => format!("\n  service {}", explained.services.join(", ")),
+    };
     let before = match explained.passed_over.len() {
         0 => String::new(),
         _ => format!(
@@ -112,9 +133,11 @@
         ),
     };
     format!(
-        "{rule}{before}\n  class {}\n  deadline {}\n  retries {}\n  idempotent {}\n  at most once {}\n  waits {}",
+        "{rule}{before}{}\n  class {}\n  deadline {}\n  objective {}\n  retries {}\n  idempotent {}\n  at most once {}\n  waits {}",
+        services,
         explained.class,
         explained.deadline,
+        explained.objective,
         explained.retries,
         explained.idempotent,
         explained.at_most_once,
--- a/crates/indigospur-daemon/src/admin.rs
+++ b/crates/indigospur-daemon/src/admin.rs
@@ -34,17 +34,21 @@
 }
 
 /// Answers a request.
-pub(crate) async fn answer(daemon: Arc<Daemon>, received: Received) -> Outcome {
+pub(crate) async fn answer(daemon: Arc<Daemon>, received: Received) -> Answer {
+    match handle(&daemon, &received) {
+        Outcome::Answered(answer) => answer,
+        Outcome::Refused(refusal) => daemon.dialect.write_refusal(&refusal),
+    }
+}
+
+fn handle(daemon: &Daemon, received: &Received) -> Outcome {
     match (&*received.method, &*received.path) {
         ("GET", "/live") => text(200, "live\n".into()),
-        ("GET", "/ready") => ready(&daemon),
-        ("GET", "/metrics") => text(200, daemon.metrics.render()),
-        ("GET", "/status") => text(
-            200,
-            serde_json::to_vec(&status(&daemon)).unwrap_or_default(),
-        ),
-        ("GET", "/rules") => text(200, rules(&daemon)),
-        ("POST", "/announce") => announce(&daemon, &received.body),
+        ("GET", "/ready") => ready(daemon),
+        ("GET", "/metrics") => text(200, daemon.scrape()),
+        ("GET", "/status") => text(200, serde_json::to_vec(&status(daemon)).unwrap_or_default()),
+        ("GET", "/rules") => text(200, rules(daemon)),
+        ("POST", "/announce") => announce(daemon, &received.body),
         ("POST", "/drain") => {
             daemon.drain();
             text(200, "draining\n".into())
@@ -78,6 +82,9 @@
 }
 
 fn rules(daemon: &Daemon) -> Vec<u8> {
+    if let Some(body) = lock(&daemon.newest).body() {
+        return body.to_vec();
+    }
     let follower = lock(&daemon.follower);
     follower
         .in_force()
@@ -121,9 +128,11 @@
             state: member.state,
         })
         .collect();
-    let version = lock(&daemon.follower)
+    let followed = lock(&daemon.follower)
         .in_force()
         .map(|in_force| in_force.version);
+    let newest = lock(&daemon.newest).version();
+    let version = followed.or((newest > 0).then_some(newest));
     let log_age = lock(&daemon.log_read).map(|at| at.elapsed().as_millis() as u64);
     Status {
         host: daemon.host().clone(),
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
 use indigospur_admission::{Admission, Options};
+use indigospur_members::Heard;
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{Announcement, ServiceName, State};
 use indigospur_publish::{Body, Record};
@@ -21,6 +22,9 @@
 #[derive(Debug)]
 pub(crate) struct Backend {
     pub(crate) service: ServiceName,
+    /// Name of its start; empty if it gives none.
+    pub(crate) instance: Arc<str>,
+    born: u64,
     pub(crate) pool: BackendPool,
     pub(crate) slots: Arc<Slots>,
     /// Set by the first call that finds it gone.
@@ -34,12 +38,16 @@
             cold,
             target_wait: daemon.settings.target_wait,
             seed: daemon.incarnation,
+            preempts: daemon.settings.preempts,
+            fill: daemon.settings.fill,
             ..Options::default()
         };
         let slots = Slots::new(Admission::new(options, Instant::now()));
         runtime::spawn(slots.clone().run_ticks());
         Arc::new(Backend {
             service: announced.service.clone(),
+            instance: announced.instance.clone(),
+            born: announced.born,
             pool: BackendPool::new(&announced.address, announced.connections),
             slots,
             gone: AtomicBool::new(false),
@@ -76,19 +84,27 @@
 /// Takes an announcement in.
 pub(crate) fn announce(daemon: &Daemon, announced: &Announcement) {
     let now = Instant::now();
+    let heard = lock(&daemon.starts).hear(announced);
+    log_announcement(announced, heard);
+    if heard == Heard::Stale {
+        return;
+    }
     *lock(&daemon.heard) = Some(now);
-    if announced.state != State::Draining {
+    let leaves = heard == Heard::Leaving;
+    if !leaves {
         take(daemon, announced);
     }
-    let leaving = announced.state == State::Draining || daemon.is_draining();
-    if leaving && let Some(backend) = daemon.backend() {
+    let draining = leaves || daemon.is_draining();
+    if draining && let Some(backend) = daemon.backend() {
         backend.slots.drain();
     }
     let changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.service = announced.service.clone();
         me.slots = announced.slots;
         me.connections = announced.connections;
-        me.state = if leaving {
+        me.instance = announced.instance.clone();
+        me.leaving = leaves && !announced.instance.is_empty();
+        me.state = if draining {
             State::Draining
         } else {
             announced.state
@@ -99,19 +115,65 @@
     }
 }
 
+fn log_announcement(announced: &Announcement, heard: Heard) {
+    let level = match heard {
+        Heard::Known => log::Level::Trace,
+        Heard::New | Heard::Leaving => log::Level::Info,
+        Heard::Stale => log::Level::Warn,
+    };
+    log::log!(
+        level,
+        instance = &*announced.instance,
+        born = announced.born,
+        sequence = announced.sequence,
+        service = &*announced.service,
+        state:debug = announced.state,
+        slots = announced.slots,
+        cold_ms = announced.cold_ms,
+        heard:debug;
+        "backend server announced"
+    );
+}
+
+/// The backend server says that an instance of it has left.
+pub(crate) fn leave(daemon: &Daemon, instance: &str) {
+    let current = lock(&daemon.starts).leave(instance);
+    log::info!(instance, current; "backend server leaves");
+    if !current {
+        return;
+    }
+    if let Some(backend) = daemon.backend() {
+        backend.slots.drain();
+    }
+    let now = Instant::now();
+    let changed = lock(&daemon.fleet).members.announce(now, |me| {
+        me.state = State::Draining;
+        me.leaving = true;
+    });
+    if changed {
+        daemon.own_state_changed();
+    }
+}
+
 fn take(daemon: &Daemon, announced: &Announcement) {
     let known = daemon.backend();
     let same = known.as_ref().filter(|backend| {
-        backend.service == announced.service && backend.pool.address() == &*announced.address
+        backend.service == announced.service
+            && backend.pool.address() == &*announced.address
+            && backend.instance == announced.instance
+            && backend.born == announced.born
     });
     match same {
         Some(backend) => backend.slots.set_slots(announced.slots),
         None => {
-            let cold = daemon.was_gone.swap(false, Ordering::Relaxed);
+            let crashed = daemon.was_gone.swap(false, Ordering::Relaxed);
+            let cold = crashed || announced.cold_ms > 0;
             *lock(&daemon.backend) = Some(Backend::new(daemon, announced, cold));
         }
     }
-    start_once(daemon, &announced.service);
+    if daemon.settings.at_most_once {
+        start_once(daemon, &announced.service);
+    }
 }
 
 /// Takes up this daemon's part in at-most-once execution for its service.
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -1,26 +1,25 @@
 //! A caller's request becomes a call: its context, its treatment by the rules, and its answer.
 
 use crate::daemon::{Daemon, lock};
+use crate::dialect::{Above, CallHead};
 use crate::{keyed, outbound};
+use indigospur_budget::Token;
 use indigospur_once::check_key;
 use indigospur_protocol::{
-    Call, Context, Kind, Outcome, Refusal, RelayMessage, RequestId, fingerprint, headers,
-    is_safe_method,
+    Answer, Call, Context, Key, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, RequestId,
+    ServiceName, fingerprint, is_safe_method,
 };
 use indigospur_relay::Received;
 use indigospur_rules::{RuleSet, Subject, Treatment};
+use rand::Rng;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Calls above one another at most.
 const DEEPEST: u32 = 32;
-/// Longest deadline that a caller may name, in milliseconds.
-const LONGEST_DEADLINE_MILLIS: u64 = 600_000;
 /// Customer of a call that names none.
 const ANONYMOUS: &str = "anonymous";
-/// Longest identifier that a caller may give, in bytes.
-const LONGEST_NAME: usize = 128;
 
 /// A call of a caller that is under way.
 struct OpenCall<'a>(&'a Daemon);
@@ -39,54 +38,94 @@
 }
 
 /// Answers a caller's request.
-pub(crate) async fn answer(daemon: Arc<Daemon>, received: Received) -> Outcome {
+pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: Received) -> Answer {
     let begun = Instant::now();
     let _open = OpenCall::new(&daemon);
-    let outcome = match prepare(&daemon, received) {
-        Ok(prepared) => carry_out(&daemon, prepared).await,
-        Err(refusal) => Outcome::Refused(refusal),
+    let prepared = prepare(&daemon, &mut received);
+    let (outcome, request) = match prepared {
+        Ok(prepared) => {
+            let request = prepared.message.context.request_id.clone();
+            (carry_out(&daemon, prepared).await, request)
+        }
+        Err(refusal) => (Outcome::Refused(refusal), "".into()),
     };
     match outcome {
         Outcome::Answered(answer) => {
             daemon.metrics.answered(begun.elapsed());
-            Outcome::Answered(answer)
+            answer
         }
         Outcome::Refused(refusal) => {
+            let refusal = daemon.advise(refusal);
             daemon.metrics.refused(refusal.kind);
-            log::debug!(kind = refusal.kind.name(), ran = refusal.ran.as_str(); "refused");
-            Outcome::Refused(daemon.advise(refusal))
+            log_refusal(&refusal, &request, &received, begun.elapsed());
+            daemon.dialect.write_refusal(&refusal)
         }
     }
 }
 
+fn log_refusal(refusal: &Refusal, request: &str, received: &Received, took: Duration) {
+    log::info!(
+        request,
+        kind = refusal.kind.name(),
+        ran = refusal.ran.as_str(),
+        detail = &*refusal.detail,
+        host = &*received.host,
+        path = &*received.path,
+        took_ms = took.as_millis() as u64,
+        retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64);
+        "request refused"
+    );
+}
+
 /// A call ready to be sent.
 struct Prepared {
     message: RelayMessage,
     /// Token of the call above, whose backend server makes this one.
-    above: Option<Arc<str>>,
+    above: Option<Token>,
+    /// Name of the rule that decided.
+    rule: Option<Arc<str>>,
 }
 
 async fn carry_out(daemon: &Arc<Daemon>, prepared: Prepared) -> Outcome {
-    let Prepared { message, above } = prepared;
+    let Prepared {
+        message,
+        above,
+        rule,
+    } = prepared;
     let lent = message.context.retries;
     let key = message.context.key.clone();
     let reply = match key {
         Some(key) => keyed::send(daemon, message, &key).await,
         None => outbound::send(daemon, message, Vec::new()).await,
     };
-    if let Some(token) = above {
-        let mut ledger = lock(&daemon.ledger);
-        ledger.give_back(&token, lent, reply.retries_left, reply.retried);
-        if matches!(&reply.outcome, Outcome::Refused(refusal) if refusal.kind.is_overload()) {
-            ledger.shed_below(&token);
-        }
+    match above {
+        Some(token) => account(daemon, &token, lent, &reply),
+        None => learn(daemon, rule.as_ref(), &reply),
     }
     reply.outcome
 }
 
-fn prepare(daemon: &Daemon, received: Received) -> Result<Prepared, Refusal> {
-    let above = received.header(headers::CALL).map(Arc::from);
-    if above.is_none() && daemon.is_draining() {
+/// Gives what is left of a call inside a chain back to the call above.
+fn account(daemon: &Daemon, above: &str, lent: u32, reply: &Reply) {
+    let mut ledger = lock(&daemon.ledger);
+    ledger.give_back(above, lent, reply.retries_left, reply.retried);
+    ledger.worked(above, &reply.work);
+    if matches!(&reply.outcome, Outcome::Refused(refusal) if refusal.kind.is_overload()) {
+        ledger.shed_below(above);
+    }
+}
+
+/// Learns what a whole request of a rule takes.
+fn learn(daemon: &Daemon, rule: Option<&Arc<str>>, reply: &Reply) {
+    if let (Some(rule), Outcome::Answered(_)) = (rule, &reply.outcome) {
+        lock(&daemon.entry).learn(rule, &reply.work);
+    }
+}
+
+fn prepare(daemon: &Daemon, received: &mut Received) -> Result<Prepared, Refusal> {
+    let head = daemon.dialect.read_call(received)?;
+    let above = above(daemon, &head.above)?;
+    if above.is_none() && !daemon.takes_callers() {
         return Err(Refusal::new(
             Kind::Draining,
             "this daemon is stopping; call another",
@@ -95,17 +134,30 @@
     let rules = daemon.rules();
     let rules =
         rules.ok_or_else(|| Refusal::new(Kind::NotReady, "no rule set is known here yet"))?;
-    let service = service_of(&received)?;
-    let inherited = inherit(daemon, above.as_deref())?;
-    let request_id = request_id(daemon, &received, inherited.as_ref())?;
-    let customer = customer(&received, inherited.as_ref())?;
+    let inherited = above
+        .as_deref()
+        .and_then(|token| lock(&daemon.ledger).lend(Instant::now(), token));
+    if inherited
+        .as_ref()
+        .is_some_and(|context| context.depth > DEEPEST)
+    {
+        let detail = format!("more than {DEEPEST} calls above this one");
+        return Err(Refusal::new(Kind::TooDeep, detail));
+    }
+    let request = request_id(daemon, &head, inherited.as_ref());
+    let customer = match (&inherited, &head.customer) {
+        (Some(context), _) => context.customer.clone(),
+        (None, Some(customer)) => customer.clone(),
+        (None, None) => ANONYMOUS.into(),
+    };
     let attempt = match inherited {
         Some(_) => 0,
-        None => lock(&daemon.seen).count(Instant::now(), &request_id),
+        None => lock(&daemon.seen).count(Instant::now(), &request),
     };
     let path: Arc<str> = received.path.split('?').next().unwrap_or_default().into();
     let decided = rules.decide(&Subject {
-        service: &service,
+        service: &head.service,
+        host: &received.host,
         method: &received.method,
         path: &path,
         customer: &customer,
@@ -113,153 +165,124 @@
         idempotent: is_safe_method(&received.method),
         attempt,
     });
-    log_decision(&rules, decided.rule, &service, &path);
+    let rule = decided.rule.map(|index| rules.rules[index].name.clone());
+    if rules.closed && rule.is_none() {
+        let detail = format!("no rule allows {}{path}", received.host);
+        return Err(Refusal::new(Kind::NoRoute, detail));
+    }
     let treatment = decided.treatment;
-    let key = key_of(&received, &treatment)?;
-    let asked = asked_deadline(&received)?;
+    let service = target(daemon, &treatment, &head)?;
+    log_decision(&rules, rule.as_deref(), &service, &path);
+    let key = key(&head, &treatment)?;
     let call = Call {
         service,
-        method: received.method,
-        path: received.path,
-        headers: received.headers,
-        body: received.body,
+        method: received.method.clone(),
+        path: received.path.clone(),
+        headers: std::mem::take(&mut received.headers),
+        body: received.body.clone(),
     };
-    let digest = fingerprint(&call);
     let mut context = Context {
-        rank: treatment.rank(&customer, &request_id),
-        request_id,
+        rank: treatment.rank(&customer, &request),
+        request_id: request,
         customer,
         class: treatment.class,
         share: treatment.share,
         retries: if attempt == 0 { treatment.retries } else { 0 },
         depth: 0,
-        remaining: asked.unwrap_or(treatment.deadline).min(treatment.deadline),
+        remaining: head
+            .deadline
+            .unwrap_or(treatment.deadline)
+            .min(treatment.deadline),
         idempotent: treatment.idempotent,
         waits: treatment.waits,
         key,
-        digest,
+        digest: fingerprint(&call),
         epoch: 0,
         home: None,
         attempt,
+        crashes: Vec::new(),
+        repeated: false,
     };
     if let Some(inherited) = inherited {
-        context.rank = inherited.rank;
-        context.retries = inherited.retries;
-        context.depth = inherited.depth;
-        context.remaining = context.remaining.min(inherited.remaining);
+        inherit(&mut context, &inherited);
     }
     Ok(Prepared {
         message: RelayMessage { call, context },
         above,
+        rule,
     })
 }
 
-fn log_decision(rules: &RuleSet, rule: Option<usize>, service: &str, path: &str) {
-    let rule = rule.map_or("(none)", |index| &rules.rules[index].name);
-    log::trace!(service, path, rule; "treated");
+/// What a call inside a chain takes over from the call above.
+fn inherit(context: &mut Context, above: &Context) {
+    context.rank = above.rank;
+    context.retries = above.retries;
+    context.depth = above.depth;
+    context.remaining = context.remaining.min(above.remaining);
+    context.repeated = above.repeated;
 }
 
-/// The service a call is for: by header, else by host name.
-fn service_of(received: &Received) -> Result<Arc<str>, Refusal> {
-    let named = received.header(headers::SERVICE).unwrap_or(&received.host);
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    if named.is_empty() || named.len() > LONGEST_NAME || !named.bytes().all(allowed) {
-        let detail = format!("{} is no service name", headers::SERVICE);
-        return Err(Refusal::new(Kind::UnknownService, detail));
-    }
-    Ok(named.into())
-}
-
-/// The context of a call inside a chain, with its share of the retry credit.
-fn inherit(daemon: &Daemon, above: Option<&str>) -> Result<Option<Context>, Refusal> {
-    let Some(token) = above else { return Ok(None) };
-    let lent = lock(&daemon.ledger).lend(Instant::now(), token);
-    let context = lent.ok_or_else(|| {
-        let detail = format!(
-            "{} names no call that runs here; its caller has gone",
-            headers::CALL
-        );
-        Refusal {
-            ran: indigospur_protocol::Ran::No,
-            ..Refusal::new(Kind::Cancelled, detail)
+/// The token of the call above, if it runs here.
+fn above(daemon: &Daemon, named: &Above) -> Result<Option<Token>, Refusal> {
+    let ledger = lock(&daemon.ledger);
+    match named {
+        Above::Unnamed => Ok(None),
+        Above::Token(token) if ledger.knows(token) => Ok(Some(token.clone())),
+        Above::Token(_) => Err(Refusal {
+            ran: Ran::No,
+            ..Refusal::new(
+                Kind::Cancelled,
+                "the request names a call that does not run here; its caller has gone",
+            )
+        }),
+        Above::Prefix(id) => {
+            let ends = id.match_indices('.').map(|(end, _)| end).rev();
+            let mut prefixes = ends.map(|end| &id[..end]);
+            let found = prefixes.find(|prefix| ledger.knows(prefix));
+            daemon.metrics.parent_hint(found.is_some());
+            Ok(found.map(Arc::from))
         }
-    })?;
-    if context.depth > DEEPEST {
-        return Err(Refusal::new(
-            Kind::TooDeep,
-            format!("more than {DEEPEST} calls above this one"),
-        ));
     }
-    Ok(Some(context))
 }
 
-fn request_id(
-    daemon: &Daemon,
-    received: &Received,
-    above: Option<&Context>,
-) -> Result<RequestId, Refusal> {
-    if let Some(context) = above {
-        return Ok(context.request_id.clone());
-    }
-    match received.header(headers::REQUEST_ID) {
-        Some(text) => name(headers::REQUEST_ID, text),
-        None => Ok(daemon.new_token()),
+/// The identifier of the request: its own, else that of the call above, else a new one.
+fn request_id(daemon: &Daemon, head: &CallHead, above: Option<&Context>) -> RequestId {
+    let inherits = !matches!(head.above, Above::Prefix(_));
+    match (above, &head.request) {
+        (Some(context), _) if inherits => context.request_id.clone(),
+        (_, Some(request)) => request.clone(),
+        (_, None) => daemon.new_token(),
     }
 }
 
-fn customer(received: &Received, above: Option<&Context>) -> Result<Arc<str>, Refusal> {
-    match (above, received.header(headers::CUSTOMER)) {
-        (Some(context), _) => Ok(context.customer.clone()),
-        (None, Some(text)) => name(headers::CUSTOMER, text),
-        (None, None) => Ok(ANONYMOUS.into()),
+/// The service that takes the call: the rule's, else the one that the caller names.
+fn target(daemon: &Daemon, treatment: &Treatment, head: &CallHead) -> Result<ServiceName, Refusal> {
+    let drawn = lock(&daemon.rng).random::<f64>();
+    if let Some(service) = treatment.target(drawn) {
+        return Ok(service.clone());
     }
-}
-
-fn name(header: &str, text: &str) -> Result<Arc<str>, Refusal> {
-    if text.is_empty() || text.len() > LONGEST_NAME {
-        return Err(Refusal::new(
-            Kind::BadRequest,
-            format!("{header} must have 1 to {LONGEST_NAME} bytes"),
-        ));
+    if head.service.is_empty() {
+        let detail = "neither the request nor a rule names a service";
+        return Err(Refusal::new(Kind::UnknownService, detail));
     }
-    Ok(text.into())
+    Ok(head.service.clone())
 }
 
-/// The key of a call that runs at most once: the caller's key, else its request identifier.
-fn key_of(received: &Received, treatment: &Treatment) -> Result<Option<Arc<str>>, Refusal> {
-    if !treatment.once {
-        return Ok(None);
-    }
-    let given = received
-        .header(headers::IDEMPOTENCY_KEY)
-        .or_else(|| received.header(headers::REQUEST_ID));
-    let Some(text) = given else { return Ok(None) };
-    match check_key(text) {
-        Ok(key) => Ok(Some(key)),
-        Err(_) => {
-            let detail = format!(
-                "{} must have 1 to {LONGEST_NAME} printable ASCII characters",
-                headers::IDEMPOTENCY_KEY
-            );
-            Err(Refusal::new(Kind::BadKey, detail))
-        }
-    }
+fn log_decision(rules: &RuleSet, rule: Option<&str>, service: &str, path: &str) {
+    let rule = rule.unwrap_or("(none)");
+    log::trace!(service, path, rule, rules = rules.rules.len(); "treated");
 }
 
-fn asked_deadline(received: &Received) -> Result<Option<Duration>, Refusal> {
-    let Some(text) = received.header(headers::DEADLINE) else {
+/// The key of a call that runs at most once.
+fn key(head: &CallHead, treatment: &Treatment) -> Result<Option<Key>, Refusal> {
+    let Some(text) = head.key.as_deref().filter(|_| treatment.once) else {
         return Ok(None);
     };
-    let millis = text
-        .parse()
-        .ok()
-        .filter(|millis| (1..=LONGEST_DEADLINE_MILLIS).contains(millis));
-    let millis = millis.ok_or_else(|| {
+    let checked = check_key(text).map_err(|error| {
         let detail = format!(
-            "{} goes from 1 to {LONGEST_DEADLINE_MILLIS}",
-            headers::DEADLINE
+            "the key is not accepted ({error:?}); give 1 to 128 printable ASCII characters"
         );
-        Refusal::new(Kind::BadDeadline, detail)
-    })?;
-    Ok(Some(Duration::from_millis(millis)))
+        Refusal::new(Kind::BadKey, detail)
+    });
+    checked.map(Some)
 }
--- a/crates/indigospur-daemon/src/control/epochs.rs
+++ b/crates/indigospur-daemon/src/control/epochs.rs
@@ -50,9 +50,6 @@
     }
     let age = daemon.settings.key_horizon + daemon.settings.key_lease * 2;
     lock(&daemon.follower).close_epochs(Instant::now(), age);
-    if let Some(backend) = daemon.backend() {
-        daemon.metrics.load(backend.slots.load());
-    }
 }
 
 /// Appends the member list of this daemon's service when it has changed and stays so.
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -1,8 +1,8 @@
 //! Gossip rounds.
 
-use crate::control::log_reader;
+use crate::control::{log_reader, source_reader};
 use crate::daemon::{Daemon, Fleet, lock};
-use crate::peers;
+use crate::{backend, peers};
 use indigospur_members::Message;
 use indigospur_protocol::{HostId, Member};
 use indigospur_relay::runtime;
@@ -72,7 +72,7 @@
 }
 
 async fn exchange(daemon: &Arc<Daemon>, address: &Arc<str>, host: Option<&HostId>) {
-    let accepted = lock(&daemon.follower).accepted();
+    let accepted = daemon.accepted();
     let message = lock(&daemon.fleet).open(accepted);
     let Some(answer) = send(daemon, address, host, message).await else {
         return;
@@ -133,9 +133,17 @@
 fn take(daemon: &Arc<Daemon>, message: &Message, address: &Arc<str>) {
     let changed = lock(&daemon.fleet).take(message);
     route(daemon, &changed);
-    if message.accepted > lock(&daemon.follower).accepted() {
-        runtime::spawn(log_reader::fetch_from(daemon.clone(), address.clone()));
+    if let Some(instance) = &message.departed {
+        backend::leave(daemon, instance);
     }
+    if message.accepted <= daemon.accepted() {
+        return;
+    }
+    let (daemon, address) = (daemon.clone(), address.clone());
+    match daemon.source {
+        Some(_) => runtime::spawn(source_reader::fetch_from(daemon, address)),
+        None => runtime::spawn(log_reader::fetch_from(daemon, address)),
+    };
 }
 
 /// Answers the gossip of another daemon.
@@ -149,7 +157,7 @@
         .or_else(|| daemon.address_of(&heard.from))
         .unwrap_or_default();
     take(daemon, &heard, &address);
-    let accepted = lock(&daemon.follower).accepted();
+    let accepted = daemon.accepted();
     lock(&daemon.fleet).answer(accepted, &heard)
 }
 
@@ -158,6 +166,14 @@
     let mut router = lock(&daemon.router);
     for member in changed {
         router.update(member);
-        log::debug!(host = &*member.host, state:debug = member.state; "member changed");
+        log::info!(
+            host = &*member.host,
+            incarnation = member.incarnation,
+            revision = member.revision,
+            service = &*member.service,
+            instance = &*member.instance,
+            state:debug = member.state;
+            "member changed"
+        );
     }
 }
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -102,7 +102,7 @@
         match item {
             News::Rules(in_force) => {
                 log::info!(version = in_force.version; "rule set in force");
-                *lock(&daemon.rules) = Some(in_force.rules);
+                daemon.put_in_force(in_force.rules);
             }
             News::Epoch(epoch) => epochs::apply(daemon, epoch),
             News::Seed(address) => gossip::meet(daemon, address),
--- /dev/null
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -0,0 +1,188 @@
+//! Reading a configuration's source, and what other daemons have read of it.
+
+use crate::configuration::{Configuration, Contact, Found, Position, SourceError};
+use crate::control::gossip;
+use crate::daemon::{Daemon, lock};
+use crate::peers;
+use indigospur_protocol::State;
+use indigospur_relay::runtime;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a change in one read of a daemon that watches the source for the others: a
+/// connection that has gone silent is noticed after it.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// The same of the others, which hear of changes from those that watch.
+const WAIT: Duration = Duration::from_secs(20);
+/// Daemons that watch the source.
+const WATCHERS: usize = 3;
+/// Registered daemons that are asked for the fleet at a time.
+const MET_AT_ONCE: usize = 4;
+/// Time after which others are asked, if none of them has answered.
+const MEETING_TIME: Duration = Duration::from_millis(400);
+/// First pause after a failed read; each further failure doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after a failed read: an outage's end is noticed within it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Reads the source for as long as the daemon runs.
+pub(crate) async fn run(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
+    runtime::spawn(register(daemon.clone(), source.clone()));
+    let mut position: Option<Position> = None;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let begun = Instant::now();
+        let read = match position {
+            Some(from) => source.changes(from, wait(&daemon)).await,
+            None => source.newest().await,
+        };
+        match read {
+            Ok(found) => {
+                position = Some(found.next);
+                regained(&daemon, begun);
+                take(&daemon, source.as_ref(), found);
+                pause = FIRST_PAUSE;
+            }
+            Err(error) => {
+                lost(&daemon, error);
+                if error == SourceError::Forgotten {
+                    position = None;
+                }
+                let spread = lock(&daemon.rng).random_range(pause / 2..pause);
+                runtime::sleep(spread).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// The first of the ready daemons, in the order of their names, watch.
+fn wait(daemon: &Daemon) -> Duration {
+    let fleet = lock(&daemon.fleet);
+    let ready = fleet
+        .members
+        .all()
+        .filter(|member| matches!(member.state, State::Ready | State::Waiting));
+    let mut first = ready.take(WATCHERS);
+    if first.any(|member| member.host == *daemon.host()) {
+        WATCH_WAIT
+    } else {
+        WAIT
+    }
+}
+
+fn regained(daemon: &Daemon, begun: Instant) {
+    let before = lock(&daemon.log_read).replace(begun);
+    if daemon.metrics.set_source_up(true) {
+        let age = before.map_or(0, |at| at.elapsed().as_millis() as u64);
+        log::info!(last_read_ms_ago = age; "the configuration's source answers");
+    }
+}
+
+fn lost(daemon: &Daemon, error: SourceError) {
+    daemon.metrics.source_failure();
+    if daemon.metrics.set_source_up(false) {
+        let version = lock(&daemon.newest).version();
+        log::warn!(error:display, version; "the configuration's source does not answer; the last configuration stays in force");
+    }
+}
+
+fn take(daemon: &Arc<Daemon>, source: &dyn Configuration, found: Found) {
+    for body in found.bodies {
+        daemon.metrics.control_bytes(body.len());
+        offer(daemon, source, &body, "source");
+    }
+}
+
+/// Puts a configuration in force if it is newer than the one that is.
+fn offer(daemon: &Arc<Daemon>, source: &dyn Configuration, body: &Arc<[u8]>, from: &str) {
+    let published = match source.decode(body) {
+        Ok(published) => published,
+        Err(reason) => {
+            daemon.metrics.skip();
+            log::warn!(reason, from, bytes = body.len(); "a configuration that can't be read is skipped");
+            return;
+        }
+    };
+    let accepted = lock(&daemon.newest).offer(published.version, body.clone());
+    if !accepted {
+        return;
+    }
+    let rules = published.rules.rules.len();
+    log::info!(version = published.version, rules, from; "configuration in force");
+    daemon.put_in_force(published.rules);
+    daemon.tell_news();
+}
+
+/// Fetches the newest configuration of the daemon at `address`.
+pub(crate) async fn fetch_from(daemon: Arc<Daemon>, address: Arc<str>) {
+    let Some(source) = daemon.source.clone() else {
+        return;
+    };
+    let from = lock(&daemon.newest).version();
+    let reply = match peers::fetch(&daemon, &address, from).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!(address = &*address, error:debug; "a daemon did not tell its configuration");
+            return;
+        }
+    };
+    for record in reply.records {
+        daemon.metrics.control_bytes(record.body.len());
+        offer(&daemon, source.as_ref(), &record.body.into(), &address);
+    }
+}
+
+/// Registers this daemon and meets some of those registered, until both have succeeded.
+///
+/// Each daemon registers before it reads, so that of two that start together at least one finds the
+/// other.
+async fn register(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
+    let own = Contact {
+        host: daemon.host().clone(),
+        address: lock(&daemon.fleet).members.me().address.clone(),
+    };
+    let mut registered = false;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match register_and_meet(&daemon, source.as_ref(), &own, &mut registered).await {
+            Ok(()) => return,
+            Err(error) => {
+                log::debug!(registered, error:display; "the registered daemons are not known yet");
+            }
+        }
+        let spread = lock(&daemon.rng).random_range(pause / 2..pause);
+        runtime::sleep(spread).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn register_and_meet(
+    daemon: &Arc<Daemon>,
+    source: &dyn Configuration,
+    own: &Contact,
+    registered: &mut bool,
+) -> Result<(), SourceError> {
+    if !*registered {
+        source.register(own.clone()).await?;
+        *registered = true;
+    }
+    let contacts = source.contacts().await?;
+    let mut others: Vec<Contact> = contacts
+        .into_iter()
+        .filter(|contact| contact.host != own.host)
+        .collect();
+    others.shuffle(&mut *lock(&daemon.rng));
+    for contacts in others.chunks(MET_AT_ONCE) {
+        for contact in contacts {
+            gossip::meet(daemon, contact.address.clone());
+        }
+        runtime::sleep(MEETING_TIME).await;
+        if !lock(&daemon.fleet).members.is_empty() {
+            break;
+        }
+    }
+    Ok(())
+}
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -1,18 +1,21 @@
 //! The state that the parts of the daemon share.
 
 use crate::backend::Backend;
+use crate::configuration::{Configuration, Newest};
+use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_budget::{Ledger, RetryRatio, SeenRequests};
-use indigospur_members::{Exchange, Members, Suspects};
+use indigospur_admission::{Entry, Pressures};
+use indigospur_budget::{Ledger, RatioOptions, RetryRatio, SeenRequests};
+use indigospur_members::{Exchange, Members, Starts, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
     EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice, ServiceName,
     State,
 };
 use indigospur_publish::Follower;
-use indigospur_relay::{Links, LogClient};
+use indigospur_relay::{HttpService, Links, LogClient};
 use indigospur_routing::Router;
 use indigospur_rules::RuleSet;
 use rand::Rng;
@@ -20,7 +23,7 @@
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Time for which a caller's request identifier is remembered.
@@ -46,11 +49,18 @@
 #[derive(Debug)]
 pub(crate) struct Daemon {
     pub(crate) settings: Settings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// Where rule sets come from, if not from the log.
+    pub(crate) source: Option<Arc<dyn Configuration>>,
     pub(crate) incarnation: Incarnation,
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) log: LogClient,
+    /// The port for callers, once it is open.
+    pub(crate) callers: OnceLock<HttpService>,
     pub(crate) backend: Mutex<Option<Arc<Backend>>>,
+    /// Starts of the backend server, by its announcements.
+    pub(crate) starts: Mutex<Starts>,
     /// The backend server was found gone and has not announced itself since.
     pub(crate) was_gone: AtomicBool,
     /// Last announcement of the backend server.
@@ -59,6 +69,8 @@
     pub(crate) waiters: Mutex<KeyWaiters>,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) follower: Mutex<Follower>,
+    /// The newest configuration of `source`.
+    pub(crate) newest: Mutex<Newest>,
     /// Start of the last read of the log that succeeded.
     pub(crate) log_read: Mutex<Option<Instant>>,
     pub(crate) rules: Mutex<Option<Arc<RuleSet>>>,
@@ -67,11 +79,16 @@
     pub(crate) router: Mutex<Router>,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) seen: Mutex<SeenRequests>,
+    /// The room at services, by what their upstreams have told.
+    pub(crate) pressures: Mutex<Pressures>,
+    /// Admission of callers' requests by the room at the services below.
+    pub(crate) entry: Mutex<Entry>,
     pub(crate) ratios: Mutex<HashMap<ServiceName, RetryRatio>>,
     pub(crate) rng: Mutex<SmallRng>,
     /// Wakes the gossip task before its time.
     pub(crate) news: (Sender<()>, Receiver<()>),
-    draining: AtomicBool,
+    /// When the graceful shutdown began.
+    drained: Mutex<Option<Instant>>,
     /// Calls of callers under way.
     pub(crate) open_calls: AtomicUsize,
     /// Protected calls under way that outlive their callers.
@@ -87,7 +104,12 @@
 
 impl Daemon {
     /// A daemon that tells others to reach it at `peers`.
-    pub(crate) fn new(settings: Settings, peers: &str) -> Arc<Daemon> {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        source: Option<Arc<dyn Configuration>>,
+        peers: &str,
+    ) -> Arc<Daemon> {
         let since = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
@@ -103,6 +125,8 @@
             slots: 0,
             connections: 0,
             state: State::Waiting,
+            instance: "".into(),
+            leaving: false,
         };
         let fleet = Fleet {
             members: Members::new(Instant::now(), me),
@@ -110,17 +134,22 @@
             exchange: Exchange::default(),
         };
         Arc::new(Daemon {
+            dialect,
+            source,
             incarnation,
             metrics: Metrics::new(),
             links: Links::default(),
             log: LogClient::new(settings.log.clone()),
+            callers: OnceLock::new(),
             backend: Mutex::default(),
+            starts: Mutex::default(),
             was_gone: AtomicBool::new(false),
             heard: Mutex::default(),
             once: Mutex::default(),
             waiters: Mutex::default(),
             fleet: Mutex::new(fleet),
             follower: Mutex::default(),
+            newest: Mutex::default(),
             log_read: Mutex::default(),
             rules: Mutex::default(),
             epochs: Mutex::default(),
@@ -130,10 +159,12 @@
             )),
             ledger: Mutex::default(),
             seen: Mutex::new(SeenRequests::new(REQUEST_LIFETIME, MOST_REQUESTS)),
+            pressures: Mutex::default(),
+            entry: Mutex::new(Entry::new(incarnation)),
             ratios: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             news: bounded(1),
-            draining: AtomicBool::new(false),
+            drained: Mutex::default(),
             open_calls: AtomicUsize::new(0),
             open_keys: AtomicUsize::new(0),
             next_call: AtomicU64::new(1),
@@ -154,18 +185,73 @@
         &self.settings.name
     }
 
+    /// Version of the newest configuration, as told to other daemons: the highest accepted offset
+    /// of the log plus one, or the version of the configuration's source.
+    pub(crate) fn accepted(&self) -> u64 {
+        match &self.source {
+            Some(_) => lock(&self.newest).version(),
+            None => lock(&self.follower).accepted(),
+        }
+    }
+
+    /// The bucket from which retries of calls to a service are paid.
+    pub(crate) fn with_ratio<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryRatio) -> T,
+    ) -> T {
+        let members = lock(&self.fleet).members.len() as u32;
+        let options = RatioOptions {
+            percent: self.settings.retry_percent,
+            saved: (self.settings.fleet_retries / members.max(1))
+                .clamp(1, self.settings.retries_saved),
+        };
+        let mut ratios = lock(&self.ratios);
+        let ratio = ratios
+            .entry(service.clone())
+            .or_insert_with(|| RetryRatio::new(options));
+        ratio.set_options(options);
+        act(ratio)
+    }
+
+    /// The metrics as text.
+    pub(crate) fn scrape(&self) -> Vec<u8> {
+        if let Some(backend) = self.backend() {
+            self.metrics.load(backend.slots.load());
+        }
+        self.metrics.render()
+    }
+
+    /// Puts a rule set in force.
+    pub(crate) fn put_in_force(&self, rules: Arc<RuleSet>) {
+        if let Some(callers) = self.callers.get() {
+            callers.set_bounds(self.settings.caller_bounds(&rules.callers));
+        }
+        *lock(&self.rules) = Some(rules);
+    }
+
+    /// Whether calls of callers are still taken: while serving, and for a time after the shutdown
+    /// has begun, until the callers have noticed.
+    pub(crate) fn takes_callers(&self) -> bool {
+        let since = *lock(&self.drained);
+        since.is_none_or(|since| since.elapsed() < self.settings.leave)
+    }
+
     /// Whether calls can be treated: a rule set is in force, or the log is known to hold none.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && lock(&self.rules).is_some()
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        lock(&self.drained).is_some()
     }
 
     /// Begins the graceful shutdown: no new work, and everyone is told.
     pub(crate) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        lock(&self.drained).get_or_insert_with(Instant::now);
+        if let Some(callers) = self.callers.get() {
+            callers.close_connections();
+        }
         if let Some(backend) = self.backend() {
             backend.slots.drain();
         }
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -2,20 +2,18 @@
 
 use crate::backend::{self, Backend};
 use crate::daemon::{Daemon, lock};
+use crate::dialect::{Meaning, Sending};
 use crate::slots::Slot;
 use indigospur_admission::{Arrival, Finish, Refused};
-use indigospur_budget::Closed;
+use indigospur_budget::{Closed, add_work};
 use indigospur_members::Verdict;
 use indigospur_once::Recorded;
 use indigospur_protocol::{
-    Answer, Context, Header, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, fingerprint, headers,
+    Answer, Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work, fingerprint,
 };
-use indigospur_relay::{BackendError, HttpRequest, runtime};
+use indigospur_relay::{BackendError, HttpRequest, Judge, runtime};
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
-
-/// Status by which a backend server sheds a call itself.
-const SHED_STATUS: u16 = 503;
+use std::time::Instant;
 
 /// Runs a call at the backend server, or refuses it.
 pub(crate) async fn serve(daemon: &Arc<Daemon>, message: RelayMessage) -> Reply {
@@ -32,13 +30,37 @@
             retries,
         );
     }
+    let known = learn_crashes(daemon, &message);
+    let digest = fingerprint(&message.call);
     let mut reply = admit(daemon, &backend, message).await;
+    reply.crashes = crashes_beyond(daemon, digest, known);
+    reply.pressures = lock(&daemon.pressures).tell(Instant::now());
     let mut load = backend.slots.load();
     load.incarnation = daemon.incarnation;
     reply.load = Some(load);
     reply
 }
 
+/// Learns the crashes that the sender lays to the request; the number of those known then.
+fn learn_crashes(daemon: &Daemon, message: &RelayMessage) -> usize {
+    let mut fleet = lock(&daemon.fleet);
+    for crash in &message.context.crashes {
+        fleet.suspects.learn(crash.clone());
+    }
+    message.context.crashes.len()
+}
+
+/// The crashes laid to the request, if the sender does not know them all: it must not try another
+/// host before it does.
+fn crashes_beyond(daemon: &Daemon, digest: u64, known: usize) -> Vec<Crash> {
+    let crashes = lock(&daemon.fleet).suspects.of(digest);
+    if crashes.len() > known {
+        crashes
+    } else {
+        Vec::new()
+    }
+}
+
 async fn admit(daemon: &Arc<Daemon>, backend: &Arc<Backend>, message: RelayMessage) -> Reply {
     let retries = message.context.retries;
     let deadline = Instant::now() + message.context.remaining;
@@ -123,24 +145,26 @@
     mut slot: Slot,
     deadline: Instant,
 ) -> Reply {
+    let begun = Instant::now();
     let context = message.context.clone();
-    let open = OpenCall::new(daemon, &context);
-    let ended = exchange(backend, &message, &open.token, &slot, deadline).await;
+    let token = daemon.dialect.token(&message, daemon.new_token());
+    let open = OpenCall::new(daemon, token, &context);
+    let ended = exchange(daemon, backend, &message, &open.token, &slot, deadline).await;
     let outcome = conclude(daemon, backend, &context, ended, &mut slot).await;
     let closed = open.close();
     if closed.shed_below && !is_success(&outcome) {
         slot.ended(Finish::Shed);
     }
-    let Closed {
-        left: retries_left,
-        retried,
-        ..
-    } = closed;
+    let mut work = closed.work;
+    let own = Work {
+        service: backend.service.clone(),
+        time: begun.elapsed(),
+    };
+    add_work(&mut work, &[own]);
     Reply {
-        outcome,
-        retries_left,
-        retried,
-        load: None,
+        retried: closed.retried,
+        work,
+        ..Reply::new(outcome, closed.left)
     }
 }
 
@@ -149,23 +173,33 @@
 }
 
 async fn exchange(
+    daemon: &Daemon,
     backend: &Backend,
     message: &RelayMessage,
     token: &str,
     slot: &Slot,
     deadline: Instant,
 ) -> Ended {
-    let sent = sent_headers(message, token, deadline);
+    let head = daemon.dialect.write_request(&Sending {
+        message,
+        token,
+        remaining: deadline.saturating_duration_since(Instant::now()),
+        instance: &backend.instance,
+    });
     let call = &message.call;
     let request = HttpRequest {
         method: &call.method,
-        host: &call.service,
+        host: &head.host,
         path: &call.path,
-        headers: &sent,
+        headers: &head.headers,
         body: &call.body,
     };
+    let judge = Judge {
+        owner: &|answer| daemon.dialect.owner(answer, token),
+        unframed: daemon.dialect.unframed(),
+    };
     let answered = async {
-        match backend.pool.call(&request, token).await {
+        match backend.pool.call(&request, judge).await {
             Ok(answer) => Ended::Whole(answer),
             Err(error) => Ended::Failed(error),
         }
@@ -178,32 +212,6 @@
     futures_lite::future::or(answered, futures_lite::future::or(late, preempted)).await
 }
 
-fn sent_headers(message: &RelayMessage, token: &str, deadline: Instant) -> Vec<Header> {
-    let wall = SystemTime::now() + deadline.saturating_duration_since(Instant::now());
-    let at = wall
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis()
-        .to_string();
-    let kept = message
-        .call
-        .headers
-        .iter()
-        .filter(|header| !header.name.starts_with(headers::PREFIX));
-    let mut sent: Vec<Header> = kept.cloned().collect();
-    let own = [
-        (headers::CALL, token),
-        (headers::DEADLINE_AT, &*at),
-        (headers::REQUEST_ID, &*message.context.request_id),
-        (headers::CUSTOMER, &*message.context.customer),
-    ];
-    sent.extend(own.map(|(name, value)| Header {
-        name: name.into(),
-        value: value.as_bytes().into(),
-    }));
-    sent
-}
-
 async fn conclude(
     daemon: &Arc<Daemon>,
     backend: &Arc<Backend>,
@@ -212,19 +220,7 @@
     slot: &mut Slot,
 ) -> Outcome {
     match ended {
-        Ended::Whole(answer) if answer.status == SHED_STATUS => {
-            slot.ended(Finish::Shed);
-            let refusal = Refusal::new(Kind::Overloaded, "the backend server shed the call");
-            Outcome::Refused(Refusal {
-                ran: Ran::Unknown,
-                ..refusal
-            })
-        }
-        Ended::Whole(answer) => {
-            slot.ended(Finish::Answered);
-            finished(daemon, context);
-            Outcome::Answered(answer)
-        }
+        Ended::Whole(answer) => conclude_whole(daemon, backend, context, answer, slot),
         Ended::Failed(BackendError::NotSent) => {
             not_run(daemon, context);
             find_gone(daemon, backend).await;
@@ -252,6 +248,41 @@
     }
 }
 
+fn conclude_whole(
+    daemon: &Daemon,
+    backend: &Arc<Backend>,
+    context: &Context,
+    mut answer: Answer,
+    slot: &mut Slot,
+) -> Outcome {
+    let (kind, ran) = match daemon.dialect.read_answer(&mut answer) {
+        Meaning::Answer => {
+            slot.ended(Finish::Answered);
+            finished(daemon, context);
+            return Outcome::Answered(answer);
+        }
+        Meaning::NotRun(kind) => {
+            not_run(daemon, context);
+            (kind, Ran::No)
+        }
+        Meaning::Unproven(kind) => (kind, Ran::Unknown),
+    };
+    if kind == Kind::NotReady {
+        // Another start of a backend server has the address.
+        backend::lost(daemon, backend);
+    } else {
+        slot.ended(Finish::Shed);
+    }
+    let detail = format!(
+        "the backend server turned the call away with {}",
+        answer.status
+    );
+    Outcome::Refused(Refusal {
+        ran,
+        ..Refusal::new(kind, detail)
+    })
+}
+
 async fn broken(daemon: &Arc<Daemon>, backend: &Arc<Backend>) -> Refusal {
     if find_gone(daemon, backend).await {
         Refusal::new(
@@ -327,8 +358,7 @@
 }
 
 impl<'a> OpenCall<'a> {
-    fn new(daemon: &'a Daemon, context: &Context) -> OpenCall<'a> {
-        let token = daemon.new_token();
+    fn new(daemon: &'a Daemon, token: Arc<str>, context: &Context) -> OpenCall<'a> {
         lock(&daemon.ledger).open(Instant::now(), token.clone(), context.clone());
         OpenCall { daemon, token }
     }
--- a/crates/indigospur-daemon/src/keyed.rs
+++ b/crates/indigospur-daemon/src/keyed.rs
@@ -102,12 +102,7 @@
         Claim::Granted(epoch) => return run_detached(daemon, message, key.clone(), epoch).await,
         Claim::Running => return wait(daemon, message, key).await,
         Claim::Repeat(answer) => {
-            return Reply {
-                outcome: Outcome::Answered(answer),
-                retries_left: retries,
-                retried: false,
-                load: None,
-            };
+            return Reply::new(Outcome::Answered(answer), retries);
         }
         Claim::Elsewhere(_) => Refusal::new(Kind::StaleEpoch, "another host is the key's home"),
         Claim::Ran => Refusal {
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -1,12 +1,17 @@
 //! The daemon's life: starting, serving, stopped. Each state is a type with just its own steps.
 
+use crate::configuration::Configuration;
 use crate::daemon::Daemon;
+use crate::dialect::Dialect;
 use crate::failure::StartError;
+use crate::own_dialect::OwnDialect;
 use crate::peer_port::PeerPort;
+use crate::port::Port;
 use crate::settings::Settings;
 use crate::{admin, caller, control};
 use async_std::net::TcpListener;
-use indigospur_relay::{Bounds, Handler, runtime, serve_http, serve_peers};
+use indigospur_relay::{Bounds, Handler, HttpService, Refuse, runtime, serve_http, serve_peers};
+use indigospur_rules::CallerBounds;
 use serde::Serialize;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -38,6 +43,8 @@
 #[derive(Debug)]
 pub struct Starting {
     settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    source: Option<Arc<dyn Configuration>>,
 }
 
 /// A daemon that serves.
@@ -50,7 +57,23 @@
 impl Starting {
     /// A daemon that is about to start.
     pub fn new(settings: Settings) -> Starting {
-        Starting { settings }
+        Starting {
+            settings,
+            dialect: Arc::new(OwnDialect),
+            source: None,
+        }
+    }
+
+    /// Speaks to callers and to the backend server in other words.
+    pub fn with_dialect(mut self, dialect: Arc<dyn Dialect>) -> Starting {
+        self.dialect = dialect;
+        self
+    }
+
+    /// Takes rule sets from another source than the daemon's own log.
+    pub fn with_source(mut self, source: Arc<dyn Configuration>) -> Starting {
+        self.source = Some(source);
+        self
     }
 
     /// Listens and serves.
@@ -60,29 +83,30 @@
     pub async fn serve(self) -> Result<Serving, StartError> {
         let calls = listen("listen.calls", &self.settings.calls).await?;
         let peers = listen("listen.peers", &self.settings.peers).await?;
-        let admin = listen("listen.admin", &self.settings.admin).await?;
+        let admin_port = listen("listen.admin", &self.settings.admin).await?;
         let addresses = Addresses {
             calls: calls.1,
             peers: peers.1,
-            admin: admin.1,
-        };
-        let bounds = Bounds {
-            body: self.settings.body,
-            connections: self.settings.connections,
+            admin: admin_port.1,
         };
         let told = self
             .settings
             .advertise
             .clone()
             .unwrap_or_else(|| addresses.peers.as_str().into());
-        let daemon = Daemon::new(self.settings, &told);
+        let daemon = Daemon::new(self.settings, self.dialect, self.source, &told);
         runtime::spawn(serve_peers(peers.0, Arc::new(PeerPort(daemon.clone()))));
-        runtime::spawn(serve_http(calls.0, bounds, caller_handler(&daemon)));
-        let admin_bounds = Bounds {
+        let bounds = daemon.settings.caller_bounds(&CallerBounds::default());
+        let callers = HttpService::new(bounds, caller_handler(&daemon), refuse(&daemon));
+        let callers = daemon.callers.get_or_init(|| callers).clone();
+        runtime::spawn(serve_http(calls.0, callers));
+        let bounds = Bounds {
             body: LARGEST_ADMIN_BODY,
             connections: MOST_ADMIN_CONNECTIONS,
+            ..Bounds::default()
         };
-        runtime::spawn(serve_http(admin.0, admin_bounds, admin_handler(&daemon)));
+        let admin = HttpService::new(bounds, admin_handler(&daemon), refuse(&daemon));
+        runtime::spawn(serve_http(admin_port.0, admin));
         control::start(&daemon);
         log::info!(calls = &*addresses.calls, peers = &*addresses.peers, admin = &*addresses.admin; "serving");
         Ok(Serving { daemon, addresses })
@@ -106,7 +130,20 @@
     Arc::new(move |received| Box::pin(admin::answer(daemon.clone(), received)))
 }
 
+fn refuse(daemon: &Arc<Daemon>) -> Refuse {
+    let daemon = daemon.clone();
+    Arc::new(move |refusal| {
+        daemon.metrics.refused(refusal.kind);
+        daemon.dialect.write_refusal(refusal)
+    })
+}
+
 impl Serving {
+    /// What programs that embed the daemon may ask of it and tell it.
+    pub fn port(&self) -> Port {
+        Port::new(self.daemon.clone())
+    }
+
     /// Addresses that the daemon listens on.
     pub fn addresses(&self) -> &Addresses {
         &self.addresses
@@ -120,7 +157,7 @@
         let begun = Instant::now();
         daemon.drain();
         runtime::sleep(LEAVE_TIME).await;
-        let finished = runtime::within(bound, finish(&daemon)).await.is_some();
+        let finished = runtime::within(bound, leave(&daemon)).await.is_some();
         let left = bound.saturating_sub(begun.elapsed()).min(HAND_OVER_TIME);
         let handed = runtime::within(left, hand_over(&daemon)).await.is_some();
         let finished = finished && runtime::within(bound, finish(&daemon)).await.is_some();
@@ -129,6 +166,14 @@
     }
 }
 
+/// Waits until callers have noticed, and then for what is in flight.
+async fn leave(daemon: &Daemon) {
+    while daemon.takes_callers() {
+        runtime::sleep(DRAIN_PAUSE).await;
+    }
+    finish(daemon).await;
+}
+
 async fn finish(daemon: &Daemon) {
     while busy(daemon) > 0 {
         runtime::sleep(DRAIN_PAUSE).await;
@@ -142,6 +187,9 @@
 }
 
 async fn hand_over(daemon: &Arc<Daemon>) {
+    if !daemon.settings.at_most_once {
+        return;
+    }
     while !control::hand_over_to_all(daemon).await {
         runtime::sleep(DRAIN_PAUSE * 5).await;
     }
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -5,6 +5,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// What the daemon counts.
@@ -25,7 +26,12 @@
     keys: Gauge<u64>,
     log_age: Gauge<f64>,
     skipped: Gauge<u64>,
+    skips: Counter<u64>,
+    bad_announcements: Counter<u64>,
     control_bytes: Counter<u64>,
+    parent_hints: Counter<u64>,
+    source_failures: Counter<u64>,
+    source_up: AtomicBool,
 }
 
 impl Metrics {
@@ -56,8 +62,17 @@
             members: meter.u64_gauge("indigospur_members").build(),
             keys: meter.u64_gauge("indigospur_keys").build(),
             log_age: meter.f64_gauge("indigospur_log_age_seconds").build(),
+            bad_announcements: meter
+                .u64_counter("indigospur_announcements_skipped")
+                .build(),
+            skips: meter
+                .u64_counter("indigospur_configurations_skipped")
+                .build(),
             skipped: meter.u64_gauge("indigospur_records_skipped").build(),
             control_bytes: meter.u64_counter("indigospur_control_bytes").build(),
+            parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
+            source_failures: meter.u64_counter("indigospur_source_failures").build(),
+            source_up: AtomicBool::new(false),
             registry,
             _provider: provider,
         }
@@ -112,6 +127,31 @@
         self.control_bytes.add(count as u64, &[]);
     }
 
+    /// Counts a request whose identifier was compared with those of running calls.
+    pub(crate) fn parent_hint(&self, found: bool) {
+        self.parent_hints.add(1, &[KeyValue::new("found", found)]);
+    }
+
+    /// Counts a read of the configuration's source that failed.
+    pub(crate) fn source_failure(&self) {
+        self.source_failures.add(1, &[]);
+    }
+
+    /// Notes whether the configuration's source answers; true if that has changed.
+    pub(crate) fn set_source_up(&self, up: bool) -> bool {
+        self.source_up.swap(up, Ordering::Relaxed) != up
+    }
+
+    /// Counts a published configuration that was skipped.
+    pub(crate) fn skip(&self) {
+        self.skips.add(1, &[]);
+    }
+
+    /// Counts an announcement of a backend server that was skipped.
+    pub(crate) fn skip_announcement(&self) {
+        self.bad_announcements.add(1, &[]);
+    }
+
     /// The text that a scraper reads.
     pub(crate) fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -2,8 +2,12 @@
 
 use crate::daemon::{Daemon, lock};
 use crate::{inbound, peers};
-use indigospur_budget::{Attempted, Credit, RetryOptions, decide_retry, is_pass};
-use indigospur_protocol::{HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply};
+use indigospur_budget::{
+    Attempted, Credit, RetryOptions, RetryRatio, add_work, decide_retry, is_pass,
+};
+use indigospur_protocol::{
+    Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, ServiceName, Work,
+};
 use indigospur_relay::{LinkError, runtime};
 use indigospur_routing::{Attempt, Request};
 use std::sync::Arc;
@@ -23,6 +27,8 @@
     attempts: u32,
     passes: u32,
     deadline: Instant,
+    crashes: Vec<Crash>,
+    work: Vec<Work>,
 }
 
 /// Sends a call to an upstream that is not among `avoid`, and again while there is hope.
@@ -39,6 +45,8 @@
         attempts: 0,
         passes: MOST_PASSES,
         deadline: Instant::now() + message.context.remaining,
+        crashes: Vec::new(),
+        work: Vec::new(),
     };
     earn(daemon, &message);
     let mut last: Option<Refusal> = None;
@@ -67,10 +75,10 @@
             answered => answered,
         };
         Reply {
-            outcome,
-            retries_left: self.credit.left(),
             retried: self.retried,
-            load: None,
+            crashes: self.crashes,
+            work: self.work,
+            ..Reply::new(outcome, self.credit.left())
         }
     }
 }
@@ -139,6 +147,7 @@
     message.context.retries = lent.left();
     message.context.attempt = course.attempts;
     message.context.remaining = course.deadline.saturating_duration_since(Instant::now());
+    message.context.crashes = lock(&daemon.fleet).suspects.of(message.context.digest);
     course.attempts += 1;
     let service = message.call.service.clone();
     let mut open = Open {
@@ -159,6 +168,9 @@
     );
     course.credit.give_back(lent, reply.retries_left);
     course.retried |= reply.retried;
+    hear(daemon, &service, &reply);
+    course.crashes.extend(reply.crashes.iter().cloned());
+    add_work(&mut course.work, &reply.work);
     if let Outcome::Refused(refusal) = &reply.outcome {
         course.ran = course.ran.then(refusal.ran);
         if refusal.kind == Kind::Draining {
@@ -168,6 +180,21 @@
     reply
 }
 
+/// Takes in what a reply tells beside its outcome.
+fn hear(daemon: &Daemon, service: &ServiceName, reply: &Reply) {
+    let now = Instant::now();
+    if !reply.crashes.is_empty() {
+        let mut fleet = lock(&daemon.fleet);
+        for crash in &reply.crashes {
+            fleet.suspects.learn(crash.clone());
+        }
+    }
+    let own = lock(&daemon.router).pressure(now, service);
+    let mut pressures = lock(&daemon.pressures);
+    pressures.hear(now, &reply.pressures);
+    pressures.hear(now, own.as_slice());
+}
+
 async fn relay(daemon: &Arc<Daemon>, message: &RelayMessage, member: &Member) -> (Attempt, Reply) {
     if member.host == *daemon.host() {
         return (
@@ -221,10 +248,9 @@
 }
 
 fn earn(daemon: &Daemon, message: &RelayMessage) {
-    lock(&daemon.ratios)
-        .entry(message.call.service.clone())
-        .or_default()
-        .earn();
+    if !message.context.repeated {
+        daemon.with_ratio(&message.call.service, RetryRatio::earn);
+    }
 }
 
 fn tries_again(
@@ -241,17 +267,25 @@
         expected: lock(&daemon.router).expected_time(service),
         passes: course.passes,
     };
-    let mut ratios = lock(&daemon.ratios);
-    let ratio = ratios.entry(service.clone()).or_default();
-    let decided = decide_retry(
-        options,
-        Attempted { refusal, retried },
-        &mut course.credit,
-        ratio,
-    );
+    let attempted = Attempted { refusal, retried };
+    let credit = &mut course.credit;
+    let decided = daemon.with_ratio(service, |ratio| {
+        decide_retry(options, attempted, credit, ratio)
+    });
     let (Ok(reason) | Err(reason)) = decided;
     daemon.metrics.retry(reason, decided.is_ok());
-    log::debug!(service = &**service, reason = reason.name(), made = decided.is_ok(), kind = refusal.kind.name(); "attempt failed");
+    log::info!(
+        request = &*message.context.request_id,
+        service = &**service,
+        kind = refusal.kind.name(),
+        ran = refusal.ran.as_str(),
+        detail = &*refusal.detail,
+        reason = reason.name(),
+        again = decided.is_ok(),
+        credit_left = course.credit.left(),
+        remaining_ms = options.remaining.as_millis() as u64;
+        "attempt failed"
+    );
     if is_pass(refusal) {
         course.passes = course.passes.saturating_sub(1);
     } else {
--- a/crates/indigospur-daemon/src/peer_port.rs
+++ b/crates/indigospur-daemon/src/peer_port.rs
@@ -20,6 +20,20 @@
     Status::invalid_argument(error.to_string())
 }
 
+/// The newest configuration of the source, if it is newer than `from`.
+fn newest(daemon: &Daemon, from: u64) -> peer::FetchReply {
+    let newest = lock(&daemon.newest);
+    let body = newest.body().filter(|_| newest.version() > from);
+    let records = body.map(|body| peer::LogRecord {
+        offset: newest.version(),
+        body: body.to_vec(),
+        age_millis: 0,
+    });
+    peer::FetchReply {
+        records: records.into_iter().collect(),
+    }
+}
+
 #[tonic::async_trait]
 impl peer::peer_server::Peer for PeerPort {
     async fn relay(
@@ -71,7 +85,11 @@
         request: Request<peer::FetchRequest>,
     ) -> Result<Response<peer::FetchReply>, Status> {
         let now = Instant::now();
-        let records = lock(&self.0.follower).records(request.into_inner().from);
+        let from = request.into_inner().from;
+        if self.0.source.is_some() {
+            return Ok(Response::new(newest(&self.0, from)));
+        }
+        let records = lock(&self.0.follower).records(from);
         let records = records.iter().map(|fetched| peer::LogRecord {
             offset: fetched.offset,
             body: fetched.body.to_vec(),
--- /dev/null
+++ b/crates/indigospur-daemon/src/port.rs
@@ -0,0 +1,53 @@
+//! What programs that embed the daemon may ask of it and tell it.
+
+use crate::backend;
+use crate::daemon::{Daemon, lock};
+use indigospur_protocol::Announcement;
+use std::sync::Arc;
+
+/// A daemon that serves, as seen by the program it is part of.
+#[derive(Clone, Debug)]
+pub struct Port {
+    daemon: Arc<Daemon>,
+}
+
+impl Port {
+    pub(crate) fn new(daemon: Arc<Daemon>) -> Port {
+        Port { daemon }
+    }
+
+    /// Whether calls of callers are treated and more of them are wanted.
+    pub fn is_ready(&self) -> bool {
+        self.daemon.is_ready()
+    }
+
+    /// Takes an announcement of the backend server in.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn announce(&self, announced: &Announcement) -> Result<(), &'static str> {
+        backend::check(announced)?;
+        backend::announce(&self.daemon, announced);
+        Ok(())
+    }
+
+    /// The backend server says that an instance of it has left.
+    pub fn leave(&self, instance: &str) {
+        backend::leave(&self.daemon, instance);
+    }
+
+    /// Counts an announcement that could not be used.
+    pub fn skip_announcement(&self) {
+        self.daemon.metrics.skip_announcement();
+    }
+
+    /// The metrics as text.
+    pub fn metrics(&self) -> Vec<u8> {
+        self.daemon.scrape()
+    }
+
+    /// Version of the configuration in force; zero if there is none.
+    pub fn version(&self) -> u64 {
+        lock(&self.daemon.newest).version()
+    }
+}
--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -64,7 +64,11 @@
     })
 }
 
-fn stop_signals() -> Result<Receiver<()>, StartError> {
+/// Tells of each signal to stop.
+///
+/// # Errors
+/// Signals can't be received.
+pub fn stop_signals() -> Result<Receiver<()>, StartError> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(StartError::Signals)?;
     let (sender, receiver) = bounded(1);
     std::thread::spawn(move || {
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -2,11 +2,17 @@
 
 use crate::failure::StartError;
 use indigospur_document::{Document, Problems, Reader};
+use indigospur_relay::Bounds;
+use indigospur_rules::CallerBounds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Largest body that the messages between daemons can carry, in bytes.
+const LARGEST_BODY: u64 = 4 * 1_024 * 1_024;
+/// Largest head of a caller's request that no rule set bounds, in bytes.
+const LARGEST_HEAD: usize = 8 * 1_024;
 const DAY: Duration = Duration::from_secs(24 * 3_600);
 
 /// Settings of a daemon.
@@ -46,6 +52,20 @@
     pub key_horizon: Duration,
     /// Time after the last read of the log during which protected calls are run.
     pub key_lease: Duration,
+    /// Calls can be run at most once; without it the daemon takes no part in that.
+    pub at_most_once: bool,
+    /// Time for which a stopping daemon still takes calls of callers.
+    pub leave: Duration,
+    /// Running calls are cancelled for more important ones.
+    pub preempts: bool,
+    /// Share of the backend server's slots that is used, in percent.
+    pub fill: u32,
+    /// Retries that a hundred first attempts allow, in calls to one service.
+    pub retry_percent: u32,
+    /// Retries that one daemon can save up, in calls to one service.
+    pub retries_saved: u32,
+    /// Retries that all daemons together can save up, in calls to one service.
+    pub fleet_retries: u32,
 }
 
 impl Settings {
@@ -66,10 +86,33 @@
     pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
         let document = Document::parse(file, text)?;
         let root = document.reader();
-        let settings = read(&root);
+        let settings = Settings::read(&root);
         root.finish();
         document.into_problems().or(settings)
     }
+
+    /// Takes the settings of a daemon out of a document that may hold more.
+    pub fn read(root: &Reader<'_>) -> Settings {
+        read(root)
+    }
+
+    /// The bounds on callers: those of the rule set, within the daemon's own.
+    pub(crate) fn caller_bounds(&self, asked: &CallerBounds) -> Bounds {
+        let own = Bounds {
+            head: LARGEST_HEAD,
+            body: self.body,
+            connections: self.connections,
+            ..Bounds::default()
+        };
+        let head = asked.head.and_then(|head| usize::try_from(head).ok());
+        Bounds {
+            head: head.unwrap_or(own.head),
+            body: asked.body.unwrap_or(own.body).min(own.body),
+            connections: own.connections,
+            message: asked.message.unwrap_or(own.message),
+            idle: asked.idle.unwrap_or(own.idle),
+        }
+    }
 }
 
 fn read(root: &Reader<'_>) -> Settings {
@@ -79,6 +122,7 @@
     let peers = root.table("peers");
     let limits = root.table("limits");
     let keys = root.table("keys");
+    let retries = root.table("retries");
     let settings = Settings {
         name: host.required_text("name"),
         data_centre: host.required_text("data-centre"),
@@ -92,7 +136,7 @@
         poll: duration(&log, "poll", SECOND / 10..=SECOND * 60, SECOND),
         seeds: seeds(&peers),
         body: limits
-            .integer("body", 1_024..=4 * 1_024 * 1_024)
+            .integer("body", 1_024..=LARGEST_BODY)
             .unwrap_or(1_024 * 1_024),
         connections: limits.integer("connections", 1..=65_536).unwrap_or(4_096) as usize,
         shutdown: duration(&limits, "shutdown", SECOND..=SECOND * 3_600, SECOND * 30),
@@ -104,8 +148,20 @@
         ),
         key_horizon: duration(&keys, "horizon", SECOND * 10..=DAY, SECOND * 1_800),
         key_lease: duration(&keys, "lease", SECOND * 10..=DAY, SECOND * 7_200),
+        at_most_once: keys.boolean("at-most-once").unwrap_or(true),
+        leave: duration(
+            &limits,
+            "leave",
+            Duration::ZERO..=SECOND * 600,
+            Duration::ZERO,
+        ),
+        preempts: limits.boolean("preempt").unwrap_or(true),
+        fill: small(limits.integer("fill", 10..=100)).unwrap_or(100),
+        retry_percent: small(retries.integer("percent", 0..=100)).unwrap_or(10),
+        retries_saved: small(retries.integer("saved", 1..=100_000)).unwrap_or(10),
+        fleet_retries: small(retries.integer("fleet", 1..=1_000_000)).unwrap_or(100_000),
     };
-    for table in [host, listen, log, peers, limits, keys] {
+    for table in [host, listen, log, peers, limits, keys, retries] {
         table.finish();
     }
     settings
@@ -149,3 +205,7 @@
 ) -> Duration {
     reader.duration(key, range).unwrap_or(default)
 }
+
+fn small(number: Option<u64>) -> Option<u32> {
+    number.and_then(|number| u32::try_from(number).ok())
+}
--- a/crates/indigospur-daemon/tests/settings.rs
+++ b/crates/indigospur-daemon/tests/settings.rs
@@ -52,7 +52,9 @@
         .filter_map(|line| line.strip_prefix("| `"));
     let listed: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
     let mut known = Vec::new();
-    for table in ["host", "listen", "log", "peers", "limits", "keys"] {
+    for table in [
+        "host", "listen", "log", "peers", "limits", "keys", "retries",
+    ] {
         let found = problems(&format!("[{table}]\nno-such-key = 1\n"));
         let line = found
             .iter()
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -1,8 +1,9 @@
 //! What two daemons tell each other in a gossip round, within a bound of bytes.
 
 use crate::members::Members;
-use crate::suspects::{Crash, Suspects};
-use indigospur_protocol::{HostId, Member, WireError, wire::peer};
+use crate::suspects::Suspects;
+use indigospur_protocol::{Crash, HostId, Member, WireError, wire::peer};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Members told of in one message.
@@ -31,24 +32,21 @@
     pub whole: bool,
     /// `members` is the sender's whole list.
     pub full: bool,
+    /// Instance that left on the receiver's host, as the sender knows.
+    pub departed: Option<Arc<str>>,
 }
 
 impl From<Message> for peer::GossipMessage {
     fn from(message: Message) -> Self {
-        let crashes = message.crashes.into_iter().map(|crash| peer::Suspect {
-            fingerprint: crash.fingerprint,
-            host: crash.host.to_string(),
-            alone: crash.alone,
-            crash: crash.number,
-        });
         peer::GossipMessage {
             from: message.from.to_string(),
             accepted: message.accepted,
             members_digest: message.digest,
             members: message.members.iter().map(Into::into).collect(),
-            suspects: crashes.collect(),
+            suspects: message.crashes.iter().map(Into::into).collect(),
             whole: message.whole,
             full: message.full,
+            departed: message.departed.as_deref().unwrap_or_default().to_owned(),
         }
     }
 }
@@ -57,12 +55,6 @@
     type Error = WireError;
 
     fn try_from(wire: peer::GossipMessage) -> Result<Self, WireError> {
-        let crashes = wire.suspects.into_iter().map(|suspect| Crash {
-            fingerprint: suspect.fingerprint,
-            host: suspect.host.into(),
-            alone: suspect.alone,
-            number: suspect.crash,
-        });
         let members: Result<Vec<Member>, WireError> =
             wire.members.into_iter().map(TryInto::try_into).collect();
         Ok(Message {
@@ -70,9 +62,10 @@
             accepted: wire.accepted,
             digest: wire.members_digest,
             members: members?,
-            crashes: crashes.collect(),
+            crashes: wire.suspects.into_iter().map(Into::into).collect(),
             whole: wire.whole,
             full: wire.full,
+            departed: (!wire.departed.is_empty()).then(|| wire.departed.into()),
         })
     }
 }
@@ -118,6 +111,7 @@
             crashes: suspects.take_news(),
             whole: members.is_empty(),
             full: false,
+            departed: None,
         }
     }
 
@@ -132,6 +126,7 @@
     ) -> Message {
         let mut answer = self.open(members, suspects, accepted);
         answer.whole = self.wants_whole(now, members, heard);
+        answer.departed = members.departed(&heard.from).cloned();
         if heard.whole {
             answer.members = members.all().cloned().collect();
             answer.full = true;
--- a/crates/indigospur-members/src/lib.rs
+++ b/crates/indigospur-members/src/lib.rs
@@ -4,8 +4,10 @@
 mod exchange;
 mod members;
 mod rumours;
+mod starts;
 mod suspects;
 
 pub use exchange::{Exchange, Message};
 pub use members::Members;
-pub use suspects::{Crash, Suspects, Verdict};
+pub use starts::{Heard, Starts};
+pub use suspects::{Suspects, Verdict};
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -4,6 +4,7 @@
 use indigospur_protocol::{HostId, Member, MemberId, State};
 use rand::Rng;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,6 +42,8 @@
     rumours: Rumours,
     /// Exclusive or of the hashes of all entries.
     digest: u64,
+    /// Instance of the backend server that left last, by host; outlives the daemon there.
+    departed: HashMap<HostId, Arc<str>>,
 }
 
 impl Members {
@@ -53,6 +56,7 @@
             silent: HashMap::new(),
             rumours: Rumours::default(),
             digest: 0,
+            departed: HashMap::new(),
         };
         members.store(now, me);
         members
@@ -93,6 +97,11 @@
         self.digest
     }
 
+    /// Instance of the backend server that left last on a host.
+    pub fn departed(&self, host: &str) -> Option<&Arc<str>> {
+        self.departed.get(host)
+    }
+
     /// Changes what this daemon says of itself; false if nothing changed.
     pub fn announce(&mut self, now: Instant, change: impl FnOnce(&mut Member)) -> bool {
         let mut me = self.me().clone();
@@ -241,6 +250,7 @@
             .map(|(h, _)| h.clone())
             .collect();
         for host in hosts {
+            self.departed.remove(&host);
             if let Some(entry) = self.table.remove(&host) {
                 self.digest ^= hash(&entry.member);
             }
@@ -250,6 +260,9 @@
     fn store(&mut self, now: Instant, member: Member) {
         self.digest ^= hash(&member);
         let host = member.host.clone();
+        if member.leaving && !member.instance.is_empty() {
+            self.departed.insert(host.clone(), member.instance.clone());
+        }
         let before = self.table.insert(
             host.clone(),
             Entry {
--- a/crates/indigospur-members/src/suspects.rs
+++ b/crates/indigospur-members/src/suspects.rs
@@ -4,7 +4,7 @@
 //! no other suspect runs, so a second crash points at one request, and the innocent ones that ran
 //! beside it the first time are never blamed again.
 
-use indigospur_protocol::HostId;
+use indigospur_protocol::{Crash, HostId};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Backend servers that a request may take down before it is refused for good.
@@ -18,19 +18,6 @@
 /// Crashes told of in one message.
 const MOST_NEWS: usize = 8;
 
-/// A backend server went away while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Crash {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Host of the backend server.
-    pub host: HostId,
-    /// Tells the crashes of one host apart.
-    pub number: u64,
-    /// No other suspect ran there.
-    pub alone: bool,
-}
-
 /// Whether a request may run here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -68,6 +55,20 @@
         self.evidence.get(&fingerprint).is_some_and(condemns)
     }
 
+    /// The crashes that are laid to a request.
+    pub fn of(&self, fingerprint: u64) -> Vec<Crash> {
+        let Some(evidence) = self.evidence.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let crashes = evidence.crashes.iter().map(|(host, number)| Crash {
+            fingerprint,
+            host: host.clone(),
+            number: *number,
+            alone: evidence.alone,
+        });
+        crashes.collect()
+    }
+
     /// Asks to run a request here; [`Suspects::finish`] follows if it may.
     pub fn start(&mut self, fingerprint: u64) -> Verdict {
         if self.is_condemned(fingerprint) {
--- a/crates/indigospur-members/tests/members.rs
+++ b/crates/indigospur-members/tests/members.rs
@@ -20,6 +20,8 @@
         slots: 10,
         connections: 100,
         state: State::Ready,
+        instance: "".into(),
+        leaving: false,
     }
 }
 
--- a/crates/indigospur-protocol/src/announcement.rs
+++ b/crates/indigospur-protocol/src/announcement.rs
@@ -19,4 +19,16 @@
     /// What it is doing.
     #[serde(default)]
     pub state: State,
+    /// Name of this start of the backend server; empty if it has none.
+    #[serde(default)]
+    pub instance: Arc<str>,
+    /// When it started, in milliseconds since the Unix epoch; zero if it doesn't say.
+    #[serde(default)]
+    pub born: u64,
+    /// Grows with each announcement of one start; zero if it doesn't count.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Time for which it is still slow after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -1,7 +1,7 @@
 //! What comes back from a call.
 
-use crate::call::Header;
-use crate::ids::Incarnation;
+use crate::call::{Crash, Header};
+use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,16 +89,52 @@
     pub retried: bool,
     /// Load of the upstream that replied, where one was reached.
     pub load: Option<Load>,
+    /// Crashes that the call has caused and that are new.
+    pub crashes: Vec<Crash>,
+    /// What the sender knows of the room at services.
+    pub pressures: Vec<Pressure>,
+    /// Slot time that the call took at each service, calls below it included.
+    pub work: Vec<Work>,
+}
+
+/// Slots of a service that are taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pressure {
+    /// Service.
+    pub service: ServiceName,
+    /// Calls that run or wait at its upstreams.
+    pub occupied: u32,
+    /// Calls that its upstreams may run.
+    pub capacity: u32,
+    /// Time since it was told.
+    pub age: Duration,
+}
+
+/// Slot time that a call took at a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// Service.
+    pub service: ServiceName,
+    /// Slot time.
+    pub time: Duration,
 }
 
 impl Reply {
-    /// A reply that gives back all of `retries`.
-    pub fn refused(refusal: Refusal, retries: u32) -> Reply {
+    /// A reply that tells nothing beside its outcome and the credit left.
+    pub fn new(outcome: Outcome, retries_left: u32) -> Reply {
         Reply {
-            outcome: Outcome::Refused(refusal),
-            retries_left: retries,
+            outcome,
+            retries_left,
             retried: false,
             load: None,
+            crashes: Vec::new(),
+            pressures: Vec::new(),
+            work: Vec::new(),
         }
     }
+
+    /// A reply that gives back all of `retries`.
+    pub fn refused(refusal: Refusal, retries: u32) -> Reply {
+        Reply::new(Outcome::Refused(refusal), retries)
+    }
 }
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -67,6 +67,23 @@
     pub home: Option<HostId>,
     /// Attempts made before this one for this call.
     pub attempt: u32,
+    /// Crashes that the sender knows of and lays to this request.
+    pub crashes: Vec<Crash>,
+    /// A call above this one is run for a second time, so that this one is a repeat as well.
+    pub repeated: bool,
+}
+
+/// A backend server went away while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Host of the backend server.
+    pub host: HostId,
+    /// Tells the crashes of one host apart.
+    pub number: u64,
+    /// No other suspect ran there.
+    pub alone: bool,
 }
 
 /// Identifies what a call asks for, regardless of who asks and when.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,7 +1,7 @@
 //! Conversions between the wire messages and the types of this crate.
 
-use crate::answer::{Answer, Load, Outcome, Refusal, Reply};
-use crate::call::{Call, Context, Header};
+use crate::answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
+use crate::call::{Call, Context, Crash, Header};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
 use crate::wire::peer;
@@ -67,6 +67,8 @@
             epoch: context.epoch,
             home: context.home.as_deref().unwrap_or_default().to_owned(),
             attempt: context.attempt,
+            suspects: context.crashes.iter().map(Into::into).collect(),
+            repeated: context.repeated,
         }
     }
 }
@@ -94,10 +96,74 @@
             epoch: wire.epoch,
             home: non_empty(wire.home),
             attempt: wire.attempt,
+            crashes: wire.suspects.into_iter().map(Into::into).collect(),
+            repeated: wire.repeated,
         })
     }
 }
 
+impl From<&Crash> for peer::Suspect {
+    fn from(crash: &Crash) -> Self {
+        peer::Suspect {
+            fingerprint: crash.fingerprint,
+            host: crash.host.to_string(),
+            alone: crash.alone,
+            crash: crash.number,
+        }
+    }
+}
+
+impl From<peer::Suspect> for Crash {
+    fn from(wire: peer::Suspect) -> Self {
+        Crash {
+            fingerprint: wire.fingerprint,
+            host: wire.host.into(),
+            alone: wire.alone,
+            number: wire.crash,
+        }
+    }
+}
+
+impl From<&Pressure> for peer::Pressure {
+    fn from(pressure: &Pressure) -> Self {
+        peer::Pressure {
+            service: pressure.service.to_string(),
+            occupied: pressure.occupied,
+            capacity: pressure.capacity,
+            age_millis: u32::try_from(pressure.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<peer::Pressure> for Pressure {
+    fn from(wire: peer::Pressure) -> Self {
+        Pressure {
+            service: wire.service.into(),
+            occupied: wire.occupied,
+            capacity: wire.capacity,
+            age: Duration::from_millis(u64::from(wire.age_millis)),
+        }
+    }
+}
+
+impl From<&Work> for peer::Work {
+    fn from(work: &Work) -> Self {
+        peer::Work {
+            service: work.service.to_string(),
+            micros: u32::try_from(work.time.as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<peer::Work> for Work {
+    fn from(wire: peer::Work) -> Self {
+        Work {
+            service: wire.service.into(),
+            time: Duration::from_micros(u64::from(wire.micros)),
+        }
+    }
+}
+
 impl From<&RelayMessage> for peer::RelayRequest {
     fn from(message: &RelayMessage) -> Self {
         let call = &message.call;
@@ -165,6 +231,9 @@
             retries_left: reply.retries_left,
             retried: reply.retried,
             load: reply.load.map(Into::into),
+            suspects: reply.crashes.iter().map(Into::into).collect(),
+            pressures: reply.pressures.iter().map(Into::into).collect(),
+            work: reply.work.iter().map(Into::into).collect(),
             ..Default::default()
         };
         match reply.outcome {
@@ -211,6 +280,9 @@
             retries_left: self.retries_left,
             retried: self.retried,
             load,
+            crashes: self.suspects.into_iter().map(Into::into).collect(),
+            pressures: self.pressures.into_iter().map(Into::into).collect(),
+            work: self.work.into_iter().map(Into::into).collect(),
         })
     }
 }
@@ -228,6 +300,8 @@
             slots: member.slots,
             connections: member.connections,
             state: member.state.number(),
+            instance: member.instance.to_string(),
+            leaving: member.leaving,
         }
     }
 }
@@ -250,6 +324,8 @@
             slots: wire.slots,
             connections: wire.connections,
             state: State::from_number(wire.state).ok_or(WireError::Range("state"))?,
+            instance: wire.instance.into(),
+            leaving: wire.leaving,
         })
     }
 }
--- a/crates/indigospur-protocol/src/headers.rs
+++ b/crates/indigospur-protocol/src/headers.rs
@@ -22,3 +22,5 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// When to come back, in whole seconds.
 pub const RETRY_AFTER: &str = "retry-after";
+/// Form of a body.
+pub const CONTENT_TYPE: &str = "content-type";
--- a/crates/indigospur-protocol/src/kind.rs
+++ b/crates/indigospur-protocol/src/kind.rs
@@ -103,6 +103,12 @@
     Cancelled,
     /// The daemon failed by its own fault.
     Internal,
+    /// No rule allows the call.
+    NoRoute,
+    /// A service that the call needs further down has no room for it.
+    OverloadedBelow,
+    /// The backend server itself turned the call away.
+    BackendShed,
 }
 
 /// One row of the table from kind to answer.
@@ -368,6 +374,25 @@
         false,
         false,
     ),
+    row(Kind::NoRoute, "no-route", 404, Ran::No, Never, false, false),
+    row(
+        Kind::OverloadedBelow,
+        "overloaded-below",
+        503,
+        Ran::No,
+        Later,
+        false,
+        false,
+    ),
+    row(
+        Kind::BackendShed,
+        "backend-shed",
+        503,
+        Ran::No,
+        Later,
+        true,
+        false,
+    ),
 ];
 
 impl Kind {
@@ -378,10 +403,10 @@
 
     /// Whether the kind says that the receiver has more work than it can take.
     pub fn is_overload(self) -> bool {
-        use Kind::{DeadlineUnreachable, DeadlineWaiting, OverShare, Overloaded};
+        use Kind::{DeadlineUnreachable, DeadlineWaiting, OverShare, Overloaded, OverloadedBelow};
         matches!(
             self,
-            Overloaded | OverShare | DeadlineUnreachable | DeadlineWaiting
+            Overloaded | OverShare | DeadlineUnreachable | DeadlineWaiting | OverloadedBelow
         )
     }
 
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -15,8 +15,8 @@
 pub mod wire;
 
 pub use announcement::Announcement;
-pub use answer::{Answer, Load, Outcome, Refusal, Reply};
-pub use call::{Call, Class, Context, Header, Rank, fingerprint, is_safe_method};
+pub use answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
+pub use call::{Call, Class, Context, Crash, Header, Rank, fingerprint, is_safe_method};
 pub use convert::{RelayMessage, WireError};
 pub use epoch::{EpochRecord, MemberId};
 pub use ids::{Customer, Epoch, HostId, Incarnation, Key, RequestId, ServiceName, Version};
--- a/crates/indigospur-protocol/src/member.rs
+++ b/crates/indigospur-protocol/src/member.rs
@@ -64,6 +64,10 @@
     pub connections: u32,
     /// What it is doing.
     pub state: State,
+    /// Start of the backend server, as it names itself; empty if it does not.
+    pub instance: Arc<str>,
+    /// The backend server itself leaves, not just its daemon; it never takes new work again.
+    pub leaving: bool,
 }
 
 impl Member {
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -6,7 +6,7 @@
     #[prost(bytes = "vec", tag = "2")]
     pub value: ::prost::alloc::vec::Vec<u8>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Context {
     #[prost(string, tag = "1")]
     pub request_id: ::prost::alloc::string::String,
@@ -40,6 +40,12 @@
     /// Weight of the customer against the others; at least one.
     #[prost(uint32, tag = "15")]
     pub share: u32,
+    /// Crashes that the sender knows of and lays to this request.
+    #[prost(message, repeated, tag = "16")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// A call above this one is run for a second time.
+    #[prost(bool, tag = "17")]
+    pub repeated: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayRequest {
@@ -69,6 +75,26 @@
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
 }
+/// Slots of a service that are taken, as told by its upstreams.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pressure {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub occupied: u32,
+    #[prost(uint32, tag = "3")]
+    pub capacity: u32,
+    #[prost(uint32, tag = "4")]
+    pub age_millis: u32,
+}
+/// Slot time that a call took at a service, calls below it included.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Work {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub micros: u32,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayReply {
     #[prost(string, tag = "1")]
@@ -94,6 +120,13 @@
     pub retried: bool,
     #[prost(message, optional, tag = "11")]
     pub load: ::core::option::Option<Load>,
+    /// Crashes that the call has caused and that are new.
+    #[prost(message, repeated, tag = "12")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    #[prost(message, repeated, tag = "13")]
+    pub pressures: ::prost::alloc::vec::Vec<Pressure>,
+    #[prost(message, repeated, tag = "14")]
+    pub work: ::prost::alloc::vec::Vec<Work>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -118,6 +151,12 @@
     pub connections: u32,
     #[prost(uint32, tag = "10")]
     pub state: u32,
+    /// Start of the backend server, as it names itself; empty if it does not.
+    #[prost(string, tag = "11")]
+    pub instance: ::prost::alloc::string::String,
+    /// The backend server itself leaves, not just its daemon.
+    #[prost(bool, tag = "12")]
+    pub leaving: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Suspect {
@@ -151,6 +190,9 @@
     /// The message carries the sender's whole member list.
     #[prost(bool, tag = "7")]
     pub full: bool,
+    /// Instance that left on the receiver's host, as the sender knows; empty if it knows none.
+    #[prost(string, tag = "8")]
+    pub departed: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -2,13 +2,23 @@
 
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{
-    Call, Context, KINDS, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, WireError,
+    Call, Context, Crash, KINDS, Kind, Outcome, Pressure, Ran, Refusal, RelayMessage, Reply,
+    WireError, Work,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use prost::Message;
 use std::time::Duration;
 
+fn crash(number: u64, alone: bool) -> Crash {
+    Crash {
+        fingerprint: 9,
+        host: "accounts-1".into(),
+        number,
+        alone,
+    }
+}
+
 fn message(path: &str, class: u8, key: Option<&str>) -> RelayMessage {
     let call = Call {
         service: "contracts".into(),
@@ -33,6 +43,8 @@
         epoch: 3,
         home: key.map(|_| "h".into()),
         attempt: 0,
+        crashes: vec![crash(7, true)],
+        repeated: key.is_some(),
     };
     RelayMessage { call, context }
 }
@@ -63,6 +75,28 @@
     assert_eq!(reply.outcome, Outcome::Refused(refusal));
 }
 
+#[test]
+fn a_reply_brings_the_crashes_the_room_and_the_slot_time_that_it_tells_of() {
+    let sent = Reply {
+        crashes: vec![crash(1, false), crash(2, true)],
+        pressures: vec![Pressure {
+            service: "accounts".into(),
+            occupied: 50,
+            capacity: 36,
+            age: Duration::from_millis(30),
+        }],
+        work: vec![Work {
+            service: "accounts".into(),
+            time: Duration::from_millis(240),
+        }],
+        ..Reply::refused(Refusal::new(Kind::BackendGone, "gone"), 0)
+    };
+    let wire = peer::RelayReply::new("r", sent.clone());
+    let bytes = wire.encode_to_vec();
+    let wire = peer::RelayReply::decode(bytes.as_slice()).expect("it was encoded");
+    assert_eq!(wire.into_reply("r"), Ok(sent));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -1,9 +1,18 @@
 //! Connections to the backend server beside the daemon.
 
-use crate::exact::ExactStream;
-use crate::http::{HttpError, HttpRequest, connect, exchange};
-use indigospur_protocol::{Answer, headers};
+use crate::connection::Connection;
+use crate::http::{HttpError, HttpRequest, connect, receive, send};
+use indigospur_protocol::Answer;
 use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time by which an idle connection is dropped before the backend server would close it, so that
+/// no request crosses that close.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Idle time of a connection whose backend server states none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// Answers of earlier calls that are skipped on one connection.
+const MOST_STALE: u32 = 2;
 
 /// Why the backend server gave no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,9 +35,36 @@
     }
 }
 
+/// Whose answer an answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// That of the call that was sent.
+    Own,
+    /// That of an earlier call, late; another answer may follow.
+    Earlier,
+    /// That of no call that is known.
+    Unknown,
+}
+
+/// How answers of a backend server are judged.
+#[derive(Clone, Copy)]
+pub struct Judge<'a> {
+    /// Whose answer it is.
+    pub owner: &'a (dyn Fn(&Answer) -> Owner + Send + Sync),
+    /// An answer without a length is whole when the connection is closed, not reset.
+    pub unframed: bool,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    /// When the connection is no longer used.
+    until: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    idle: Vec<ExactStream>,
+    idle: Vec<Idle>,
     open: u32,
 }
 
@@ -61,7 +97,7 @@
         connect(&self.address).await.is_ok()
     }
 
-    /// Sends a call that carries `token` and reads its answer.
+    /// Sends a call and reads its answer.
     ///
     /// A connection whose exchange did not end cleanly is closed. Dropping the future closes it
     /// too, by which the backend server learns that the call is cancelled.
@@ -71,39 +107,51 @@
     pub async fn call(
         &self,
         request: &HttpRequest<'_>,
-        token: &str,
+        judge: Judge<'_>,
     ) -> Result<Answer, BackendError> {
-        let lease = self.lease().await?;
-        let mut answered = exchange(&lease.stream, request).await?;
-        if !answers(&answered.answer, token) {
-            return Err(BackendError::BadAnswer);
-        }
-        if answered.keep_alive {
-            lease.give_back();
+        let mut lease = self.lease().await?;
+        send(lease.connection()?, request).await?;
+        for _ in 0..=MOST_STALE {
+            let answered = receive(lease.connection()?, request.method).await?;
+            if answered.unframed && !judge.unframed {
+                return Err(BackendError::BadAnswer);
+            }
+            match (judge.owner)(&answered.answer) {
+                Owner::Own => {}
+                Owner::Earlier if answered.keep_alive => continue,
+                Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
+            }
+            if answered.keep_alive {
+                lease.give_back(answered.keep_for.unwrap_or(DEFAULT_IDLE));
+            }
+            return Ok(answered.answer);
         }
-        answered
-            .answer
-            .headers
-            .retain(|header| !header.name.starts_with(headers::PREFIX));
-        Ok(answered.answer)
+        Err(BackendError::BadAnswer)
     }
 
     async fn lease(&self) -> Result<Lease<'_>, BackendError> {
-        if let Some(stream) = self.take_idle() {
-            return Ok(Lease { pool: self, stream });
+        if let Some(connection) = self.take_idle() {
+            return Ok(Lease {
+                pool: self,
+                connection: Some(connection),
+            });
         }
         let place = self.reserve().ok_or(BackendError::NotSent)?;
-        let stream = ExactStream::new(connect(&self.address).await?);
+        let connection = Connection::new(connect(&self.address).await?);
         std::mem::forget(place);
-        Ok(Lease { pool: self, stream })
+        Ok(Lease {
+            pool: self,
+            connection: Some(connection),
+        })
     }
 
     /// An idle connection that is still clean; the others are closed.
-    fn take_idle(&self) -> Option<ExactStream> {
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
         let mut state = self.lock();
-        while let Some(stream) = state.idle.pop() {
-            if stream.is_idle() {
-                return Some(stream);
+        while let Some(mut idle) = state.idle.pop() {
+            if idle.until > now && idle.connection.is_idle() {
+                return Some(idle.connection);
             }
             state.open -= 1;
         }
@@ -138,31 +186,30 @@
 /// A connection in use; closed on drop unless it is given back.
 struct Lease<'a> {
     pool: &'a BackendPool,
-    stream: ExactStream,
+    /// `None` once it is given back.
+    connection: Option<Connection>,
 }
 
 impl Lease<'_> {
-    fn give_back(self) {
-        if self.stream.is_idle() {
-            let mut state = self.pool.lock();
-            state.idle.push(self.stream.clone());
-            state.open += 1;
-        }
+    fn connection(&mut self) -> Result<&mut Connection, BackendError> {
+        self.connection.as_mut().ok_or(BackendError::NotSent)
+    }
+
+    fn give_back(mut self, keep_for: Duration) {
+        let Some(mut connection) = self.connection.take_if(|connection| connection.is_idle())
+        else {
+            return;
+        };
+        connection.shrink();
+        let until = Instant::now() + keep_for.saturating_sub(IDLE_MARGIN);
+        self.pool.lock().idle.push(Idle { connection, until });
     }
 }
 
 impl Drop for Lease<'_> {
     fn drop(&mut self) {
-        self.pool.lock().open -= 1;
+        if self.connection.is_some() {
+            self.pool.lock().open -= 1;
+        }
     }
 }
-
-/// Whether the answer is that of the call: a backend server that repeats tokens must repeat this
-/// one.
-fn answers(answer: &Answer, token: &str) -> bool {
-    let mut repeated = answer
-        .headers
-        .iter()
-        .filter(|header| &*header.name == headers::CALL);
-    repeated.all(|header| &*header.value == token.as_bytes())
-}
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -1,16 +1,20 @@
 //! HTTP/1.1 exchanges as a client.
 
-use crate::exact::{ExactStream, write_message};
+use crate::connection::Connection;
+use crate::head::{AnswerHead, Framing, HeadError};
+use crate::listener::append_header;
 use crate::runtime;
 use async_std::net::TcpStream;
-use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http_types::{Body, Method, Request, Response, Url};
 use indigospur_protocol::{Answer, Header};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Largest head of an answer, in bytes.
+const LARGEST_HEAD: usize = 64 * 1024;
 /// Largest body of an answer, in bytes.
 const LARGEST_ANSWER: u64 = 4 * 1024 * 1024;
+/// Interim answers that may come before the final one.
+const MOST_INTERIM: u32 = 8;
 /// Time in which a connection must be open.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -48,9 +52,13 @@
 #[derive(Debug)]
 pub(crate) struct HttpAnswer {
     /// The whole answer.
-    pub answer: Answer,
+    pub(crate) answer: Answer,
+    /// The body ended with the connection.
+    pub(crate) unframed: bool,
     /// The other side keeps the connection open.
-    pub keep_alive: bool,
+    pub(crate) keep_alive: bool,
+    /// Time for which the other side keeps it while idle, if it says so.
+    pub(crate) keep_for: Option<Duration>,
 }
 
 /// Opens a connection.
@@ -67,159 +75,105 @@
     Ok(stream)
 }
 
-/// Sends a request and reads its answer to the end.
+/// Sends a request.
 ///
 /// # Errors
-/// The connection broke, or the answer is not whole.
-pub(crate) async fn exchange(
-    stream: &ExactStream,
+/// It can't be put into HTTP.
+pub(crate) async fn send(
+    connection: &mut Connection,
     request: &HttpRequest<'_>,
-) -> Result<HttpAnswer, HttpError> {
-    let is_head = request.method == "HEAD";
-    let request = build(request)?;
-    stream.expect_head();
-    let encoder = async_h1::client::Encoder::new(request);
-    write_message(stream, encoder)
-        .await
-        .map_err(|_| HttpError::Broken)?;
-    let response = async_h1::client::decode(stream.clone())
-        .await
-        .map_err(|_| HttpError::Broken)?;
-    let framing = Framing::of(&response, is_head)?;
-    match framing {
-        Framing::Length(length) => stream.expect_body(length),
-        Framing::Chunks => stream.expect_chunks(LARGEST_ANSWER),
-    }
-    read_answer(response, framing).await
-}
-
-/// How the end of a body is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length(u64),
-    Chunks,
-}
-
-impl Framing {
-    /// An answer that ends with its connection can't be told from a truncated one, so it is bad.
-    fn of(response: &Response, is_head: bool) -> Result<Framing, HttpError> {
-        let status = u16::from(response.status());
-        if is_head || status == 204 || status == 304 {
-            return Ok(Framing::Length(0));
-        }
-        if response.header(TRANSFER_ENCODING).is_some() {
-            return Ok(Framing::Chunks);
-        }
-        let values = response
-            .header(CONTENT_LENGTH)
-            .ok_or(HttpError::BadAnswer)?;
-        let all_same = values.iter().all(|value| value == values.last());
-        let length = values
-            .last()
-            .as_str()
-            .trim()
-            .parse()
-            .map_err(|_| HttpError::BadAnswer)?;
-        if !all_same || length > LARGEST_ANSWER {
-            return Err(HttpError::BadAnswer);
-        }
-        Ok(Framing::Length(length))
+) -> Result<(), HttpError> {
+    let bytes = encode(request).ok_or(HttpError::Request)?;
+    if let Err(error) = connection.write(&bytes).await {
+        // The other side may have answered before it closed.
+        log::debug!(error:display; "a request was not written whole");
     }
+    Ok(())
 }
 
-async fn read_answer(mut response: Response, framing: Framing) -> Result<HttpAnswer, HttpError> {
-    let body = match framing {
-        Framing::Length(0) => Vec::new(),
-        _ => response
-            .body_bytes()
-            .await
-            .map_err(|_| HttpError::BadAnswer)?,
-    };
-    if let Framing::Length(length) = framing
-        && body.len() as u64 != length
-    {
-        return Err(HttpError::BadAnswer);
-    }
-    let closes = response
-        .header("connection")
-        .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
-    let status = u16::from(response.status());
-    let headers = pass_on(response.iter());
-    let keep_alive = !closes && matches!(framing, Framing::Length(_));
+/// Reads the answer to a request that was sent, to its end.
+///
+/// # Errors
+/// The connection broke, or the answer is not whole.
+pub(crate) async fn receive(
+    connection: &mut Connection,
+    method: &str,
+) -> Result<HttpAnswer, HttpError> {
+    let head = read_head(connection).await?;
+    let framing = head.framing(method).map_err(|_| HttpError::BadAnswer)?;
+    let body = connection.read_body(framing, LARGEST_ANSWER).await;
+    let body = body.map_err(|_| HttpError::BadAnswer)?;
+    let keep_for = keep_for(&head);
+    let unframed = framing == Framing::Close;
     Ok(HttpAnswer {
+        keep_alive: !head.closes && !unframed,
+        unframed,
+        keep_for,
         answer: Answer {
-            status,
-            headers,
+            status: head.status,
+            headers: head.fields.pass_on(),
             body: body.into(),
         },
-        keep_alive,
     })
 }
 
-/// The headers that are passed on; those that concern one connection only are not.
-pub(crate) fn pass_on<'a>(
-    headers: impl Iterator<
-        Item = (
-            &'a http_types::headers::HeaderName,
-            &'a http_types::headers::HeaderValues,
-        ),
-    >,
-) -> Vec<Header> {
-    const OF_ONE_CONNECTION: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    ];
-    let kept = headers.filter(|(name, _)| !OF_ONE_CONNECTION.contains(&name.as_str()));
-    let headers = kept.flat_map(|(name, values)| {
-        values.iter().map(|value| Header {
-            name: name.as_str().into(),
-            value: value.as_str().as_bytes().into(),
-        })
-    });
-    headers
-        .filter(|header| !breaks_framing(&header.value))
-        .collect()
+async fn read_head(connection: &mut Connection) -> Result<AnswerHead, HttpError> {
+    for _ in 0..=MOST_INTERIM {
+        let head = connection.read_answer_head(LARGEST_HEAD).await;
+        let head = head.map_err(|error| match error {
+            HeadError::Ended | HeadError::Malformed => HttpError::Broken,
+            HeadError::TooLarge => HttpError::BadAnswer,
+        })?;
+        if !head.is_interim() {
+            return Ok(head);
+        }
+    }
+    Err(HttpError::BadAnswer)
 }
 
-/// Whether a value would end its own line. The HTTP library adds such a date to answers without.
-fn breaks_framing(value: &[u8]) -> bool {
-    value.iter().any(|byte| matches!(byte, b'\r' | b'\n' | 0))
+/// The idle time that a `Keep-Alive: timeout=N` header states.
+fn keep_for(head: &AnswerHead) -> Option<Duration> {
+    let mut parts = head
+        .fields
+        .values("keep-alive")
+        .flat_map(|value| value.split(','));
+    let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok());
+    seconds.map(Duration::from_secs)
 }
 
-fn build(request: &HttpRequest<'_>) -> Result<Request, HttpError> {
-    let method: Method = request.method.parse().map_err(|_| HttpError::Request)?;
-    let url = Url::parse(&format!("http://{}{}", request.host, request.path))
-        .map_err(|_| HttpError::Request)?;
-    let mut built = Request::new(method, url);
+/// The bytes of a request; `None` if a part of it would break the framing.
+fn encode(request: &HttpRequest<'_>) -> Option<Vec<u8>> {
+    let plain = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if !plain(request.method) || !plain(request.host) || request.path.is_empty() {
+        return None;
+    }
+    if request
+        .path
+        .bytes()
+        .any(|byte| byte <= b' ' || byte == 0x7f)
+    {
+        return None;
+    }
+    let mut bytes = Vec::with_capacity(512 + request.body.len());
+    let line = format!(
+        "{} {} HTTP/1.1\r\nhost: {}\r\n",
+        request.method, request.path, request.host
+    );
+    bytes.extend_from_slice(line.as_bytes());
     for header in request
         .headers
         .iter()
         .filter(|header| &*header.name != "host")
     {
-        let value = std::str::from_utf8(&header.value).map_err(|_| HttpError::Request)?;
-        let name: http_types::headers::HeaderName =
-            header.name.parse().map_err(|_| HttpError::Request)?;
-        let value: http_types::headers::HeaderValue =
-            value.parse().map_err(|_| HttpError::Request)?;
-        built.append_header(name, value);
+        append_header(&mut bytes, header);
     }
-    if !request.body.is_empty() {
-        let mut body = Body::from_bytes(request.body.to_vec());
-        body.set_mime(
-            built
-                .content_type()
-                .unwrap_or(http_types::mime::BYTE_STREAM),
-        );
-        built.set_body(body);
+    if !request.body.is_empty() || !matches!(request.method, "GET" | "HEAD" | "DELETE") {
+        let length = format!("content-length: {}\r\n", request.body.len());
+        bytes.extend_from_slice(length.as_bytes());
     }
-    Ok(built)
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(request.body);
+    Some(bytes)
 }
 
 /// One exchange on a connection of its own.
@@ -232,12 +186,16 @@
     timeout: Duration,
 ) -> Result<Answer, HttpError> {
     let exchange = async {
-        let stream = ExactStream::new(connect(address).await?);
-        exchange(&stream, sent).await
+        let mut connection = Connection::new(connect(address).await?);
+        send(&mut connection, sent).await?;
+        receive(&mut connection, sent.method).await
     };
     let answer = runtime::within(timeout, exchange)
         .await
         .ok_or(HttpError::Timeout)??;
+    if answer.unframed {
+        return Err(HttpError::BadAnswer);
+    }
     Ok(answer.answer)
 }
 
@@ -246,18 +204,14 @@
 /// # Errors
 /// No connection, no whole answer, or none in time.
 pub async fn get(address: &str, path: &str, timeout: Duration) -> Result<Answer, HttpError> {
-    request(
-        address,
-        &HttpRequest {
-            method: "GET",
-            host: address,
-            path,
-            headers: &[],
-            body: &[],
-        },
-        timeout,
-    )
-    .await
+    let sent = HttpRequest {
+        method: "GET",
+        host: address,
+        path,
+        headers: &[],
+        body: &[],
+    };
+    request(address, &sent, timeout).await
 }
 
 /// A POST on a connection of its own.
@@ -270,16 +224,12 @@
     body: &[u8],
     timeout: Duration,
 ) -> Result<Answer, HttpError> {
-    request(
-        address,
-        &HttpRequest {
-            method: "POST",
-            host: address,
-            path,
-            headers: &[],
-            body,
-        },
-        timeout,
-    )
-    .await
+    let sent = HttpRequest {
+        method: "POST",
+        host: address,
+        path,
+        headers: &[],
+        body,
+    };
+    request(address, &sent, timeout).await
 }
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -3,7 +3,8 @@
 
 mod alarm;
 mod backend;
-mod exact;
+mod connection;
+mod head;
 mod http;
 mod link;
 mod listener;
@@ -11,9 +12,9 @@
 mod peer_server;
 pub mod runtime;
 
-pub use backend::{BackendError, BackendPool};
+pub use backend::{BackendError, BackendPool, Judge, Owner};
 pub use http::{HttpError, HttpRequest, get, post, request};
 pub use link::{Link, LinkError, Links};
-pub use listener::{Bounds, Handler, Received, serve_http};
+pub use listener::{Bounds, Handler, HttpService, Received, Refuse, serve_http};
 pub use log_client::{LogBatch, LogClient, LogError, LogRecord};
 pub use peer_server::serve_peers;
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -1,29 +1,45 @@
 //! HTTP/1.1 as a server: one task a connection, bounded heads, bodies and connections.
 
-use crate::exact::{ExactStream, write_message};
-use crate::http::pass_on;
+use crate::connection::{BodyError, Connection};
+use crate::head::{Framing, HeadError, RequestHead};
 use crate::runtime::{self, BoxFuture};
 use async_std::net::{TcpListener, TcpStream};
-use futures_lite::io::{self, AsyncWriteExt};
-use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http_types::{Method, Request, Response, StatusCode};
-use indigospur_protocol::{Answer, Header, Kind, Outcome, Refusal, headers};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use indigospur_protocol::{Answer, Header, Kind, Refusal};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Time in which the head of a request must arrive once a connection is open or answered.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time in which the body of a request must arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time in which a caller must read an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Bounds of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
+    /// Largest head, in bytes.
+    pub head: usize,
     /// Largest body, in bytes.
     pub body: u64,
     /// Most connections.
     pub connections: usize,
+    /// Time in which a head must arrive once it has begun, and a body after it.
+    pub message: Duration,
+    /// Time for which a connection may stay idle.
+    pub idle: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            head: 8 * 1024,
+            body: 64 * 1024,
+            connections: 256,
+            message: Duration::from_secs(30),
+            idle: Duration::from_secs(60),
+        }
+    }
 }
 
 /// A request as received.
@@ -31,9 +47,9 @@
 pub struct Received {
     /// Method in upper case.
     pub method: Arc<str>,
-    /// Value of the `Host` header without the port.
+    /// Value of the `Host` header without the port, in lower case.
     pub host: Arc<str>,
-    /// Path with its query.
+    /// Path with its query, as sent.
     pub path: Arc<str>,
     /// Headers that are passed on, and the daemon's own.
     pub headers: Vec<Header>,
@@ -50,182 +66,255 @@
 }
 
 /// Answers one request.
-pub type Handler = Arc<dyn Fn(Received) -> BoxFuture<Outcome> + Send + Sync>;
+pub type Handler = Arc<dyn Fn(Received) -> BoxFuture<Answer> + Send + Sync>;
+/// The HTTP form of a refusal.
+pub type Refuse = Arc<dyn Fn(&Refusal) -> Answer + Send + Sync>;
+
+/// What a listener serves, and how it may be changed while it does.
+#[derive(Clone)]
+pub struct HttpService {
+    handler: Handler,
+    refuse: Refuse,
+    bounds: Arc<Mutex<Bounds>>,
+    closing: Arc<AtomicBool>,
+}
+
+impl std::fmt::Debug for HttpService {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut shown = formatter.debug_struct("HttpService");
+        shown
+            .field("bounds", &self.bounds())
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpService {
+    /// A service that answers by `handler`, and by `refuse` where a request can't be read.
+    pub fn new(bounds: Bounds, handler: Handler, refuse: Refuse) -> HttpService {
+        HttpService {
+            handler,
+            refuse,
+            bounds: Arc::new(Mutex::new(bounds)),
+            closing: Arc::default(),
+        }
+    }
+
+    /// Changes the bounds for what is read from now on.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
+    }
+
+    /// The bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Announces with each answer from now on that its connection is closed.
+    pub fn close_connections(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+}
 
 /// Serves connections until the listener fails. The handler's future is dropped when its caller
 /// goes away.
-pub async fn serve_http(listener: TcpListener, bounds: Bounds, handler: Handler) {
+pub async fn serve_http(listener: TcpListener, service: HttpService) {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            runtime::sleep(Duration::from_millis(10)).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:display; "a connection could not be accepted");
+                runtime::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= bounds.connections {
+        if open.fetch_add(1, Ordering::Relaxed) >= service.bounds().connections {
             open.fetch_sub(1, Ordering::Relaxed);
             continue;
         }
-        let (open, handler) = (open.clone(), handler.clone());
+        let (open, service) = (open.clone(), service.clone());
         runtime::spawn(async move {
-            serve_connection(stream, bounds, handler).await;
+            serve_connection(stream, &service).await;
             open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn serve_connection(stream: TcpStream, bounds: Bounds, handler: Handler) {
-    let _ = stream.set_nodelay(true);
-    let stream = ExactStream::new(stream);
-    while serve_request(&stream, bounds, &handler)
-        .await
-        .unwrap_or(false)
-    {
-        stream.expect_head();
+async fn serve_connection(stream: TcpStream, service: &HttpService) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:display; "a connection delays small messages");
     }
-    let _ = stream.clone().close().await;
+    let mut connection = Connection::new(stream);
+    while let Ok(true) = serve_request(&mut connection, service).await {
+        connection.shrink();
+    }
+    connection.close().await;
 }
 
 /// Serves one request; whether another may follow on the connection.
-async fn serve_request(
-    stream: &ExactStream,
-    bounds: Bounds,
-    handler: &Handler,
-) -> io::Result<bool> {
-    let decoded = runtime::within(HEAD_TIMEOUT, async_h1::server::decode(stream.clone())).await;
-    let request = match decoded {
-        Some(Ok(Some((request, _)))) => request,
-        Some(Ok(None)) | None => return Ok(false),
-        Some(Err(error)) => {
-            let kind = if stream.is_head_too_large() {
-                Kind::HeadTooLarge
-            } else {
-                Kind::BadRequest
-            };
-            refuse(stream, Refusal::new(kind, error.to_string())).await?;
-            return Ok(false);
-        }
-    };
-    let method = request.method();
-    let closes = request
-        .header("connection")
-        .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
-    let chunked = request.header(TRANSFER_ENCODING).is_some();
-    let received = match receive(stream, request, bounds).await {
-        Ok(received) => received,
-        Err(refusal) => {
-            refuse(stream, refusal).await?;
+async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<bool> {
+    let bounds = service.bounds();
+    if runtime::within(bounds.idle, connection.begins()).await != Some(true) {
+        return Ok(false);
+    }
+    let bounds = service.bounds();
+    let reading = read_request(connection, bounds);
+    let received = match runtime::within(bounds.message, reading).await {
+        Some(Ok(received)) => received,
+        Some(Err(Unread::Gone)) | None => return Ok(false),
+        Some(Err(Unread::Refused(refusal))) => {
+            let answer = (service.refuse)(&refusal);
+            write(connection, &answer, "GET", true).await?;
             return Ok(false);
         }
     };
-    stream.expect_body(0);
-    let Some(outcome) = answer_or_closed(stream, handler(received)).await else {
+    let Request { received, closes } = received;
+    let method = received.method.clone();
+    let handled = (service.handler)(received);
+    let Some(answer) = answer_or_closed(connection, handled).await else {
         return Ok(false);
     };
-    write(stream, respond(outcome), method).await?;
-    Ok(!closes && !chunked)
+    let closes = closes || service.is_closing();
+    write(connection, &answer, &method, closes).await?;
+    Ok(!closes)
 }
 
-/// The handler's outcome, or `None` if the caller went away first.
-async fn answer_or_closed(stream: &ExactStream, handled: BoxFuture<Outcome>) -> Option<Outcome> {
-    let closed = async {
-        stream.closed().await;
-        None
-    };
-    futures_lite::future::or(async { Some(handled.await) }, closed).await
+/// A request, and whether its sender closes the connection after it.
+struct Request {
+    received: Received,
+    closes: bool,
 }
 
-async fn receive(
-    stream: &ExactStream,
-    mut request: Request,
-    bounds: Bounds,
-) -> Result<Received, Refusal> {
-    let length = content_length(&request)?;
-    if length.is_some_and(|length| length > bounds.body) {
-        return Err(Refusal::new(
-            Kind::BodyTooLarge,
-            format!("at most {} bytes are accepted", bounds.body),
-        ));
-    }
-    let chunked = request.header(TRANSFER_ENCODING).is_some();
-    if chunked {
-        stream.expect_chunks(bounds.body)
-    } else {
-        stream.expect_body(length.unwrap_or(0))
-    }
-    let body = match runtime::within(BODY_TIMEOUT, request.body_bytes()).await {
-        Some(Ok(body)) => body,
-        Some(Err(_)) | None => return Err(Refusal::new(Kind::BadRequest, "the body is not whole")),
-    };
-    if length.is_some_and(|length| length != body.len() as u64) {
-        return Err(Refusal::new(Kind::BadRequest, "the body is not whole"));
-    }
-    let url = request.url();
-    let path = url.query().map_or(url.path().to_owned(), |query| {
-        format!("{}?{query}", url.path())
-    });
-    Ok(Received {
-        method: request.method().to_string().into(),
-        host: url.host_str().unwrap_or_default().into(),
-        path: path.into(),
-        headers: pass_on(request.iter()),
-        body: body.into(),
-    })
+/// Why a request was not read.
+enum Unread {
+    /// The connection ended.
+    Gone,
+    /// It is turned away.
+    Refused(Refusal),
 }
 
-fn content_length(request: &Request) -> Result<Option<u64>, Refusal> {
-    let Some(values) = request.header(CONTENT_LENGTH) else {
-        return Ok(None);
-    };
-    let same = values.iter().all(|value| value == values.last());
-    let parsed = values.last().as_str().trim().parse().ok().filter(|_| same);
-    parsed
-        .map(Some)
-        .ok_or_else(|| Refusal::new(Kind::BadRequest, "the content length is not a number"))
+impl From<Refusal> for Unread {
+    fn from(refusal: Refusal) -> Self {
+        Unread::Refused(refusal)
+    }
 }
 
-async fn refuse(stream: &ExactStream, refusal: Refusal) -> io::Result<()> {
-    let mut response = respond(Outcome::Refused(refusal));
-    response.insert_header("connection", "close");
-    write(stream, response, Method::Get).await
+async fn read_request(connection: &mut Connection, bounds: Bounds) -> Result<Request, Unread> {
+    let head = connection.read_request_head(bounds.head).await;
+    let head = head.map_err(|error| match error {
+        HeadError::Ended => Unread::Gone,
+        HeadError::Malformed => {
+            Refusal::new(Kind::BadRequest, "the request's head is not HTTP/1.1").into()
+        }
+        HeadError::TooLarge => {
+            let detail = format!("at most {} bytes of head are accepted", bounds.head);
+            Refusal::new(Kind::HeadTooLarge, detail).into()
+        }
+    })?;
+    if matches!(head.framing, Framing::Length(length) if length > bounds.body) {
+        return Err(too_large(bounds).into());
+    }
+    if head.fields.lists("expect", "100-continue") {
+        let interim = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        interim.map_err(|_| Unread::Gone)?;
+    }
+    let body = connection.read_body(head.framing, bounds.body).await;
+    let body = body.map_err(|error| match error {
+        BodyError::Ended | BodyError::Malformed => {
+            Unread::from(Refusal::new(Kind::BadRequest, "the body is not whole"))
+        }
+        BodyError::TooLarge => too_large(bounds).into(),
+    })?;
+    Ok(receive(head, body)?)
 }
 
-async fn write(stream: &ExactStream, response: Response, method: Method) -> io::Result<()> {
-    write_message(stream, async_h1::server::Encoder::new(response, method)).await
+fn too_large(bounds: Bounds) -> Refusal {
+    let detail = format!("at most {} bytes of body are accepted", bounds.body);
+    Refusal::new(Kind::BodyTooLarge, detail)
 }
 
-/// The HTTP form of an outcome.
-fn respond(outcome: Outcome) -> Response {
-    match outcome {
-        Outcome::Answered(answer) => respond_with(&answer),
-        Outcome::Refused(refusal) => respond_refused(&refusal),
+fn receive(head: RequestHead, body: Vec<u8>) -> Result<Request, Refusal> {
+    let hosts: Vec<&str> = head.fields.values("host").collect();
+    if hosts.len() > 1 {
+        let detail = "the request names two hosts";
+        return Err(Refusal::new(Kind::BadRequest, detail));
     }
+    let host = hosts.first().copied().unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let name = name.to_ascii_lowercase();
+    let received = Received {
+        host: name.into(),
+        method: head.method,
+        path: head.target,
+        headers: head.fields.pass_on(),
+        body: body.into(),
+    };
+    Ok(Request {
+        received,
+        closes: head.closes,
+    })
+}
+
+/// The handler's answer, or `None` if the caller went away first.
+async fn answer_or_closed(
+    connection: &mut Connection,
+    handled: BoxFuture<Answer>,
+) -> Option<Answer> {
+    let closed = async {
+        connection.closed().await;
+        None
+    };
+    futures_lite::future::or(async { Some(handled.await) }, closed).await
+}
+
+async fn write(
+    connection: &mut Connection,
+    answer: &Answer,
+    method: &str,
+    closes: bool,
+) -> io::Result<()> {
+    let bytes = encode(answer, method, closes);
+    let written = runtime::within(WRITE_TIMEOUT, connection.write(&bytes)).await;
+    written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
-fn respond_with(answer: &Answer) -> Response {
-    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
-    let mut response = Response::new(status);
-    response.set_body(answer.body.to_vec());
-    response.remove_header("content-type");
+/// The bytes of an answer.
+fn encode(answer: &Answer, method: &str, closes: bool) -> Vec<u8> {
+    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    let mut bytes = Vec::with_capacity(512 + answer.body.len());
+    bytes.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
     for header in &answer.headers {
-        if let Ok(value) = std::str::from_utf8(&header.value) {
-            response.append_header(&*header.name, value);
-        }
+        append_header(&mut bytes, header);
+    }
+    if closes {
+        bytes.extend_from_slice(b"connection: close\r\n");
+    }
+    let has_body = method != "HEAD" && status != 204 && status != 304;
+    if has_body {
+        let length = format!("content-length: {}\r\n", answer.body.len());
+        bytes.extend_from_slice(length.as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    if has_body {
+        bytes.extend_from_slice(&answer.body);
     }
-    response
+    bytes
 }
 
-/// The answer to a refused call: what happened, whether it ran, and when to come back.
-fn respond_refused(refusal: &Refusal) -> Response {
-    let row = refusal.kind.row();
-    let status = StatusCode::try_from(row.status).unwrap_or(StatusCode::InternalServerError);
-    let mut response = Response::new(status);
-    response.insert_header(headers::KIND, row.name);
-    response.insert_header(headers::RAN, refusal.ran.as_str());
-    if let Some(after) = refusal.retry_after {
-        let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
-        response.insert_header(headers::RETRY_AFTER, seconds.to_string());
+/// Appends a header line, unless its value would end the line.
+pub(crate) fn append_header(bytes: &mut Vec<u8>, header: &Header) {
+    let breaks = |byte: &u8| matches!(byte, b'\r' | b'\n' | 0);
+    if header.value.iter().any(breaks) {
+        log::warn!(header = &*header.name; "a header that breaks the framing is left out");
+        return;
     }
-    let ran = refusal.ran.as_str();
-    response.set_body(format!("{}: {}\nran: {ran}\n", row.name, refusal.detail));
-    response
+    bytes.extend_from_slice(header.name.as_bytes());
+    bytes.extend_from_slice(b": ");
+    bytes.extend_from_slice(&header.value);
+    bytes.extend_from_slice(b"\r\n");
 }
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -1,7 +1,7 @@
 //! The upstreams of all services, and the choice among them.
 
 use crate::upstream::{Attempt, Upstream};
-use indigospur_protocol::{HostId, Load, Member, ServiceName, State};
+use indigospur_protocol::{HostId, Load, Member, Pressure, ServiceName, State};
 use rand::Rng;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -128,6 +128,25 @@
             .unwrap_or_default()
     }
 
+    /// The room at a service by the fresh reports of its upstreams; `None` without any.
+    pub fn pressure(&self, now: Instant, service: &ServiceName) -> Option<Pressure> {
+        let reports = self
+            .upstreams(service)
+            .iter()
+            .filter(|upstream| upstream.is_ready())
+            .filter_map(|upstream| upstream.fresh_load(now));
+        let (occupied, capacity) = reports.fold((0, 0), |(occupied, capacity), load| {
+            let taken = load.in_flight + load.queued;
+            (occupied + taken, capacity + load.limit)
+        });
+        (capacity > 0).then(|| Pressure {
+            service: service.clone(),
+            occupied,
+            capacity,
+            age: Duration::ZERO,
+        })
+    }
+
     fn pick(&self, now: Instant, rng: &mut impl Rng, request: Request<'_>) -> Option<usize> {
         let upstreams = self.services.get(request.service)?;
         let allowed = |upstream: &Upstream| {
--- a/crates/indigospur-routing/src/upstream.rs
+++ b/crates/indigospur-routing/src/upstream.rs
@@ -86,9 +86,13 @@
 
     /// Whether calls wait there by its last fresh report.
     pub(crate) fn has_queue(&self, now: Instant) -> bool {
-        let fresh = |at: Instant| now.saturating_duration_since(at) < LOAD_LIFETIME;
-        self.load
-            .is_some_and(|(at, load)| fresh(at) && load.queued > 0)
+        self.fresh_load(now).is_some_and(|load| load.queued > 0)
+    }
+
+    /// Its last report, unless that is too old.
+    pub(crate) fn fresh_load(&self, now: Instant) -> Option<Load> {
+        let (at, load) = self.load?;
+        (now.saturating_duration_since(at) < LOAD_LIFETIME).then_some(load)
     }
 
     /// Mean time a call takes there, by its last report.
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -19,6 +19,8 @@
         slots: 10,
         connections: 100,
         state: State::Ready,
+        instance: "".into(),
+        leaving: false,
     }
 }
 
--- a/crates/indigospur-rules/src/condition.rs
+++ b/crates/indigospur-rules/src/condition.rs
@@ -6,8 +6,10 @@
 /// What is known of a call when the rules are asked.
 #[derive(Clone, Copy, Debug)]
 pub struct Subject<'a> {
-    /// Service the call is for.
+    /// Service the call is for, where the caller names one.
     pub service: &'a str,
+    /// Host name the call is addressed to, in lower case.
+    pub host: &'a str,
     /// HTTP method.
     pub method: &'a str,
     /// Path without its query.
@@ -27,6 +29,8 @@
 pub struct Condition {
     /// Services.
     pub services: Vec<Pattern>,
+    /// Host names, in lower case.
+    pub hosts: Vec<Pattern>,
     /// HTTP methods.
     pub methods: Vec<Pattern>,
     /// Paths.
@@ -45,6 +49,7 @@
     /// Whether the call matches.
     pub fn matches(&self, subject: &Subject<'_>) -> bool {
         any(&self.services, subject.service)
+            && any(&self.hosts, subject.host)
             && any(&self.methods, subject.method)
             && any(&self.paths, subject.path)
             && any(&self.customers, subject.customer)
@@ -58,6 +63,7 @@
     /// Whether each call that matches `other` matches this condition too; may be wrongly false.
     pub fn covers(&self, other: &Condition) -> bool {
         covers(&self.services, &other.services)
+            && covers(&self.hosts, &other.hosts)
             && covers(&self.methods, &other.methods)
             && covers(&self.paths, &other.paths)
             && covers(&self.customers, &other.customers)
--- a/crates/indigospur-rules/src/lib.rs
+++ b/crates/indigospur-rules/src/lib.rs
@@ -11,5 +11,5 @@
 pub use condition::{Condition, Subject};
 pub use parse::parse;
 pub use pattern::Pattern;
-pub use set::{Decision, Rule, RuleSet};
-pub use treatment::{Action, ShedOrder, Treatment};
+pub use set::{CallerBounds, Decision, Rule, RuleParts, RuleSet};
+pub use treatment::{Action, ShedOrder, Target, Treatment};
--- a/crates/indigospur-rules/src/parse.rs
+++ b/crates/indigospur-rules/src/parse.rs
@@ -3,8 +3,8 @@
 use crate::check::check_order;
 use crate::condition::Condition;
 use crate::pattern::Pattern;
-use crate::set::{Rule, RuleSet};
-use crate::treatment::{Action, ShedOrder};
+use crate::set::{CallerBounds, Rule, RuleParts, RuleSet};
+use crate::treatment::{Action, ShedOrder, Target};
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_protocol::Class;
 use std::sync::Arc;
@@ -16,6 +16,11 @@
 const DEFAULT_CLASSES: [&str; 3] = ["protected", "normal", "background"];
 const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
 const MOST_CLASSES: usize = 16;
+const LARGEST_WEIGHT: u64 = 1_000_000;
+/// Bounds of the bounds on callers, in bytes.
+const SMALLEST_HEAD: u64 = 1_024;
+const LARGEST_HEAD: u64 = 1_024 * 1_024;
+const LARGEST_BODY: u64 = 1_024 * 1_024 * 1_024;
 const MOST_RETRIES: u64 = 10;
 const LARGEST_SHARE: u64 = 1_000;
 
@@ -32,11 +37,18 @@
     let classes = read_classes(&root);
     let default = read_class(&root, "default-class", &classes);
     let rules = read_rules(&root, &classes);
+    let closed = read_unmatched(&root);
+    let callers = read_callers(root.table("callers"));
     root.finish();
     let default = default.unwrap_or_else(|| middle(&classes));
-    document
-        .into_problems()
-        .or(RuleSet::new(classes, default, rules))
+    let parts = RuleParts {
+        classes,
+        default,
+        rules,
+        closed,
+        callers,
+    };
+    document.into_problems().or(RuleSet::new(parts))
 }
 
 fn too_large(file: &str, size: usize) -> Problems {
@@ -49,6 +61,34 @@
     }])
 }
 
+/// Whether calls that no rule matches are refused.
+fn read_unmatched(root: &Reader<'_>) -> bool {
+    let Some(unmatched) = root.text("unmatched") else {
+        return false;
+    };
+    match &*unmatched {
+        "refuse" => true,
+        "default" => false,
+        other => {
+            let found = format!("\"{other}\" is not allowed");
+            root.reject("unmatched", found, "default or refuse");
+            false
+        }
+    }
+}
+
+fn read_callers(callers: Reader<'_>) -> CallerBounds {
+    let times = Duration::from_millis(100)..=LONGEST_DEADLINE;
+    let bounds = CallerBounds {
+        head: callers.integer("head", SMALLEST_HEAD..=LARGEST_HEAD),
+        body: callers.integer("body", 0..=LARGEST_BODY),
+        message: callers.duration("message", times.clone()),
+        idle: callers.duration("idle", times),
+    };
+    callers.finish();
+    bounds
+}
+
 fn middle(classes: &[Arc<str>]) -> Class {
     ((classes.len().saturating_sub(1)).min(1)) as Class
 }
@@ -106,6 +146,7 @@
 fn read_condition(when: Reader<'_>, classes: &[Arc<str>]) -> Condition {
     let condition = Condition {
         services: patterns(&when, "service"),
+        hosts: patterns(&when, "host"),
         methods: patterns(&when, "method"),
         paths: patterns(&when, "path"),
         customers: patterns(&when, "customer"),
@@ -127,11 +168,32 @@
         idempotent: then.boolean("idempotent"),
         once: then.boolean("at-most-once"),
         waits: then.boolean("waits"),
+        targets: read_targets(&then),
+        objective: then.duration("objective", Duration::from_millis(1)..=LONGEST_DEADLINE),
     };
     then.finish();
     action
 }
 
+/// One service, or several with their weights.
+fn read_targets(then: &Reader<'_>) -> Arc<[Target]> {
+    let single = then
+        .text("service")
+        .map(|service| Target { service, weight: 1 });
+    let mut targets: Vec<Target> = Vec::new();
+    for part in then.tables("split") {
+        let service = part.required_text("service");
+        let weight = small(part.integer("weight", 1..=LARGEST_WEIGHT)).unwrap_or(1);
+        part.finish();
+        targets.push(Target { service, weight });
+    }
+    if single.is_some() && !targets.is_empty() {
+        then.reject("split", "stands beside service", "give one of the two");
+    }
+    targets.extend(single);
+    targets.into()
+}
+
 fn read_shed(then: &Reader<'_>) -> Option<ShedOrder> {
     match &*then.text("shed")? {
         "first" => Some(ShedOrder::First),
--- a/crates/indigospur-rules/src/pattern.rs
+++ b/crates/indigospur-rules/src/pattern.rs
@@ -2,23 +2,44 @@
 
 use std::sync::Arc;
 
+/// How the text of a pattern is compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    /// As a whole.
+    Exact,
+    /// As the start.
+    Prefix,
+    /// Each `*` stands for any run of characters.
+    Wild,
+}
+
 /// A text pattern.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pattern {
     text: Arc<str>,
-    exact: bool,
+    form: Form,
 }
 
 impl Pattern {
     /// A pattern; each `*` in `text` stands for any run of characters.
     pub fn new(text: Arc<str>) -> Pattern {
-        let exact = !text.contains('*');
-        Pattern { text, exact }
+        let form = if text.contains('*') {
+            Form::Wild
+        } else {
+            Form::Exact
+        };
+        Pattern { text, form }
     }
 
-    /// The pattern's text if it holds no `*`.
+    /// A pattern for every text that starts with `text`, in which `*` has no meaning.
+    pub fn prefix(text: Arc<str>) -> Pattern {
+        let form = Form::Prefix;
+        Pattern { text, form }
+    }
+
+    /// The pattern's text if only this text matches.
     pub fn exact(&self) -> Option<&Arc<str>> {
-        self.exact.then_some(&self.text)
+        (self.form == Form::Exact).then_some(&self.text)
     }
 
     /// The pattern as written.
@@ -28,15 +49,21 @@
 
     /// Whether the whole of `text` matches.
     pub fn matches(&self, text: &str) -> bool {
-        if self.exact {
-            return &*self.text == text;
+        match self.form {
+            Form::Exact => &*self.text == text,
+            Form::Prefix => text.starts_with(&*self.text),
+            Form::Wild => matches_parts(&self.text, text),
         }
-        matches_parts(&self.text, text)
     }
 
     /// Whether each text that matches `other` matches this pattern too; may be wrongly false.
     pub fn covers(&self, other: &Pattern) -> bool {
-        self.text == other.text || matches_parts(&self.text, &other.text)
+        match (self.form, other.form) {
+            (Form::Exact, _) => self == other,
+            (Form::Prefix, _) => other.text.starts_with(&*self.text) && other.form != Form::Wild,
+            (Form::Wild, Form::Prefix) => matches_parts(&self.text, &format!("{}*", other.text)),
+            (Form::Wild, _) => self.text == other.text || matches_parts(&self.text, &other.text),
+        }
     }
 }
 
--- a/crates/indigospur-rules/src/set.rs
+++ b/crates/indigospur-rules/src/set.rs
@@ -1,10 +1,12 @@
 //! A checked rule set and the decision for a call.
 
 use crate::condition::{Condition, Subject};
+use crate::pattern::Pattern;
 use crate::treatment::{Action, Treatment};
 use indigospur_protocol::Class;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// One when-then rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +19,34 @@
     pub then: Action,
 }
 
+/// Bounds on what callers send and how long they take. `None` leaves the daemon's own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerBounds {
+    /// Largest head, in bytes.
+    pub head: Option<u64>,
+    /// Largest body, in bytes.
+    pub body: Option<u64>,
+    /// Time in which a request must arrive once it has begun.
+    pub message: Option<Duration>,
+    /// Time for which a connection may stay idle.
+    pub idle: Option<Duration>,
+}
+
+/// What a rule set is made of.
+#[derive(Clone, Debug)]
+pub struct RuleParts {
+    /// Class names in shed order; the first is shed last. Never empty.
+    pub classes: Vec<Arc<str>>,
+    /// Class of a call that no rule gives one. Always an index into `classes`.
+    pub default: Class,
+    /// The rules in order.
+    pub rules: Vec<Rule>,
+    /// A call that no rule matches is refused.
+    pub closed: bool,
+    /// Bounds on callers.
+    pub callers: CallerBounds,
+}
+
 /// A checked rule set.
 #[derive(Clone, Debug)]
 pub struct RuleSet {
@@ -26,9 +56,15 @@
     pub default: Class,
     /// The rules in order.
     pub rules: Vec<Rule>,
-    /// Indexes of the rules that can match a service, in order.
+    /// A call that no rule matches is refused.
+    pub closed: bool,
+    /// Bounds on callers.
+    pub callers: CallerBounds,
+    /// Indexes of the rules that can match a host name, in order.
+    by_host: HashMap<Arc<str>, Vec<usize>>,
+    /// Indexes of the rules that can match a service on any other host, in order.
     by_service: HashMap<Arc<str>, Vec<usize>>,
-    /// Indexes of the rules that can match any other service, in order.
+    /// Indexes of the rules that can match any other call, in order.
     elsewhere: Vec<usize>,
 }
 
@@ -41,46 +77,63 @@
     pub treatment: Treatment,
 }
 
+/// The texts that any of the rules compares exactly in a part of its condition.
+fn named(rules: &[Rule], part: fn(&Condition) -> &[Pattern]) -> BTreeSet<Arc<str>> {
+    let patterns = rules.iter().flat_map(|rule| part(&rule.when));
+    patterns
+        .filter_map(|pattern| pattern.exact().cloned())
+        .collect()
+}
+
+/// Whether only texts that are compared exactly can match.
+fn is_exact(patterns: &[Pattern]) -> bool {
+    !patterns.is_empty() && patterns.iter().all(|pattern| pattern.exact().is_some())
+}
+
+fn can_match(patterns: &[Pattern], text: &str) -> bool {
+    patterns.is_empty() || patterns.iter().any(|pattern| pattern.matches(text))
+}
+
 impl RuleSet {
     /// A rule set of parts that were checked.
-    pub(crate) fn new(classes: Vec<Arc<str>>, default: Class, rules: Vec<Rule>) -> RuleSet {
-        let exact = |rule: &Rule| {
-            rule.when
-                .services
-                .iter()
-                .filter_map(|p| p.exact().cloned())
-                .collect()
-        };
-        let named: Vec<Arc<str>> = rules
-            .iter()
-            .flat_map(|rule| -> Vec<Arc<str>> { exact(rule) })
-            .collect();
-        let indexes = |service: &str| -> Vec<usize> {
-            let can_match = |rule: &Rule| {
-                let services = &rule.when.services;
-                services.is_empty() || services.iter().any(|pattern| pattern.matches(service))
-            };
-            (0..rules.len())
-                .filter(|index| can_match(&rules[*index]))
+    pub fn new(parts: RuleParts) -> RuleSet {
+        let RuleParts {
+            classes,
+            default,
+            rules,
+            closed,
+            callers,
+        } = parts;
+        let indexes = |fits: &dyn Fn(&Condition) -> bool| -> Vec<usize> {
+            let fitting = rules.iter().enumerate();
+            fitting
+                .filter(|(_, rule)| fits(&rule.when))
+                .map(|(index, _)| index)
                 .collect()
         };
-        let by_service = named
-            .iter()
-            .map(|name| (name.clone(), indexes(name)))
-            .collect();
-        let only_exact = |rule: &Rule| {
-            let services = &rule.when.services;
-            !services.is_empty() && services.iter().all(|pattern| pattern.exact().is_some())
-        };
-        let elsewhere = (0..rules.len())
-            .filter(|index| !only_exact(&rules[*index]))
-            .collect();
+        let hosts = named(&rules, |when| &when.hosts);
+        let by_host = hosts.into_iter().map(|host| {
+            let fitting = indexes(&|when| can_match(&when.hosts, &host));
+            (host, fitting)
+        });
+        let by_host = by_host.collect();
+        let any_host = |when: &Condition| !is_exact(&when.hosts);
+        let services = named(&rules, |when| &when.services);
+        let by_service = services.into_iter().map(|service| {
+            let fitting = indexes(&|when| any_host(when) && can_match(&when.services, &service));
+            (service, fitting)
+        });
+        let by_service = by_service.collect();
+        let elsewhere = indexes(&|when| any_host(when) && !is_exact(&when.services));
         RuleSet {
             classes,
             default,
-            rules,
+            closed,
+            callers,
+            by_host,
             by_service,
             elsewhere,
+            rules,
         }
     }
 
@@ -88,9 +141,9 @@
     ///
     /// A call inside a chain never gets a lesser class than the call above it.
     pub fn decide(&self, subject: &Subject<'_>) -> Decision {
-        let candidates = self
-            .by_service
-            .get(subject.service)
+        let by_host = self.by_host.get(subject.host);
+        let candidates = by_host
+            .or_else(|| self.by_service.get(subject.service))
             .unwrap_or(&self.elsewhere);
         let found = candidates
             .iter()
--- a/crates/indigospur-rules/src/treatment.rs
+++ b/crates/indigospur-rules/src/treatment.rs
@@ -1,6 +1,7 @@
 //! The then-part of a rule, and how a call is treated.
 
-use indigospur_protocol::{Class, Customer, Rank, RequestId};
+use indigospur_protocol::{Class, Customer, Rank, RequestId, ServiceName};
+use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -25,6 +26,15 @@
     First,
 }
 
+/// A service that takes a share of a rule's calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share against the other targets of the rule.
+    pub weight: u32,
+}
+
 /// The then-part of a rule. `None` leaves the default.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Action {
@@ -44,6 +54,10 @@
     pub once: Option<bool>,
     /// The call waits in the queue until its deadline rather than be refused early.
     pub waits: Option<bool>,
+    /// Services that take the calls, each by its weight; empty for the one the caller names.
+    pub targets: Arc<[Target]>,
+    /// Time within which an answer is worth most.
+    pub objective: Option<Duration>,
 }
 
 /// How a call is treated.
@@ -65,22 +79,42 @@
     pub once: bool,
     /// The call waits in the queue until its deadline rather than be refused early.
     pub waits: bool,
+    /// Services that take the calls, each by its weight; empty for the one the caller names.
+    pub targets: Arc<[Target]>,
+    /// Time within which an answer is worth most; at most the deadline.
+    pub objective: Duration,
 }
 
 impl Treatment {
     /// The treatment by `action` of a call whose method is idempotent or not by HTTP.
     pub fn new(action: &Action, class: Class, idempotent: bool) -> Treatment {
         let once = action.once.unwrap_or(false);
+        let deadline = action.deadline.unwrap_or(DEFAULT_DEADLINE);
         Treatment {
             class: action.class.unwrap_or(class),
-            deadline: action.deadline.unwrap_or(DEFAULT_DEADLINE),
+            deadline,
             retries: action.retries.unwrap_or(DEFAULT_RETRIES),
             shed: action.shed.unwrap_or_default(),
             share: action.share.unwrap_or(DEFAULT_SHARE),
             idempotent: action.idempotent.unwrap_or(idempotent) && !once,
             once,
             waits: action.waits.unwrap_or(false),
+            targets: action.targets.clone(),
+            objective: action.objective.unwrap_or(deadline).min(deadline),
+        }
+    }
+
+    /// The target of one call, by a number drawn evenly from 0 to 1; `None` if there is none.
+    pub fn target(&self, drawn: f64) -> Option<&ServiceName> {
+        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let mut left = drawn * f64::from(total);
+        for target in self.targets.iter() {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
         }
+        self.targets.last().map(|target| &target.service)
     }
 
     /// The shed rank of a customer's request, the same at every service of the chain.
--- a/crates/indigospur-rules/tests/rules.rs
+++ b/crates/indigospur-rules/tests/rules.rs
@@ -10,6 +10,7 @@
 
 fn subject<'a>(service: &'a str, method: &'a str, path: &'a str) -> Subject<'a> {
     Subject {
+        host: "",
         service,
         method,
         path,
--- a/crates/indigospur-stand-ins/src/backend_server.rs
+++ b/crates/indigospur-stand-ins/src/backend_server.rs
@@ -4,11 +4,11 @@
 //! The query of a call steers it: `work=MS` takes so long, `fail=crash` ends the process,
 //! `fail=truncate`, `fail=other` (another call's answer) and `fail=shed` answer wrongly.
 
-use crate::reply::{json, text, with_headers};
+use crate::reply::{json, refuse, text, with_headers};
 use async_std::net::TcpListener;
-use indigospur_protocol::{Announcement, Header, Outcome, State, headers};
+use indigospur_protocol::{Announcement, Answer, Header, State, headers};
 use indigospur_relay::{
-    Bounds, Handler, HttpRequest, Received, post, request, runtime, serve_http,
+    Bounds, Handler, HttpRequest, HttpService, Received, post, request, runtime, serve_http,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -129,8 +129,9 @@
         let bounds = Bounds {
             body: LARGEST_BODY,
             connections: 65_536,
+            ..Bounds::default()
         };
-        serve_http(listener, bounds, handler).await;
+        serve_http(listener, HttpService::new(bounds, handler, refuse())).await;
     }
 
     async fn announce(self, address: String) {
@@ -149,6 +150,10 @@
                 } else {
                     State::Ready
                 },
+                instance: "".into(),
+                born: 0,
+                sequence: 0,
+                cold_ms: 0,
             };
             let body = serde_json::to_vec(&announcement).unwrap_or_default();
             let _ = post(&daemon, "/announce", &body, ANNOUNCE_TIMEOUT).await;
@@ -156,7 +161,7 @@
         }
     }
 
-    async fn handle(&self, request: Received) -> Outcome {
+    async fn handle(&self, request: Received) -> Answer {
         match &*request.path {
             "/stand-in/journal" => return json(&self.journal()),
             "/stand-in/busy" => return json(&self.shared.most_busy.load(Ordering::Relaxed)),
@@ -174,7 +179,7 @@
         self.run(request).await
     }
 
-    async fn run(&self, request: Received) -> Outcome {
+    async fn run(&self, request: Received) -> Answer {
         if is_past_deadline(&request) {
             return text(503, "the deadline has passed");
         }
@@ -234,7 +239,7 @@
         Ok(bodies)
     }
 
-    fn answer(&self, request: &Received, below: Result<String, String>) -> Outcome {
+    fn answer(&self, request: &Received, below: Result<String, String>) -> Answer {
         let failure = parameter(&request.path, "fail");
         let token = request.header(headers::CALL).unwrap_or_default();
         let token = if failure == Some("other") {
--- a/crates/indigospur-stand-ins/src/platform_log.rs
+++ b/crates/indigospur-stand-ins/src/platform_log.rs
@@ -4,10 +4,10 @@
 //! `GET /streams/NAME/records?from=N&limit=M` answers the oldest kept offset, the next one and the
 //! records between. `POST /mode` with a JSON [`Mode`] makes it fail in the ways the platform does.
 
-use crate::reply::{json, text};
+use crate::reply::{json, refuse, text};
 use async_std::net::TcpListener;
-use indigospur_protocol::Outcome;
-use indigospur_relay::{Bounds, Handler, Received, runtime, serve_http};
+use indigospur_protocol::Answer;
+use indigospur_relay::{Bounds, Handler, HttpService, Received, runtime, serve_http};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -91,7 +91,7 @@
         self.first + self.records.len() as u64 - 1
     }
 
-    fn list(&self, now: Instant, from: u64, limit: usize) -> Outcome {
+    fn list(&self, now: Instant, from: u64, limit: usize) -> Answer {
         let skipped = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
         let numbered = (self.first..).zip(&self.records);
         let records = numbered
@@ -137,8 +137,9 @@
         let bounds = Bounds {
             body: LARGEST_RECORD,
             connections: 4_096,
+            ..Bounds::default()
         };
-        serve_http(listener, bounds, handler).await;
+        serve_http(listener, HttpService::new(bounds, handler, refuse())).await;
     }
 
     /// Changes how the log behaves.
@@ -151,7 +152,7 @@
         self.lock().reads
     }
 
-    async fn handle(&self, request: Received) -> Outcome {
+    async fn handle(&self, request: Received) -> Answer {
         if &*request.path == "/mode" {
             return self.change_mode(&request);
         }
@@ -174,7 +175,7 @@
         }
     }
 
-    fn change_mode(&self, request: &Received) -> Outcome {
+    fn change_mode(&self, request: &Received) -> Answer {
         match serde_json::from_slice(&request.body) {
             Ok(mode) => {
                 self.set_mode(mode);
@@ -184,7 +185,7 @@
         }
     }
 
-    fn read(&self, stream: &str, query: &str) -> Outcome {
+    fn read(&self, stream: &str, query: &str) -> Answer {
         let now = Instant::now();
         let number = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -201,7 +202,7 @@
         stream.list(now, number("from").unwrap_or(0), limit)
     }
 
-    async fn append(&self, stream: &str, body: &[u8]) -> Outcome {
+    async fn append(&self, stream: &str, body: &[u8]) -> Answer {
         let Ok(body) = String::from_utf8(body.to_vec()) else {
             return text(400, "not UTF-8");
         };
--- a/crates/indigospur-stand-ins/src/reply.rs
+++ b/crates/indigospur-stand-ins/src/reply.rs
@@ -1,14 +1,16 @@
 //! Answers of the stand-ins.
 
-use indigospur_protocol::{Answer, Header, Outcome};
+use indigospur_protocol::{Answer, Header, Refusal};
+use indigospur_relay::Refuse;
+use std::sync::Arc;
 
 /// An answer with a text.
-pub(crate) fn text(status: u16, body: impl Into<String>) -> Outcome {
+pub(crate) fn text(status: u16, body: impl Into<String>) -> Answer {
     with_headers(status, Vec::new(), body.into().into_bytes())
 }
 
 /// An answer with a value as JSON.
-pub(crate) fn json(value: &impl serde::Serialize) -> Outcome {
+pub(crate) fn json(value: &impl serde::Serialize) -> Answer {
     with_headers(
         200,
         Vec::new(),
@@ -17,10 +19,15 @@
 }
 
 /// An answer with headers and a body.
-pub(crate) fn with_headers(status: u16, headers: Vec<Header>, body: Vec<u8>) -> Outcome {
-    Outcome::Answered(Answer {
+pub(crate) fn with_headers(status: u16, headers: Vec<Header>, body: Vec<u8>) -> Answer {
+    Answer {
         status,
         headers,
         body: body.into(),
-    })
+    }
+}
+
+/// The answer to a request that can't be read.
+pub(crate) fn refuse() -> Refuse {
+    Arc::new(|refusal: &Refusal| text(refusal.kind.row().status, refusal.detail.to_string()))
 }
