Refuse at the entry what a deep service lacks

Changed: replies carry slots taken and slot time by service; the daemon where a request arrives refuses by them, least class first. Calls inside chains go first. Limits need not follow services below. Small fleets exchange whole lists sooner.

--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use admission::{Admission, Options};
 pub use effect::{Arrival, Effect, Finish, Refused, Ticket, Verdict};
-pub use entry::Entry;
+pub use entry::{Asking, Entry, Shed};
 pub use limit::{Limit, LimitPolicy};
 pub use pressure::Pressures;
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{Above, CallHead};
 use crate::{keyed, outbound};
+use indigospur_admission::Asking;
 use indigospur_budget::Token;
 use indigospur_once::check_key;
 use indigospur_protocol::{
@@ -171,6 +172,10 @@
         return Err(Refusal::new(Kind::NoRoute, detail));
     }
     let treatment = decided.treatment;
+    let inside = above.is_some() || matches!(head.above, Above::Prefix(_));
+    if !inside {
+        enter(daemon, &request, rule.as_ref(), &treatment)?;
+    }
     let service = target(daemon, &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &path);
     let key = key(&head, &treatment)?;
@@ -206,6 +211,9 @@
     if let Some(inherited) = inherited {
         inherit(&mut context, &inherited);
     }
+    if inside {
+        context.depth = context.depth.max(1);
+    }
     Ok(Prepared {
         message: RelayMessage { call, context },
         above,
@@ -213,6 +221,37 @@
     })
 }
 
+/// Lets a caller's request in, if the services that it needs have room for it.
+fn enter(
+    daemon: &Daemon,
+    request: &RequestId,
+    rule: Option<&Arc<str>>,
+    treatment: &Treatment,
+) -> Result<(), Refusal> {
+    let Some(rule) = rule else { return Ok(()) };
+    let asking = Asking {
+        rule,
+        class: treatment.class,
+        objective: treatment.objective,
+    };
+    let pressures = lock(&daemon.pressures);
+    let entered = lock(&daemon.entry).admit(Instant::now(), asking, &pressures);
+    drop(pressures);
+    entered.map_err(|shed| {
+        log::info!(
+            request = &**request,
+            rule = &**rule,
+            class = treatment.class,
+            service = &*shed.service,
+            level = shed.level,
+            share = shed.share;
+            "request not let in"
+        );
+        let detail = format!("{} has no room for it", shed.service);
+        Refusal::new(Kind::OverloadedBelow, detail).retry_after(shed.retry_after)
+    })
+}
+
 /// What a call inside a chain takes over from the call above.
 fn inherit(context: &mut Context, above: &Context) {
     context.rank = above.rank;
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -279,9 +279,11 @@
         fleet.members.get(host).map(|member| member.address.clone())
     }
 
-    /// The refusal `known` for a service that was announced before, else that it is unknown.
+    /// The refusal `known` for a service that was announced before or that the rules name, else
+    /// that it is unknown.
     pub(crate) fn refuse_service(&self, service: &str, known: Refusal) -> Refusal {
-        if lock(&self.router).knows(service) {
+        let named = self.rules().is_some_and(|rules| rules.closed);
+        if named || lock(&self.router).knows(service) {
             return known;
         }
         Refusal::new(
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -70,7 +70,7 @@
     };
     let slot = backend
         .slots
-        .acquire(arrival(&message.context, deadline))
+        .acquire(arrival(daemon, &message.context, deadline))
         .await;
     let slot = match slot {
         Ok(slot) => slot,
@@ -84,9 +84,10 @@
     reply
 }
 
-fn arrival(context: &Context, deadline: Instant) -> Arrival {
+fn arrival(daemon: &Daemon, context: &Context, deadline: Instant) -> Arrival {
+    let chained = context.depth > 0 && daemon.settings.chains_first;
     Arrival {
-        class: context.class,
+        class: if chained { 0 } else { context.class },
         rank: context.rank,
         customer: context.customer.clone(),
         share: context.share,
@@ -152,7 +153,7 @@
     let ended = exchange(daemon, backend, &message, &open.token, &slot, deadline).await;
     let outcome = conclude(daemon, backend, &context, ended, &mut slot).await;
     let closed = open.close();
-    if closed.shed_below && !is_success(&outcome) {
+    if closed.shed_below && !is_success(&outcome) && daemon.settings.yields_below {
         slot.ended(Finish::Shed);
     }
     let mut work = closed.work;
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -58,6 +58,10 @@
     pub leave: Duration,
     /// Running calls are cancelled for more important ones.
     pub preempts: bool,
+    /// Calls inside chains go before requests that begin, whatever their classes.
+    pub chains_first: bool,
+    /// A backend server gets fewer calls when a service below it sheds.
+    pub yields_below: bool,
     /// Share of the backend server's slots that is used, in percent.
     pub fill: u32,
     /// Retries that a hundred first attempts allow, in calls to one service.
@@ -156,6 +160,8 @@
             Duration::ZERO,
         ),
         preempts: limits.boolean("preempt").unwrap_or(true),
+        chains_first: limits.boolean("chains-first").unwrap_or(false),
+        yields_below: limits.boolean("yield-below").unwrap_or(true),
         fill: small(limits.integer("fill", 10..=100)).unwrap_or(100),
         retry_percent: small(retries.integer("percent", 0..=100)).unwrap_or(10),
         retries_saved: small(retries.integer("saved", 1..=100_000)).unwrap_or(10),
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -8,10 +8,17 @@
 
 /// Members told of in one message.
 const MOST_NEWS: usize = 12;
-/// Shortest time between two whole member lists that a daemon asks for.
-const WHOLE_PAUSE: Duration = Duration::from_secs(10);
+/// Shortest time between two whole member lists that a daemon asks for, for each member: whole lists
+/// then take at most some 4 KB a second, whatever the size of the fleet.
+const WHOLE_PAUSE_PER_MEMBER: Duration = Duration::from_millis(25);
+/// Bounds of that time. In a large fleet the longest one is kept while changes are still told one by
+/// one, which takes fewer bytes.
+const SHORTEST_WHOLE_PAUSE: Duration = Duration::from_millis(400);
+const LONGEST_WHOLE_PAUSE: Duration = Duration::from_secs(10);
 /// The same while more is to be told than fits into a few messages, as after a start of the fleet.
 const WHOLE_PAUSE_IN_BACKLOG: Duration = Duration::from_secs(2);
+/// Members of a fleet in which whole lists are exchanged also while changes are told.
+const SMALL_FLEET: usize = 128;
 /// Changes still to be told that count as a backlog.
 const BACKLOG: usize = 2 * MOST_NEWS;
 
@@ -140,13 +147,16 @@
         let differs = heard.digest != members.digest() && !heard.full;
         let settled = members.untold() == 0 && heard.members.is_empty();
         let backlog = members.untold() >= BACKLOG;
+        let small = members.len() <= SMALL_FLEET;
+        let by_size = WHOLE_PAUSE_PER_MEMBER * u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let by_size = by_size.clamp(SHORTEST_WHOLE_PAUSE, LONGEST_WHOLE_PAUSE);
         let pause = if backlog {
-            WHOLE_PAUSE_IN_BACKLOG
+            by_size.min(WHOLE_PAUSE_IN_BACKLOG)
         } else {
-            WHOLE_PAUSE
+            by_size
         };
         let recent = |at: Instant| now.saturating_duration_since(at) < pause;
-        if !differs || !(settled || backlog) || self.asked.is_some_and(recent) {
+        if !differs || !(settled || backlog || small) || self.asked.is_some_and(recent) {
             return false;
         }
         self.asked = Some(now);
--- a/crates/indigospur-members/tests/members.rs
+++ b/crates/indigospur-members/tests/members.rs
@@ -168,6 +168,23 @@
     assert!(rounds <= 30, "{rounds} s");
 }
 
+/// Each daemon has met one other, as when all were killed at once and come back one by one.
+#[test]
+fn a_small_fleet_that_comes_back_with_scattered_contacts_knows_itself_within_seconds() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(16, seed);
+        let now = fleet.now;
+        for index in 0..16 {
+            let mut members = Members::new(now, member(index));
+            let met = fleet.rng.random_range(0..index.max(1));
+            members.merge(now, vec![member(met)]);
+            fleet.nodes[index].members = members;
+        }
+        let rounds = fleet.rounds_until(60, |node| node.members.len() == 16);
+        assert!(rounds <= 6, "{rounds} s with seed {seed}");
+    }
+}
+
 #[test]
 fn a_host_that_leaves_is_known_everywhere_within_seconds() {
     let mut fleet = Fleet::new(60, 2);
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -68,11 +68,7 @@
         self.read_head(most, AnswerHead::parse).await
     }
 
-    async fn read_head<T>(
-        &mut self,
-        most: usize,
-        parse: Parse<T>,
-    ) -> Result<T, HeadError> {
+    async fn read_head<T>(&mut self, most: usize, parse: Parse<T>) -> Result<T, HeadError> {
         loop {
             let searched = self.buffer.len().min(most);
             if let Some((head, length)) = parse(&self.buffer[..searched])? {
