--- a/crates/indigospur-admission/src/entry.rs
+++ b/crates/indigospur-admission/src/entry.rs
@@ -14,12 +14,14 @@
 const SMOOTHING: u32 = 16;
 /// Rules whose slot times are remembered.
 const MOST_RULES: usize = 1_024;
-/// Calls over slots at which a service is kept: full, with hardly a queue.
-const TARGET: f64 = 0.95;
+/// Calls over slots at which a service is kept: full, with a short queue.
+const TARGET: f64 = 1.05;
 /// Share of the error by which requests are refused at once.
 const PROPORTIONAL: f64 = 0.5;
 /// Share of the error by which refusals grow a second.
-const INTEGRAL: f64 = 0.8;
+const GROWTH: f64 = 0.8;
+/// Share of the error by which they shrink: slots that stay free are lost at once, a queue is not.
+const DECAY: f64 = 2.5;
 /// Largest error that counts, so that one flood does not wind the control up.
 const LARGEST_ERROR: f64 = 0.6;
 /// Error of a service of which nothing was told lately: refusals fade out.
@@ -78,8 +80,9 @@
             (level - TARGET).clamp(-LARGEST_ERROR, LARGEST_ERROR)
         });
         let most = self.classes.len() as f64;
-        let grown = self.integral + INTEGRAL * error * step.as_secs_f64();
-        self.integral = grown.clamp(0.0, most);
+        let rate = if error > 0.0 { GROWTH } else { DECAY };
+        let integral = self.integral + rate * error * step.as_secs_f64();
+        self.integral = integral.clamp(0.0, most);
         (self.integral + PROPORTIONAL * error).clamp(0.0, most)
     }
 
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -2,6 +2,8 @@
 
 /// Cost of a retry, in the unit of a bucket's level.
 const RETRY: u32 = 100;
+/// Repeats that can be owed: a flood of them does not stop retries for long.
+const MOST_OWED: u32 = 20;
 
 /// How many retries a bucket allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     options: RatioOptions,
     /// In hundredths of a retry; at most what `options` let be saved.
     level: u32,
+    /// Repeats that were made without credit, in the same unit; zero while `level` is not.
+    owed: u32,
 }
 
 impl Default for RetryRatio {
@@ -42,6 +46,7 @@
         RetryRatio {
             options,
             level: options.saved * RETRY,
+            owed: 0,
         }
     }
 
@@ -54,6 +59,19 @@
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.level = (self.level + self.options.percent).min(self.options.saved * RETRY);
+        self.settle();
+    }
+
+    /// Takes a repeat into account that can't be refused; later retries wait for it.
+    pub fn charge(&mut self) {
+        self.owed = (self.owed + RETRY).min(MOST_OWED * RETRY);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        let paid = self.owed.min(self.level);
+        self.owed -= paid;
+        self.level -= paid;
     }
 
     /// Spends a retry; false if the link has spent its share.
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -188,3 +188,22 @@
     assert_eq!(seen.count(now + Duration::from_secs(59), &id), 1);
     assert_eq!(seen.count(now + Duration::from_secs(61), &id), 0);
 }
+
+/// A repeated run above makes calls that are repeats too and can't be refused.
+#[test]
+fn repeats_that_are_forced_from_above_leave_fewer_retries() {
+    let mut ratio = RetryRatio::default();
+    let mut retries = 0;
+    let mut repeats = 0;
+    for call in 0..10_000 {
+        if call % 20 == 0 {
+            ratio.charge();
+            repeats += 1;
+        } else {
+            ratio.earn();
+        }
+        retries += u32::from(ratio.spend());
+    }
+    assert!(retries + repeats <= 1_000 + 10, "{retries} {repeats}");
+    assert!(retries > 300, "{retries}");
+}
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -34,6 +34,7 @@
 impl Backend {
     fn new(daemon: &Daemon, announced: &Announcement, cold: bool) -> Arc<Backend> {
         let options = Options {
+            policy: daemon.settings.limit,
             slots: announced.slots,
             cold,
             target_wait: daemon.settings.target_wait,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -157,15 +157,7 @@
         ended: false,
     };
     let (attempt, reply) = relay(daemon, message, member).await;
-    let out_of_order = matches!(&reply.outcome, Outcome::Refused(refusal) if is_pass(refusal));
-    open.end(
-        if out_of_order {
-            Attempt::Failed
-        } else {
-            attempt
-        },
-        &reply,
-    );
+    open.end(judge(attempt, &reply.outcome), &reply);
     course.credit.give_back(lent, reply.retries_left);
     course.retried |= reply.retried;
     hear(daemon, &service, &reply);
@@ -180,6 +172,20 @@
     reply
 }
 
+/// What an attempt says of the upstream, by its outcome too.
+fn judge(attempt: Attempt, outcome: &Outcome) -> Attempt {
+    match outcome {
+        Outcome::Refused(refusal) if is_pass(refusal) => Attempt::Failed,
+        Outcome::Refused(refusal)
+            if matches!(refusal.kind, Kind::BackendShed | Kind::BadAnswer) =>
+        {
+            Attempt::Faulted
+        }
+        Outcome::Answered(answer) if answer.status >= 500 => Attempt::Faulted,
+        _ => attempt,
+    }
+}
+
 /// Takes in what a reply tells beside its outcome.
 fn hear(daemon: &Daemon, service: &ServiceName, reply: &Reply) {
     let now = Instant::now();
@@ -247,8 +253,11 @@
     (attempt, Reply::refused(Refusal::new(kind, detail), left))
 }
 
+/// Counts a first attempt. One that a repeated call above makes is a repeat as well.
 fn earn(daemon: &Daemon, message: &RelayMessage) {
-    if !message.context.repeated {
+    if message.context.repeated {
+        daemon.with_ratio(&message.call.service, RetryRatio::charge);
+    } else {
         daemon.with_ratio(&message.call.service, RetryRatio::earn);
     }
 }
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings in TOML, checked as a whole before the daemon starts.
 
 use crate::failure::StartError;
+use indigospur_admission::LimitPolicy;
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_relay::Bounds;
 use indigospur_rules::CallerBounds;
@@ -62,6 +63,8 @@
     pub chains_first: bool,
     /// A backend server gets fewer calls when a service below it sheds.
     pub yields_below: bool,
+    /// How the limit of a backend server follows what its calls show.
+    pub limit: LimitPolicy,
     /// Share of the backend server's slots that is used, in percent.
     pub fill: u32,
     /// Retries that a hundred first attempts allow, in calls to one service.
@@ -162,6 +165,7 @@
         preempts: limits.boolean("preempt").unwrap_or(true),
         chains_first: limits.boolean("chains-first").unwrap_or(false),
         yields_below: limits.boolean("yield-below").unwrap_or(true),
+        limit: limit(&limits),
         fill: small(limits.integer("fill", 10..=100)).unwrap_or(100),
         retry_percent: small(retries.integer("percent", 0..=100)).unwrap_or(10),
         retries_saved: small(retries.integer("saved", 1..=100_000)).unwrap_or(10),
@@ -212,6 +216,18 @@
     reader.duration(key, range).unwrap_or(default)
 }
 
+fn limit(limits: &Reader<'_>) -> LimitPolicy {
+    match limits.text("policy").as_deref() {
+        None | Some("aimd") => LimitPolicy::Aimd,
+        Some("slots") => LimitPolicy::Slots,
+        Some(other) => {
+            let found = format!("\"{other}\" is not allowed");
+            limits.reject("policy", found, "aimd or slots");
+            LimitPolicy::Aimd
+        }
+    }
+}
+
 fn small(number: Option<u64>) -> Option<u32> {
     number.and_then(|number| u32::try_from(number).ok())
 }
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -1,6 +1,6 @@
 //! The upstreams of all services, and the choice among them.
 
-use crate::upstream::{Attempt, Upstream};
+use crate::upstream::{Attempt, Best, Upstream};
 use indigospur_protocol::{HostId, Load, Member, Pressure, ServiceName, State};
 use rand::Rng;
 use std::collections::HashMap;
@@ -161,7 +161,8 @@
             .filter(|i| !upstreams[*i].is_ejected(now))
             .collect();
         let usable = if healthy.is_empty() { ready } else { healthy };
-        self.pick_near(now, rng, upstreams, &usable)
+        let best = best_of(now, upstreams, &usable);
+        self.pick_near(now, rng, upstreams, &usable, best)
     }
 
     /// Two random choices within the data centre, then within the region, then anywhere; a wider
@@ -172,6 +173,7 @@
         rng: &mut impl Rng,
         all: &[Upstream],
         usable: &[usize],
+        trouble: Best,
     ) -> Option<usize> {
         let circle_of = |upstream: &Upstream| match &upstream.member {
             member if member.data_centre == self.data_centre => 0,
@@ -185,7 +187,7 @@
                 .copied()
                 .filter(|i| circle_of(&all[*i]) == circle);
             let near: Vec<usize> = near.collect();
-            let Some((score, index)) = pick_two(now, rng, all, &near) else {
+            let Some((score, index)) = pick_two(now, rng, all, &near, trouble) else {
                 continue;
             };
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -199,12 +201,27 @@
     }
 }
 
+/// What the best of the usable upstreams shows.
+fn best_of(now: Instant, all: &[Upstream], usable: &[usize]) -> Best {
+    let usable = || usable.iter().map(|index| &all[*index]);
+    let faults = usable().map(|upstream| upstream.faults(now));
+    let times = usable().filter_map(|upstream| upstream.fresh_load(now));
+    Best {
+        faults: faults.fold(1.0, f64::min),
+        service_time: times
+            .map(|load| load.service_time)
+            .filter(|time| !time.is_zero())
+            .min(),
+    }
+}
+
 /// The less loaded of two random upstreams.
 fn pick_two(
     now: Instant,
     rng: &mut impl Rng,
     all: &[Upstream],
     usable: &[usize],
+    best: Best,
 ) -> Option<(f64, usize)> {
     let last = usable.len().checked_sub(1)?;
     let first = usable[rng.random_range(0..=last)];
@@ -212,7 +229,7 @@
     if second == first && last > 0 {
         second = usable[(usable.iter().position(|i| *i == first)? + 1) % usable.len()];
     }
-    let scored = [first, second].map(|index| (all[index].score(now), index));
+    let scored = [first, second].map(|index| (all[index].weighed_score(now, best), index));
     if scored[1].0 < scored[0].0 {
         Some(scored[1])
     } else {
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -161,3 +161,70 @@
     let most = totals.values().max().copied().unwrap_or_default();
     assert!(most <= 40, "{totals:?}");
 }
+
+/// An upstream near the caller that turns nearly half of its calls away, though it reports room.
+#[test]
+fn an_upstream_that_faults_more_often_than_the_others_is_passed_over_and_tried_again() {
+    let start = Instant::now();
+    let mut router = router(&[
+        member("a", "lisboa-a", "lisbon"),
+        member("b", "lisboa-b", "lisbon"),
+    ]);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut now = start;
+    let mut faults = 0;
+    for call in 0..1_000 {
+        now += Duration::from_millis(5);
+        let chosen = router.choose(now, &mut rng, ANY).expect("ready");
+        let fault = &*chosen.host == "a" && call % 9 < 4;
+        faults += u32::from(fault);
+        let attempt = if fault {
+            Attempt::Faulted
+        } else {
+            Attempt::Replied
+        };
+        router.finish(now, "quoting", &chosen.host, attempt, load(2, 0));
+    }
+    assert!(
+        faults < 80,
+        "{faults} of 444 that nearest first alone would meet"
+    );
+    now += Duration::from_secs(10);
+    assert_eq!(count(&mut router, now, 20).get("a"), Some(&20));
+}
+
+#[test]
+fn faults_that_all_upstreams_share_move_no_calls() {
+    let now = Instant::now();
+    let mut router = router(&[
+        member("a", "lisboa-a", "lisbon"),
+        member("b", "lisboa-b", "lisbon"),
+    ]);
+    for _ in 0..100 {
+        for host in ["a", "b"] {
+            router.finish(now, "quoting", host, Attempt::Faulted, None);
+        }
+    }
+    assert_eq!(count(&mut router, now, 100).get("a"), Some(&100));
+}
+
+/// A near upstream that has turned five times slower than the other.
+#[test]
+fn an_upstream_that_turns_slow_gets_less_before_it_is_full() {
+    let now = Instant::now();
+    let mut router = router(&[
+        member("a", "lisboa-a", "lisbon"),
+        member("b", "lisboa-b", "lisbon"),
+    ]);
+    let slow = |millis| {
+        load(7, 0).map(|load| Load {
+            service_time: Duration::from_millis(millis),
+            ..load
+        })
+    };
+    router.finish(now, "quoting", "a", Attempt::Replied, slow(55));
+    router.finish(now, "quoting", "b", Attempt::Replied, slow(55));
+    assert_eq!(count(&mut router, now, 100).get("a"), Some(&100));
+    router.finish(now, "quoting", "a", Attempt::Replied, slow(275));
+    assert_eq!(count(&mut router, now, 100).get("b"), Some(&100));
+}
