Stop in two phases, and spend scarce retries on urgent chains

Changed: while callers still come, a stopping daemon takes relayed calls too, and others use it when there is no other upstream. A backend server's own refusal costs no credit, only the ratio; the last part of the ratio is left for the most urgent class, and calls in a chain have the class of their request. Repeats of repeated runs are charged.

Virtual time (tests/budget.rs): urgent requests finished in a shedding service rise by over half with the same repeats. Not mended: two processes outlive the grace time in Lisbon, one in Tasmania.

--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -213,6 +213,8 @@
         remaining: Duration::from_secs(1),
         expected: Duration::from_millis(10),
         passes: 0,
+        sheds: 0,
+        reserve: 0.0,
     };
     let mut ratio = RetryRatio::default();
     time(|_| {
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -394,6 +394,8 @@
                     .saturating_duration_since(self.now),
                 expected: self.scenario.services[service].work,
                 passes: 0,
+                sheds: 0,
+                reserve: 0.0,
             };
             let attempted = Attempted {
                 refusal: &refusal,
--- a/crates/indigospur-budget/src/decide.rs
+++ b/crates/indigospur-budget/src/decide.rs
@@ -2,7 +2,7 @@
 
 use crate::credit::Credit;
 use crate::ratio::RetryRatio;
-use indigospur_protocol::{Ran, Refusal, RetryReason};
+use indigospur_protocol::{Kind, Ran, Refusal, RetryReason};
 use std::time::Duration;
 
 /// Options of the retry decision.
@@ -16,6 +16,10 @@
     pub expected: Duration,
     /// Upstreams that may still be passed over without credit, see [`decide_retry`].
     pub passes: u32,
+    /// Backend servers' own refusals after which the call may still go elsewhere without credit.
+    pub sheds: u32,
+    /// Part of what the ratio has saved that is left for more urgent calls, of 1.
+    pub reserve: f64,
 }
 
 /// An attempt that failed.
@@ -36,7 +40,9 @@
 ///
 /// An upstream that is proven not to have run the call, for a reason of its own such as being down
 /// or leaving, is passed over without credit, a few times in a call: nothing was done there, so
-/// nothing below is repeated, and the credit is left for failures that cost work.
+/// nothing below is repeated, and the credit is left for failures that cost work. A backend server
+/// that turns calls away by itself is passed over in the same way, but within the ratio: it has been
+/// bothered.
 ///
 /// # Errors
 /// The reason for not trying again.
@@ -67,12 +73,15 @@
     if is_pass(refusal) && options.passes > 0 {
         return Ok(reason);
     }
-    if credit.left() == 0 {
+    let free = refusal.kind == Kind::BackendShed && refusal.ran == Ran::No && options.sheds > 0;
+    if credit.left() == 0 && !free {
         return Err(RetryReason::CreditSpent);
     }
-    if !ratio.spend() {
+    if !ratio.spend_above(options.reserve) {
         return Err(RetryReason::RatioSpent);
     }
-    credit.spend();
+    if !free {
+        credit.spend();
+    }
     Ok(reason)
 }
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -76,9 +76,18 @@
 
     /// Spends a retry; false if the link has spent its share.
     pub fn spend(&mut self) -> bool {
+        self.spend_above(0.0)
+    }
+
+    /// Spends a retry if more than a part of what can be saved, of 1, is left after it.
+    pub fn spend_above(&mut self, reserve: f64) -> bool {
+        let reserved = (f64::from(self.options.saved * RETRY) * reserve) as u32;
         let Some(level) = self.level.checked_sub(RETRY) else {
             return false;
         };
+        if level < reserved {
+            return false;
+        }
         self.level = level;
         true
     }
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -1,9 +1,13 @@
 //! Retry credit over call trees, retry ratio and the retry decision.
 
-use indigospur_budget::{Attempted, Credit, RetryOptions, RetryRatio, SeenRequests, decide_retry};
+use indigospur_budget::{
+    Attempted, Credit, RatioOptions, RetryOptions, RetryRatio, SeenRequests, decide_retry,
+};
 use indigospur_protocol::{Kind, Ran, Refusal, RetryReason};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
 
 /// A call and the calls its backend server makes.
@@ -130,6 +134,8 @@
             remaining,
             expected: Duration::from_millis(10),
             passes: 0,
+            sheds: 0,
+            reserve: 0.0,
         };
         let attempted = Attempted {
             refusal: &refusal,
@@ -152,6 +158,8 @@
             remaining: long,
             expected: long / 100,
             passes,
+            sheds: 0,
+            reserve: 0.0,
         };
         let attempted = Attempted {
             refusal: &refusal,
@@ -207,3 +215,59 @@
     assert!(retries + repeats <= 1_000 + 10, "{retries} {repeats}");
     assert!(retries > 300, "{retries}");
 }
+
+/// The load of a service whose upstreams turn 55 in 100 calls away though they have room. Requests
+/// of two classes make four calls in a row there.
+#[test]
+fn when_a_service_sheds_the_scarce_retries_finish_urgent_requests() {
+    const SHED: f64 = 0.55;
+    const UPSTREAMS: u32 = 3;
+    let run = |reserve: f64| {
+        let mut rng = SmallRng::seed_from_u64(3);
+        let mut ratio = RetryRatio::new(RatioOptions {
+            percent: 16,
+            saved: 3,
+        });
+        let (mut first, mut repeats) = (0_u32, 0_u32);
+        let mut finished = [0_u32; 2];
+        for request in 0..20_000 {
+            let urgent = request % 4 == 0;
+            let whole = (0..4).all(|_| {
+                ratio.earn();
+                first += 1;
+                let mut sheds = UPSTREAMS - 1;
+                while rng.random_bool(SHED) {
+                    let refusal = Refusal::new(Kind::BackendShed, "");
+                    let options = RetryOptions {
+                        idempotent: true,
+                        remaining: Duration::from_secs(1),
+                        expected: Duration::ZERO,
+                        passes: 0,
+                        sheds,
+                        reserve: if urgent { 0.0 } else { reserve },
+                    };
+                    let attempted = Attempted {
+                        refusal: &refusal,
+                        retried: false,
+                    };
+                    let mut credit = Credit::default();
+                    if decide_retry(options, attempted, &mut credit, &mut ratio).is_err() {
+                        return false;
+                    }
+                    repeats += 1;
+                    sheds -= 1;
+                }
+                true
+            });
+            finished[usize::from(urgent)] += u32::from(whole);
+        }
+        assert!(
+            f64::from(repeats) <= 0.2 * f64::from(first) + 3.0,
+            "{repeats}"
+        );
+        finished.map(|count| f64::from(count) / 20_000.0)
+    };
+    let (without, with) = (run(0.0), run(0.6));
+    assert!(with[1] > 1.5 * without[1], "{without:?} {with:?}");
+    assert!(with[0] + 3.0 * with[1] > without[0] + 3.0 * without[1]);
+}
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -96,15 +96,15 @@
         take(daemon, announced);
     }
     let draining = leaves || daemon.is_draining();
-    if draining && let Some(backend) = daemon.backend() {
-        backend.slots.drain();
+    if leaves || !daemon.takes_callers() {
+        daemon.drain_slots();
     }
     let changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.service = announced.service.clone();
         me.slots = announced.slots;
         me.connections = announced.connections;
         me.instance = announced.instance.clone();
-        me.leaving = leaves && !announced.instance.is_empty();
+        me.leaving = leaves;
         me.state = if draining {
             State::Draining
         } else {
@@ -138,14 +138,11 @@
 
 /// The backend server says that an instance of it has left.
 pub(crate) fn leave(daemon: &Daemon, instance: &str) {
-    let current = lock(&daemon.starts).leave(instance);
-    log::info!(instance, current; "backend server leaves");
-    if !current {
+    if !lock(&daemon.starts).leave(instance) {
         return;
     }
-    if let Some(backend) = daemon.backend() {
-        backend.slots.drain();
-    }
+    log::info!(instance; "backend server leaves");
+    daemon.drain_slots();
     let now = Instant::now();
     let changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.state = State::Draining;
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -210,6 +210,9 @@
     };
     if let Some(inherited) = inherited {
         inherit(&mut context, &inherited);
+        if daemon.settings.chains_first {
+            context.class = inherited.class;
+        }
     }
     if inside {
         context.depth = context.depth.max(1);
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -249,11 +249,12 @@
     /// Begins the graceful shutdown: no new work, and everyone is told.
     pub(crate) fn drain(&self) {
         lock(&self.drained).get_or_insert_with(Instant::now);
+        log::info!(leave_ms = self.settings.leave.as_millis() as u64; "stopping");
         if let Some(callers) = self.callers.get() {
             callers.close_connections();
         }
-        if let Some(backend) = self.backend() {
-            backend.slots.drain();
+        if !self.takes_callers() {
+            self.drain_slots();
         }
         lock(&self.fleet)
             .members
@@ -261,6 +262,13 @@
         self.own_state_changed();
     }
 
+    /// Lets nothing more in to the backend server.
+    pub(crate) fn drain_slots(&self) {
+        if let Some(backend) = self.backend() {
+            backend.slots.drain();
+        }
+    }
+
     /// Routes by what this daemon says of itself, and tells others at once.
     pub(crate) fn own_state_changed(&self) {
         let me = lock(&self.fleet).members.me().clone();
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -25,6 +25,8 @@
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which a stopping daemon goes on answering, so that others learn that it leaves.
 const LEAVE_TIME: Duration = Duration::from_millis(500);
+/// Time for the last log lines to be written.
+const LOG_TIME: Duration = Duration::from_millis(10);
 /// Longest time that a stopping daemon waits to hand its keys over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(8);
 
@@ -161,7 +163,8 @@
         let left = bound.saturating_sub(begun.elapsed()).min(HAND_OVER_TIME);
         let handed = runtime::within(left, hand_over(&daemon)).await.is_some();
         let finished = finished && runtime::within(bound, finish(&daemon)).await.is_some();
-        log::info!(finished, handed; "stopped");
+        log::info!(finished, handed, left = busy(&daemon), took_ms = begun.elapsed().as_millis() as u64; "stopped");
+        runtime::sleep(LOG_TIME).await;
         finished
     }
 }
@@ -171,6 +174,7 @@
     while daemon.takes_callers() {
         runtime::sleep(DRAIN_PAUSE).await;
     }
+    daemon.drain_slots();
     finish(daemon).await;
 }
 
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -16,6 +16,12 @@
 /// Upstreams out of order that a call may pass over without credit.
 const MOST_PASSES: u32 = 2;
 
+/// Backend servers' own refusals after which a call goes elsewhere without credit: with as many
+/// upstreams as the smallest services have, all are tried.
+const MOST_SHEDS: u32 = 2;
+/// Part of the saved retries that is left for the most urgent class, of 1.
+const RESERVE: f64 = 0.6;
+
 /// The attempts of one call so far.
 struct Course {
     credit: Credit,
@@ -26,6 +32,7 @@
     retried: bool,
     attempts: u32,
     passes: u32,
+    sheds: u32,
     deadline: Instant,
     crashes: Vec<Crash>,
     work: Vec<Work>,
@@ -44,6 +51,7 @@
         retried: false,
         attempts: 0,
         passes: MOST_PASSES,
+        sheds: MOST_SHEDS,
         deadline: Instant::now() + message.context.remaining,
         crashes: Vec::new(),
         work: Vec::new(),
@@ -275,6 +283,12 @@
         remaining: course.deadline.saturating_duration_since(Instant::now()),
         expected: lock(&daemon.router).expected_time(service),
         passes: course.passes,
+        sheds: course.sheds,
+        reserve: if message.context.class == 0 {
+            0.0
+        } else {
+            RESERVE
+        },
     };
     let attempted = Attempted { refusal, retried };
     let credit = &mut course.credit;
@@ -286,6 +300,7 @@
     log::info!(
         request = &*message.context.request_id,
         service = &**service,
+        class = message.context.class,
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
         detail = &*refusal.detail,
@@ -297,6 +312,8 @@
     );
     if is_pass(refusal) {
         course.passes = course.passes.saturating_sub(1);
+    } else if refusal.kind == Kind::BackendShed && course.sheds > 0 {
+        course.sheds -= 1;
     } else {
         course.retried |= decided.is_ok();
     }
--- a/crates/indigospur-members/src/starts.rs
+++ b/crates/indigospur-members/src/starts.rs
@@ -75,13 +75,14 @@
     }
 
     /// Notes that an instance has left, whenever it was born, up to what is known of it now; whether
-    /// it is the present start.
+    /// it is the present start and was not known to leave.
     pub fn leave(&mut self, instance: &str) -> bool {
         let current = self.current.as_ref().map(|(start, _)| start.clone());
         match current {
             Some(start) if &*start.0 == instance => {
+                let known = self.has_left(&start);
                 self.remember(start);
-                true
+                !known
             }
             Some(_) => false,
             None => {
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -149,12 +149,16 @@
 
     fn pick(&self, now: Instant, rng: &mut impl Rng, request: Request<'_>) -> Option<usize> {
         let upstreams = self.services.get(request.service)?;
-        let allowed = |upstream: &Upstream| {
-            upstream.is_ready() && !request.avoid.contains(&upstream.member.host)
+        let untried = |index: &usize| {
+            let host = &upstreams[*index].member.host;
+            !request.avoid.contains(host)
         };
-        let ready: Vec<usize> = (0..upstreams.len())
-            .filter(|i| allowed(&upstreams[*i]))
-            .collect();
+        let mut ready: Vec<usize> = (0..upstreams.len()).filter(untried).collect();
+        if ready.iter().any(|index| upstreams[*index].is_ready()) {
+            ready.retain(|index| upstreams[*index].is_ready());
+        } else {
+            ready.retain(|index| upstreams[*index].is_last_resort());
+        }
         let healthy: Vec<usize> = ready
             .iter()
             .copied()
--- a/crates/indigospur-routing/src/upstream.rs
+++ b/crates/indigospur-routing/src/upstream.rs
@@ -98,6 +98,12 @@
         self.member.state == State::Ready
     }
 
+    /// Whether it may still take work when no other does: its daemon stops, but the backend server
+    /// stays.
+    pub(crate) fn is_last_resort(&self) -> bool {
+        self.member.state == State::Draining && !self.member.leaving
+    }
+
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected.is_some_and(|until| until > now)
     }
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -122,6 +122,24 @@
     assert_eq!(count(&mut router, now, 100).get("a"), None);
 }
 
+/// The daemon beside the only upstream of a service is restarted.
+#[test]
+fn an_upstream_whose_daemon_stops_is_used_while_there_is_no_other_but_not_one_that_leaves() {
+    let now = Instant::now();
+    let stopping = Member {
+        state: State::Draining,
+        ..member("a", "lisboa-a", "lisbon")
+    };
+    let leaving = Member {
+        state: State::Draining,
+        leaving: true,
+        ..member("b", "lisboa-a", "lisbon")
+    };
+    let mut router = router(&[stopping, leaving]);
+    let counts = count(&mut router, now, 100);
+    assert_eq!((counts.get("a"), counts.get("b")), (Some(&100), None));
+}
+
 #[test]
 fn a_host_that_was_tried_is_not_tried_again() {
     let mut router = router(&[member("a", "lisboa-a", "lisbon")]);
