--- a/crates/indigospur-admission/src/entry.rs
+++ b/crates/indigospur-admission/src/entry.rs
@@ -56,6 +56,8 @@
     pub share: f64,
     /// Calls at the service over its slots.
     pub level: f64,
+    /// Age of that level.
+    pub age: Duration,
     /// When to come back.
     pub retry_after: Duration,
 }
@@ -157,9 +159,10 @@
         let (least, most) = RETRY_AFTER;
         let part = least + (most - least) * self.next_spread();
         Err(Shed {
-            service,
             share,
             level,
+            age: pressures.age(now, &service),
+            service,
             retry_after: asking.objective.mul_f64(part),
         })
     }
@@ -171,26 +174,34 @@
         asking: Asking<'_>,
         pressures: &Pressures,
     ) -> Option<(ServiceName, f64, f64)> {
-        let costs = self.costs.get(asking.rule)?;
-        let needed = costs.iter().filter(|(_, cost)| **cost >= LEAST_COST);
         let mut tightest: Option<(ServiceName, f64, f64)> = None;
-        for (service, _) in needed {
+        for service in self.needed(asking.rule, pressures) {
             let control = self.controls.entry(service.clone()).or_insert(Control {
                 at: now,
                 integral: 0.0,
                 classes: BTreeSet::new(),
             });
             control.classes.insert(asking.class);
-            let level = pressures.level(now, service);
+            let level = pressures.level(now, &service);
             let shed = control.step(now, level);
             let share = control.share(asking.class, shed);
             if share > 0.0 && tightest.as_ref().is_none_or(|(_, _, most)| share > *most) {
-                tightest = Some((service.clone(), level.unwrap_or_default(), share));
+                tightest = Some((service, level.unwrap_or_default(), share));
             }
         }
         tightest
     }
 
+    /// The services that a request of a rule needs. While that is not known, as after a start, each
+    /// service may be one: it is better to let few in for a moment than to flood a full service.
+    fn needed(&self, rule: &str, pressures: &Pressures) -> Vec<ServiceName> {
+        let Some(costs) = self.costs.get(rule) else {
+            return pressures.services().cloned().collect();
+        };
+        let needed = costs.iter().filter(|(_, cost)| **cost >= LEAST_COST);
+        needed.map(|(service, _)| service.clone()).collect()
+    }
+
     /// The next number of a sequence in 0..1.
     fn next_spread(&mut self) -> f64 {
         const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
--- a/crates/indigospur-admission/src/pressure.rs
+++ b/crates/indigospur-admission/src/pressure.rs
@@ -67,6 +67,19 @@
         .collect()
     }
 
+    /// Time since a service was told of; zero if it never was.
+    pub fn age(&self, now: Instant, service: &str) -> Duration {
+        let told = self.told.get(service);
+        told.map_or(Duration::ZERO, |told| {
+            now.saturating_duration_since(told.at)
+        })
+    }
+
+    /// The services that were ever told of.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.told.keys()
+    }
+
     /// Calls that run or wait at a service over those that may run, if it was told of lately.
     pub fn level(&self, now: Instant, service: &str) -> Option<f64> {
         let told = self.told.get(service)?;
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -42,13 +42,10 @@
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: Received) -> Answer {
     let begun = Instant::now();
     let _open = OpenCall::new(&daemon);
-    let prepared = prepare(&daemon, &mut received);
-    let (outcome, request) = match prepared {
-        Ok(prepared) => {
-            let request = prepared.message.context.request_id.clone();
-            (carry_out(&daemon, prepared).await, request)
-        }
-        Err(refusal) => (Outcome::Refused(refusal), "".into()),
+    let mut request: RequestId = "".into();
+    let outcome = match prepare(&daemon, &mut received, &mut request) {
+        Ok(prepared) => carry_out(&daemon, prepared).await,
+        Err(refusal) => Outcome::Refused(refusal),
     };
     match outcome {
         Outcome::Answered(answer) => {
@@ -58,15 +55,22 @@
         Outcome::Refused(refusal) => {
             let refusal = daemon.advise(refusal);
             daemon.metrics.refused(refusal.kind);
-            log_refusal(&refusal, &request, &received, begun.elapsed());
+            log_refusal(&daemon, &refusal, &request, &received, begun.elapsed());
             daemon.dialect.write_refusal(&refusal)
         }
     }
 }
 
-fn log_refusal(refusal: &Refusal, request: &str, received: &Received, took: Duration) {
+fn log_refusal(
+    daemon: &Daemon,
+    refusal: &Refusal,
+    request: &str,
+    received: &Received,
+    took: Duration,
+) {
     log::info!(
         request,
+        version = daemon.accepted(),
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
         detail = &*refusal.detail,
@@ -123,8 +127,16 @@
     }
 }
 
-fn prepare(daemon: &Daemon, received: &mut Received) -> Result<Prepared, Refusal> {
+/// Makes a call of a request; `known` becomes its identifier, also if it is refused.
+fn prepare(
+    daemon: &Daemon,
+    received: &mut Received,
+    known: &mut RequestId,
+) -> Result<Prepared, Refusal> {
     let head = daemon.dialect.read_call(received)?;
+    if let Some(request) = &head.request {
+        *known = request.clone();
+    }
     let above = above(daemon, &head.above)?;
     if above.is_none() && !daemon.takes_callers() {
         return Err(Refusal::new(
@@ -146,6 +158,7 @@
         return Err(Refusal::new(Kind::TooDeep, detail));
     }
     let request = request_id(daemon, &head, inherited.as_ref());
+    *known = request.clone();
     let customer = match (&inherited, &head.customer) {
         (Some(context), _) => context.customer.clone(),
         (None, Some(customer)) => customer.clone(),
@@ -247,6 +260,7 @@
             class = treatment.class,
             service = &*shed.service,
             level = shed.level,
+            age_ms = shed.age.as_millis() as u64,
             share = shed.share;
             "request not let in"
         );
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -65,9 +65,7 @@
             bad_announcements: meter
                 .u64_counter("indigospur_announcements_skipped")
                 .build(),
-            skips: meter
-                .u64_counter("indigospur_configurations_skipped")
-                .build(),
+            skips: meter.u64_counter("indigospur_published_skipped").build(),
             skipped: meter.u64_gauge("indigospur_records_skipped").build(),
             control_bytes: meter.u64_counter("indigospur_control_bytes").build(),
             parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -63,12 +63,22 @@
             let refusal = last.unwrap_or_else(|| no_upstream(daemon, &message.call.service));
             return course.conclude(Outcome::Refused(refusal));
         };
+        let begun = Instant::now();
         let reply = attempt(daemon, &mut message, &mut course, &member).await;
         let refusal = match reply.outcome {
-            Outcome::Answered(answer) => return course.conclude(Outcome::Answered(answer)),
+            Outcome::Answered(answer) => {
+                log_failure(&message, &member, answer.status, begun);
+                return course.conclude(Outcome::Answered(answer));
+            }
             Outcome::Refused(refusal) => refusal,
         };
-        if !tries_again(daemon, &message, &mut course, &refusal, reply.retried) {
+        if !tries_again(
+            daemon,
+            &message,
+            &mut course,
+            &member,
+            (&refusal, reply.retried),
+        ) {
             return course.conclude(Outcome::Refused(refusal));
         }
         course.avoid.push(member.host);
@@ -76,6 +86,21 @@
     }
 }
 
+/// Logs an answer by which a backend server says that it has failed.
+fn log_failure(message: &RelayMessage, member: &Member, status: u16, begun: Instant) {
+    if status >= 500 {
+        log::info!(
+            request = &*message.context.request_id,
+            service = &*message.call.service,
+            upstream = &*member.host,
+            instance = &*member.instance,
+            status,
+            took_ms = begun.elapsed().as_millis() as u64;
+            "upstream answered with a failure"
+        );
+    }
+}
+
 impl Course {
     fn conclude(self, outcome: Outcome) -> Reply {
         let outcome = match outcome {
@@ -274,8 +299,8 @@
     daemon: &Daemon,
     message: &RelayMessage,
     course: &mut Course,
-    refusal: &Refusal,
-    retried: bool,
+    member: &Member,
+    (refusal, retried): (&Refusal, bool),
 ) -> bool {
     let service = &message.call.service;
     let options = RetryOptions {
@@ -300,6 +325,7 @@
     log::info!(
         request = &*message.context.request_id,
         service = &**service,
+        upstream = &*member.host,
         class = message.context.class,
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
