Keep a share of saved retries for urgent calls that small buckets can meet

The reserve now counts from the second saved retry on. Routes bound the upstreams at which one call may run; the credit is minted for the whole chain as in our own rules, and three quarters of it are lent downwards. Test seen red before.

--- a/crates/indigospur-budget/src/credit.rs
+++ b/crates/indigospur-budget/src/credit.rs
@@ -25,10 +25,10 @@
         true
     }
 
-    /// Takes out the share that a call below gets: half, rounded up, since a retry close to the
-    /// failure repeats the least work.
+    /// Takes out the share that a call below gets: three quarters, rounded up, since a retry close
+    /// to the failure repeats the least work, and what it leaves comes back.
     pub fn lend(&mut self) -> Credit {
-        let share = self.0.div_ceil(2);
+        let share = (self.0 * 3).div_ceil(4);
         self.0 -= share;
         Credit(share)
     }
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -79,16 +79,15 @@
         self.spend_above(0.0)
     }
 
-    /// Spends a retry if more than a part of what can be saved, of 1, is left after it.
+    /// Spends a retry if enough is saved: a part of what can be saved beyond one retry, of 1, is
+    /// kept for others.
     pub fn spend_above(&mut self, reserve: f64) -> bool {
-        let reserved = (f64::from(self.options.saved * RETRY) * reserve) as u32;
-        let Some(level) = self.level.checked_sub(RETRY) else {
-            return false;
-        };
-        if level < reserved {
+        let most_kept = f64::from(self.options.saved.saturating_sub(1) * RETRY);
+        let needed = RETRY + (most_kept * reserve) as u32;
+        if self.level < needed {
             return false;
         }
-        self.level = level;
+        self.level -= RETRY;
         true
     }
 }
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -271,3 +271,12 @@
     assert!(with[1] > 1.5 * without[1], "{without:?} {with:?}");
     assert!(with[0] + 3.0 * with[1] > without[0] + 3.0 * without[1]);
 }
+
+/// In a large fleet each daemon can save up one or two retries only.
+#[test]
+fn less_urgent_calls_are_tried_again_too_however_little_can_be_saved() {
+    for saved in 1..5 {
+        let mut ratio = RetryRatio::new(RatioOptions { percent: 16, saved });
+        assert!(ratio.spend_above(0.6), "{saved}");
+    }
+}
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -89,6 +89,8 @@
     above: Option<Token>,
     /// Name of the rule that decided.
     rule: Option<Arc<str>>,
+    /// Upstreams at which it may run.
+    attempts: u32,
 }
 
 async fn carry_out(daemon: &Arc<Daemon>, prepared: Prepared) -> Outcome {
@@ -96,12 +98,19 @@
         message,
         above,
         rule,
+        attempts,
     } = prepared;
     let lent = message.context.retries;
     let key = message.context.key.clone();
     let reply = match key {
         Some(key) => keyed::send(daemon, message, &key).await,
-        None => outbound::send(daemon, message, Vec::new()).await,
+        None => {
+            let bounds = outbound::Bounds {
+                avoid: Vec::new(),
+                attempts,
+            };
+            outbound::send(daemon, message, bounds).await
+        }
     };
     match above {
         Some(token) => account(daemon, &token, lent, &reply),
@@ -234,6 +243,7 @@
         message: RelayMessage { call, context },
         above,
         rule,
+        attempts: treatment.attempts,
     })
 }
 
--- a/crates/indigospur-daemon/src/keyed.rs
+++ b/crates/indigospur-daemon/src/keyed.rs
@@ -175,8 +175,11 @@
     message.context.epoch = epoch;
     message.context.home = Some(daemon.host().clone());
     message.context.idempotent = false;
-    let avoid = not_executors(daemon, &message.call.service, &key);
-    let reply = outbound::send(daemon, message, avoid).await;
+    let bounds = outbound::Bounds {
+        avoid: not_executors(daemon, &message.call.service, &key),
+        attempts: u32::MAX,
+    };
+    let reply = outbound::send(daemon, message, bounds).await;
     settle(daemon, &key, &reply);
     for waiter in lock(&daemon.waiters).remove(&key).unwrap_or_default() {
         let _ = waiter.try_send(reply.clone());
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -6,7 +6,8 @@
     Attempted, Credit, RetryOptions, RetryRatio, add_work, decide_retry, is_pass,
 };
 use indigospur_protocol::{
-    Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, ServiceName, Work,
+    Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, RetryReason,
+    ServiceName, Work,
 };
 use indigospur_relay::{LinkError, runtime};
 use indigospur_routing::{Attempt, Request};
@@ -27,6 +28,8 @@
     credit: Credit,
     /// Hosts that were tried, or must not be.
     avoid: Vec<HostId>,
+    /// Upstreams at which the call may still run.
+    runs_left: u32,
     /// What is known after the attempts so far.
     ran: Ran,
     retried: bool,
@@ -38,15 +41,21 @@
     work: Vec<Work>,
 }
 
-/// Sends a call to an upstream that is not among `avoid`, and again while there is hope.
-pub(crate) async fn send(
-    daemon: &Arc<Daemon>,
-    mut message: RelayMessage,
-    avoid: Vec<HostId>,
-) -> Reply {
+/// Where a call may be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Bounds {
+    /// Hosts that must not be chosen.
+    pub(crate) avoid: Vec<HostId>,
+    /// Upstreams at which it may run.
+    pub(crate) attempts: u32,
+}
+
+/// Sends a call to an upstream, and again while there is hope.
+pub(crate) async fn send(daemon: &Arc<Daemon>, mut message: RelayMessage, bounds: Bounds) -> Reply {
     let mut course = Course {
         credit: Credit::new(message.context.retries),
-        avoid,
+        avoid: bounds.avoid,
+        runs_left: bounds.attempts,
         ran: Ran::No,
         retried: false,
         attempts: 0,
@@ -303,6 +312,9 @@
     (refusal, retried): (&Refusal, bool),
 ) -> bool {
     let service = &message.call.service;
+    if refusal.ran != Ran::No {
+        course.runs_left = course.runs_left.saturating_sub(1);
+    }
     let options = RetryOptions {
         idempotent: message.context.idempotent,
         remaining: course.deadline.saturating_duration_since(Instant::now()),
@@ -317,9 +329,12 @@
     };
     let attempted = Attempted { refusal, retried };
     let credit = &mut course.credit;
-    let decided = daemon.with_ratio(service, |ratio| {
-        decide_retry(options, attempted, credit, ratio)
-    });
+    let decided = match course.runs_left {
+        0 => Err(RetryReason::AttemptsSpent),
+        _ => daemon.with_ratio(service, |ratio| {
+            decide_retry(options, attempted, credit, ratio)
+        }),
+    };
     let (Ok(reason) | Err(reason)) = decided;
     daemon.metrics.retry(reason, decided.is_ok());
     log::info!(
--- a/crates/indigospur-protocol/src/reason.rs
+++ b/crates/indigospur-protocol/src/reason.rs
@@ -11,6 +11,8 @@
     MayHaveRun,
     /// Refused: the request's retry credit is spent.
     CreditSpent,
+    /// Refused: the call may have run at as many upstreams as its rule allows.
+    AttemptsSpent,
     /// Refused: the link's share of retries is spent.
     RatioSpent,
     /// Refused: the attempt was already retried further down.
@@ -23,11 +25,12 @@
 
 impl RetryReason {
     /// All reasons.
-    pub const ALL: [RetryReason; 8] = [
+    pub const ALL: [RetryReason; 9] = [
         RetryReason::NotRun,
         RetryReason::Idempotent,
         RetryReason::MayHaveRun,
         RetryReason::CreditSpent,
+        RetryReason::AttemptsSpent,
         RetryReason::RatioSpent,
         RetryReason::RetriedBelow,
         RetryReason::NoTimeLeft,
@@ -41,6 +44,7 @@
             RetryReason::Idempotent => "idempotent",
             RetryReason::MayHaveRun => "may-have-run",
             RetryReason::CreditSpent => "credit-spent",
+            RetryReason::AttemptsSpent => "attempts-spent",
             RetryReason::RatioSpent => "ratio-spent",
             RetryReason::RetriedBelow => "retried-below",
             RetryReason::NoTimeLeft => "no-time-left",
--- a/crates/indigospur-rules/src/parse.rs
+++ b/crates/indigospur-rules/src/parse.rs
@@ -163,6 +163,7 @@
         class: read_class(&then, "class", classes),
         deadline: then.duration("deadline", Duration::from_millis(1)..=LONGEST_DEADLINE),
         retries: small(then.integer("retries", 0..=MOST_RETRIES)),
+        attempts: small(then.integer("attempts", 1..=MOST_RETRIES + 1)),
         shed: read_shed(&then),
         share: small(then.integer("share", 1..=LARGEST_SHARE)),
         idempotent: then.boolean("idempotent"),
--- a/crates/indigospur-rules/src/treatment.rs
+++ b/crates/indigospur-rules/src/treatment.rs
@@ -44,6 +44,8 @@
     pub deadline: Option<Duration>,
     /// Retry credit minted for a customer's request.
     pub retries: Option<u32>,
+    /// Upstreams at which one call may run.
+    pub attempts: Option<u32>,
     /// Place in the shed order of the class.
     pub shed: Option<ShedOrder>,
     /// Weight of the customer against the others of the class.
@@ -69,6 +71,8 @@
     pub deadline: Duration,
     /// Retry credit minted for a customer's request.
     pub retries: u32,
+    /// Upstreams at which one call may run, whatever credit is left; at least one.
+    pub attempts: u32,
     /// Place in the shed order of the class.
     pub shed: ShedOrder,
     /// Weight of the customer against the others of the class; at least one.
@@ -94,6 +98,7 @@
             class: action.class.unwrap_or(class),
             deadline,
             retries: action.retries.unwrap_or(DEFAULT_RETRIES),
+            attempts: action.attempts.unwrap_or(u32::MAX).max(1),
             shed: action.shed.unwrap_or_default(),
             share: action.share.unwrap_or(DEFAULT_SHARE),
             idempotent: action.idempotent.unwrap_or(idempotent) && !once,
