Find out whether a backend server has crashed before its request goes on

Cause of the listed red test (5 crashes where 4 are allowed, under load): a process that ends closes its connections a little before its port. A broken connection was followed by one question whether the port still takes connections; under load the answer was yes, the request counted as a lost answer, no crash was noted, and the retry went on. Now a port that answers is asked again after 40 ms.

Found beside it: a request that could not be sent and so found the loss was itself blamed. Its test fails without the change.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -13,7 +13,10 @@
 };
 use indigospur_relay::{BackendError, HttpRequest, Judge, runtime};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Pauses between questions whether a backend server that broke a connection still lives.
+const ENDING: [Duration; 2] = [Duration::from_millis(40), Duration::ZERO];
 
 /// Runs a call at the backend server, or refuses it.
 pub(crate) async fn serve(daemon: &Arc<Daemon>, message: RelayMessage) -> Reply {
@@ -224,7 +227,7 @@
         Ended::Whole(answer) => conclude_whole(daemon, backend, context, answer, slot),
         Ended::Failed(BackendError::NotSent) => {
             not_run(daemon, context);
-            find_gone(daemon, backend).await;
+            find_gone(daemon, backend, Some(context.digest)).await;
             Outcome::Refused(Refusal::new(
                 Kind::ConnectFailed,
                 "the backend server takes no connection",
@@ -285,7 +288,7 @@
 }
 
 async fn broken(daemon: &Arc<Daemon>, backend: &Arc<Backend>) -> Refusal {
-    if find_gone(daemon, backend).await {
+    if find_gone(daemon, backend, None).await {
         Refusal::new(
             Kind::BackendGone,
             "the backend server went away while it ran the call",
@@ -296,13 +299,24 @@
 }
 
 /// Whether the backend server is gone. The first call that finds it so blames all that run.
-async fn find_gone(daemon: &Arc<Daemon>, backend: &Arc<Backend>) -> bool {
-    if backend.pool.accepts().await {
-        return false;
+///
+/// A process that ends closes its connections a little before its port, so one that seems to live is
+/// asked again before the call may go to another host.
+async fn find_gone(daemon: &Arc<Daemon>, backend: &Arc<Backend>, unsent: Option<u64>) -> bool {
+    for pause in ENDING {
+        if !backend.pool.accepts().await {
+            break;
+        }
+        if pause.is_zero() {
+            return false;
+        }
+        runtime::sleep(pause).await;
     }
     if backend.is_first_to_find_gone() {
         let number = daemon.new_crash();
-        lock(&daemon.fleet).suspects.crashed(daemon.host(), number);
+        lock(&daemon.fleet)
+            .suspects
+            .crashed(daemon.host(), number, unsent);
         log::warn!(service = &*backend.service; "the backend server is gone");
         backend::lost(daemon, backend);
     }
--- a/crates/indigospur-members/src/suspects.rs
+++ b/crates/indigospur-members/src/suspects.rs
@@ -94,9 +94,14 @@
 
     /// The backend server beside this daemon went away with all it ran.
     ///
-    /// `number` tells the crashes of one host apart, also over starts of the daemon.
-    pub fn crashed(&mut self, host: &HostId, number: u64) {
-        let running: Vec<u64> = self.running.keys().copied().collect();
+    /// `number` tells the crashes of one host apart, also over starts of the daemon. `unsent` is a
+    /// request that was about to be sent when the loss was found: it is not to blame.
+    pub fn crashed(&mut self, host: &HostId, number: u64, unsent: Option<u64>) {
+        let sent = |(fingerprint, count): (&u64, &u32)| {
+            let only_unsent = Some(*fingerprint) == unsent && *count == 1;
+            (!only_unsent).then_some(*fingerprint)
+        };
+        let running: Vec<u64> = self.running.iter().filter_map(sent).collect();
         let blamed = self.blame(running);
         let alone = blamed.len() == 1;
         for fingerprint in blamed {
--- a/crates/indigospur-members/tests/members.rs
+++ b/crates/indigospur-members/tests/members.rs
@@ -328,7 +328,7 @@
             let runs = hosts[at].start(culprit) == Verdict::Run;
             if runs {
                 crashes += 1;
-                hosts[at].crashed(&format!("host-{at}").into(), crashes);
+                hosts[at].crashed(&format!("host-{at}").into(), crashes, None);
                 hosts[at].finish(culprit);
             }
             started.into_iter().for_each(|f| hosts[at].finish(f));
@@ -352,3 +352,19 @@
         }
     }
 }
+
+/// The loss of a backend server is found by a request that could not be sent to it.
+#[test]
+fn a_request_that_finds_a_backend_server_gone_is_not_blamed_for_it() {
+    let mut suspects = Suspects::default();
+    let host = "host-1".into();
+    for crash in 0..5 {
+        assert_eq!(suspects.start(7), Verdict::Run);
+        suspects.crashed(&host, crash, Some(7));
+        suspects.finish(7);
+    }
+    assert!(suspects.of(7).is_empty());
+    suspects.start(7);
+    suspects.crashed(&host, 9, None);
+    assert_eq!(suspects.of(7).len(), 1);
+}
