Tell others before a leave is acknowledged, and hear them before new work

Cause: a leave that was acknowledged was known to others only once gossip had gone round, and a daemon that was restarted took a late heartbeat of the instance that had left if that came before the first word of another daemon.

Now up to three daemons have heard of a leave before it is acknowledged (400 ms at most), and words that would bring new work wait after a start until another daemon has answered, for 700 ms at most, not at all where none is registered.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -15,6 +15,8 @@
 
 /// Time without an announcement after which the backend server is asked for a connection.
 const SILENCE: Duration = Duration::from_secs(3);
+/// Time in which a daemon that starts hears of the others, if it reaches any.
+const FLEET_TIME: Duration = Duration::from_millis(700);
 /// Largest number of slots or connections that is believed.
 const MOST_SLOTS: u32 = 65_536;
 
@@ -82,13 +84,33 @@
     Ok(())
 }
 
-/// Takes an announcement in.
-pub(crate) fn announce(daemon: &Daemon, announced: &Announcement) {
+/// Another daemon has told what it knows, or there was time for it: takes in the announcement that
+/// waits for that.
+pub(crate) fn fleet_heard(daemon: &Daemon) {
+    if daemon.heard_fleet.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let pending = lock(&daemon.pending).take();
+    if let Some(announced) = pending {
+        announce(daemon, &announced);
+    }
+}
+
+/// Takes an announcement in; whether it is news that the backend server leaves.
+///
+/// A daemon that has just started does not know which starts of its backend server have left; the
+/// others do. Until one of them was heard, words that would bring new work wait.
+pub(crate) fn announce(daemon: &Daemon, announced: &Announcement) -> bool {
+    let waits = !announced.instance.is_empty() && announced.state != State::Draining;
+    if waits && !daemon.heard_fleet.load(Ordering::Relaxed) {
+        *lock(&daemon.pending) = Some(announced.clone());
+        return false;
+    }
     let now = Instant::now();
     let heard = lock(&daemon.starts).hear(announced);
     log_announcement(announced, heard);
     if heard == Heard::Stale {
-        return;
+        return false;
     }
     *lock(&daemon.heard) = Some(now);
     let leaves = heard == Heard::Leaving;
@@ -114,6 +136,7 @@
     if changed {
         daemon.own_state_changed();
     }
+    leaves && changed
 }
 
 fn log_announcement(announced: &Announcement, heard: Heard) {
@@ -136,10 +159,10 @@
     );
 }
 
-/// The backend server says that an instance of it has left.
-pub(crate) fn leave(daemon: &Daemon, instance: &str) {
+/// An instance of the backend server has left; whether that is news of the present one.
+pub(crate) fn leave(daemon: &Daemon, instance: &str) -> bool {
     if !lock(&daemon.starts).leave(instance) {
-        return;
+        return false;
     }
     log::info!(instance; "backend server leaves");
     daemon.drain_slots();
@@ -151,6 +174,7 @@
     if changed {
         daemon.own_state_changed();
     }
+    true
 }
 
 fn take(daemon: &Daemon, announced: &Announcement) {
@@ -221,6 +245,12 @@
     }
 }
 
+/// Ends the wait for other daemons after a time, as when there are none.
+pub(crate) async fn end_wait(daemon: Arc<Daemon>) {
+    runtime::sleep(FLEET_TIME).await;
+    fleet_heard(&daemon);
+}
+
 /// Notices a backend server that has fallen silent, by asking it for a connection.
 pub(crate) async fn watch(daemon: Arc<Daemon>) {
     loop {
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -8,10 +8,14 @@
 use indigospur_relay::runtime;
 use rand::Rng;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Mean time between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
+/// Longest wait for daemons that are told before something is acknowledged: a backend server waits
+/// a second for its acknowledgement.
+const TELL_TIME: Duration = Duration::from_millis(400);
 /// Daemons told at once of something new.
 const TOLD_AT_ONCE: usize = 3;
 
@@ -31,6 +35,21 @@
     }
 }
 
+/// Tells a few daemons what is new and waits until they have heard it, or for a bound.
+pub(crate) async fn tell_now(daemon: &Arc<Daemon>) {
+    let rounds: Vec<_> = (0..TOLD_AT_ONCE)
+        .map(|_| runtime::spawn(round(daemon.clone())))
+        .collect();
+    let told = async {
+        for round in rounds {
+            round.await;
+        }
+    };
+    if runtime::within(TELL_TIME, told).await.is_none() {
+        log::warn!("not all daemons that were told have answered in time");
+    }
+}
+
 fn tick(daemon: &Daemon) {
     let changed = lock(&daemon.fleet).members.tick(Instant::now());
     route(daemon, &changed);
@@ -78,6 +97,7 @@
         return;
     };
     take(daemon, &answer, address);
+    backend::fleet_heard(daemon);
     let wants_whole = lock(&daemon.fleet).wants_whole(&answer);
     if wants_whole || answer.whole {
         let mut message = lock(&daemon.fleet).open(accepted);
@@ -157,6 +177,10 @@
         .or_else(|| daemon.address_of(&heard.from))
         .unwrap_or_default();
     take(daemon, &heard, &address);
+    if !daemon.heard_fleet.load(Ordering::Relaxed) {
+        // Who opens an exchange does not say what it knows of this host; its answers do.
+        daemon.tell_news();
+    }
     let accepted = daemon.accepted();
     lock(&daemon.fleet).answer(accepted, &heard)
 }
@@ -172,6 +196,7 @@
             revision = member.revision,
             service = &*member.service,
             instance = &*member.instance,
+            leaving = member.leaving,
             state:debug = member.state;
             "member changed"
         );
--- a/crates/indigospur-daemon/src/control/mod.rs
+++ b/crates/indigospur-daemon/src/control/mod.rs
@@ -7,5 +7,5 @@
 mod start;
 
 pub(crate) use epochs::{hand_over_to_all, take_hand_over};
-pub(crate) use gossip::answer_gossip;
+pub(crate) use gossip::{answer_gossip, tell_now};
 pub(crate) use start::start;
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -3,7 +3,7 @@
 use crate::configuration::{Configuration, Contact, Found, Position, SourceError};
 use crate::control::gossip;
 use crate::daemon::{Daemon, lock};
-use crate::peers;
+use crate::{backend, peers};
 use indigospur_protocol::State;
 use indigospur_relay::runtime;
 use rand::Rng;
@@ -174,6 +174,9 @@
         .into_iter()
         .filter(|contact| contact.host != own.host)
         .collect();
+    if others.is_empty() {
+        backend::fleet_heard(daemon);
+    }
     others.shuffle(&mut *lock(&daemon.rng));
     for contacts in others.chunks(MET_AT_ONCE) {
         for contact in contacts {
--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -16,4 +16,5 @@
         runtime::spawn(epochs::run(daemon.clone()));
     }
     runtime::spawn(crate::backend::watch(daemon.clone()));
+    runtime::spawn(crate::backend::end_wait(daemon.clone()));
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -11,8 +11,8 @@
 use indigospur_members::{Exchange, Members, Starts, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
-    EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice, ServiceName,
-    State,
+    Announcement, EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice,
+    ServiceName, State,
 };
 use indigospur_publish::Follower;
 use indigospur_relay::{HttpService, Links, LogClient};
@@ -61,6 +61,10 @@
     pub(crate) backend: Mutex<Option<Arc<Backend>>>,
     /// Starts of the backend server, by its announcements.
     pub(crate) starts: Mutex<Starts>,
+    /// Another daemon has told what it knows, or there was time for it.
+    pub(crate) heard_fleet: AtomicBool,
+    /// Last announcement of the backend server that waits for that.
+    pub(crate) pending: Mutex<Option<Announcement>>,
     /// The backend server was found gone and has not announced itself since.
     pub(crate) was_gone: AtomicBool,
     /// Last announcement of the backend server.
@@ -143,6 +147,8 @@
             callers: OnceLock::new(),
             backend: Mutex::default(),
             starts: Mutex::default(),
+            heard_fleet: AtomicBool::new(false),
+            pending: Mutex::default(),
             was_gone: AtomicBool::new(false),
             heard: Mutex::default(),
             once: Mutex::default(),
--- a/crates/indigospur-daemon/src/port.rs
+++ b/crates/indigospur-daemon/src/port.rs
@@ -1,7 +1,7 @@
 //! What programs that embed the daemon may ask of it and tell it.
 
-use crate::backend;
 use crate::daemon::{Daemon, lock};
+use crate::{backend, control};
 use indigospur_protocol::Announcement;
 use std::sync::Arc;
 
@@ -21,19 +21,24 @@
         self.daemon.is_ready()
     }
 
-    /// Takes an announcement of the backend server in.
+    /// Takes an announcement of the backend server in. That it leaves binds also after a crash of
+    /// this daemon: others are told before this returns, if any can be reached.
     ///
     /// # Errors
     /// What is wrong with it.
-    pub fn announce(&self, announced: &Announcement) -> Result<(), &'static str> {
+    pub async fn announce(&self, announced: &Announcement) -> Result<(), &'static str> {
         backend::check(announced)?;
-        backend::announce(&self.daemon, announced);
+        if backend::announce(&self.daemon, announced) {
+            control::tell_now(&self.daemon).await;
+        }
         Ok(())
     }
 
-    /// The backend server says that an instance of it has left.
-    pub fn leave(&self, instance: &str) {
-        backend::leave(&self.daemon, instance);
+    /// The backend server says that an instance of it has left; binds in the same way.
+    pub async fn leave(&self, instance: &str) {
+        if backend::leave(&self.daemon, instance) {
+            control::tell_now(&self.daemon).await;
+        }
     }
 
     /// Counts an announcement that could not be used.
--- a/crates/indigospur-members/tests/members.rs
+++ b/crates/indigospur-members/tests/members.rs
@@ -1,7 +1,7 @@
 //! Gossip, liveness and suspects over a fake network under virtual time.
 
-use indigospur_members::{Exchange, Members, Message, Suspects, Verdict};
-use indigospur_protocol::{Member, State};
+use indigospur_members::{Exchange, Heard, Members, Message, Starts, Suspects, Verdict};
+use indigospur_protocol::{Announcement, Member, State};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
@@ -368,3 +368,43 @@
     suspects.crashed(&host, 9, None);
     assert_eq!(suspects.of(7).len(), 1);
 }
+
+/// A daemon that was restarted asks another what it knows of its backend server.
+#[test]
+fn a_daemon_that_starts_anew_is_told_which_instance_has_left_beside_it() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(2, 9);
+    let leaving = Member {
+        revision: 2,
+        state: State::Draining,
+        instance: "i-1".into(),
+        leaving: true,
+        ..member(1)
+    };
+    fleet.nodes[0].members.merge(now, vec![leaving]);
+    let restarted = Member {
+        incarnation: 2,
+        ..member(1)
+    };
+    fleet.nodes[1].members = Members::new(now, restarted);
+    let node = &mut fleet.nodes[1];
+    let asked = node.exchange.open(&mut node.members, &mut node.suspects, 0);
+    let answer = fleet.receive(0, &asked);
+    let wire = indigospur_protocol::wire::peer::GossipMessage::from(answer);
+    let answer = Message::try_from(wire).expect("it is whole");
+    assert_eq!(answer.departed.as_deref(), Some("i-1"));
+    let mut starts = Starts::default();
+    assert!(!starts.leave("i-1"));
+    let late = Announcement {
+        service: "quoting".into(),
+        address: "127.0.0.1:1".into(),
+        slots: 1,
+        connections: 1,
+        state: State::Ready,
+        instance: "i-1".into(),
+        born: 0,
+        sequence: 9,
+        cold_ms: 0,
+    };
+    assert_eq!(starts.hear(&late), Heard::Stale);
+}
