--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -99,7 +99,7 @@
 /// Takes an announcement in; whether it is news that the backend server leaves.
 ///
 /// A daemon that has just started does not know which starts of its backend server have left; the
-/// others do. Until one of them was heard, words that would bring new work wait.
+/// others do. Until one of them has answered, announcements that would bring new work wait.
 pub(crate) fn announce(daemon: &Daemon, announced: &Announcement) -> bool {
     let waits = !announced.instance.is_empty() && announced.state != State::Draining;
     if waits && !daemon.heard_fleet.load(Ordering::Relaxed) {
--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -1,6 +1,7 @@
-//! How calls are spoken at the edges: towards callers and towards the backend server.
+//! The HTTP conventions at the edges: header names and statuses towards callers and towards the
+//! backend server.
 //!
-//! The daemon decides; a dialect only says the same in the words of the other side.
+//! The daemon decides; a dialect only translates between its types and HTTP.
 
 use indigospur_protocol::{
     Answer, Customer, Header, Key, Kind, Refusal, RelayMessage, RequestId, ServiceName,
@@ -72,7 +73,7 @@
     Unproven(Kind),
 }
 
-/// The words of callers and of backend servers.
+/// The HTTP conventions of callers and of backend servers.
 pub trait Dialect: Debug + Send + Sync {
     /// Reads the head of a caller's request, and takes out of it what is not passed on.
     ///
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Speaks to callers and to the backend server in other words.
+    /// Uses other HTTP conventions towards callers and the backend server.
     pub fn with_dialect(mut self, dialect: Arc<dyn Dialect>) -> Starting {
         self.dialect = dialect;
         self
--- a/crates/indigospur-daemon/src/own_dialect.rs
+++ b/crates/indigospur-daemon/src/own_dialect.rs
@@ -1,4 +1,4 @@
-//! The daemon's own words: headers that begin with `indigospur-`.
+//! The daemon's own HTTP conventions: headers that begin with `indigospur-`.
 
 use crate::dialect::{Above, CallHead, Dialect, Meaning, Sending, SentHead};
 use indigospur_protocol::{Answer, Header, Kind, Refusal, RelayMessage, ServiceName, headers};
@@ -13,7 +13,7 @@
 /// Status by which a backend server sheds a call itself.
 const SHED_STATUS: u16 = 503;
 
-/// The daemon's own words.
+/// The daemon's own HTTP conventions.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OwnDialect;
 
--- a/crates/indigospur-members/src/starts.rs
+++ b/crates/indigospur-members/src/starts.rs
@@ -17,18 +17,18 @@
 pub enum Heard {
     /// A start that was not known.
     New,
-    /// Newer words of the present start.
+    /// A newer announcement of the present start.
     Known,
     /// The start leaves, or has left: no new work.
     Leaving,
-    /// Words that are older than what is known; nothing follows from them.
+    /// An announcement that is older than what is known; nothing follows from it.
     Stale,
 }
 
 /// The starts of one backend server.
 #[derive(Debug, Default)]
 pub struct Starts {
-    /// The present start and the sequence of its last words.
+    /// The present start and the sequence of its last announcement.
     current: Option<(Start, u64)>,
     /// Starts that leave or have left, the oldest first.
     left: Vec<Start>,
