Join what stood twice in the platform's change

Found on reading the whole change again; behaviour stays as it is. - Both programs end by one function and share the exit status; the platform's ports are opened by the daemon's own listen. - The request's fingerprint comes with its context: it was hashed twice more, body included, at the daemon that runs it. - Crashes that others tell of are taken in by one function instead of three loops. - The two loops that pause between failed tries share one backoff, and whether the source answered last is the reader's own state, not the metrics'. - The retry decision takes the attempt as it is, not taken apart and put together. - Dropped: a version getter that nothing called.

--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -31,7 +31,8 @@
 pub(crate) async fn run(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
     runtime::spawn(register(daemon.clone(), source.clone()));
     let mut position: Option<Position> = None;
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::default();
+    let mut answers = false;
     loop {
         let begun = Instant::now();
         let read = match position {
@@ -41,23 +42,42 @@
         match read {
             Ok(found) => {
                 position = Some(found.next);
-                regained(&daemon, begun);
+                regained(&daemon, begun, answers);
+                answers = true;
                 take(&daemon, source.as_ref(), found);
-                pause = FIRST_PAUSE;
+                backoff = Backoff::default();
             }
             Err(error) => {
-                lost(&daemon, error);
+                lost(&daemon, error, answers);
+                answers = false;
                 if error == SourceError::Forgotten {
                     position = None;
                 }
-                let spread = lock(&daemon.rng).random_range(pause / 2..pause);
-                runtime::sleep(spread).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                backoff.wait(&daemon).await;
             }
         }
     }
 }
 
+/// Pauses between tries that fail, longer each time and spread.
+struct Backoff {
+    pause: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Backoff { pause: FIRST_PAUSE }
+    }
+}
+
+impl Backoff {
+    async fn wait(&mut self, daemon: &Daemon) {
+        let spread = lock(&daemon.rng).random_range(self.pause / 2..self.pause);
+        runtime::sleep(spread).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
 /// The first of the ready daemons, in the order of their names, watch.
 fn wait(daemon: &Daemon) -> Duration {
     let fleet = lock(&daemon.fleet);
@@ -73,17 +93,19 @@
     }
 }
 
-fn regained(daemon: &Daemon, begun: Instant) {
+/// Notes a read that succeeded; `answered` says whether the one before did.
+fn regained(daemon: &Daemon, begun: Instant, answered: bool) {
     let before = lock(&daemon.log_read).replace(begun);
-    if daemon.metrics.set_source_up(true) {
+    if !answered {
         let age = before.map_or(0, |at| at.elapsed().as_millis() as u64);
         log::info!(last_read_ms_ago = age; "the configuration's source answers");
     }
 }
 
-fn lost(daemon: &Daemon, error: SourceError) {
+/// Notes a read that failed; `answered` says whether the one before did.
+fn lost(daemon: &Daemon, error: SourceError, answered: bool) {
     daemon.metrics.source_failure();
-    if daemon.metrics.set_source_up(false) {
+    if answered {
         let version = lock(&daemon.newest).version();
         log::warn!(error:display, version; "the configuration's source does not answer; the last configuration stays in force");
     }
@@ -145,7 +167,7 @@
         address: lock(&daemon.fleet).members.me().address.clone(),
     };
     let mut registered = false;
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::default();
     loop {
         match register_and_meet(&daemon, source.as_ref(), &own, &mut registered).await {
             Ok(()) => return,
@@ -153,9 +175,7 @@
                 log::debug!(registered, error:display; "the registered daemons are not known yet");
             }
         }
-        let spread = lock(&daemon.rng).random_range(pause / 2..pause);
-        runtime::sleep(spread).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        backoff.wait(&daemon).await;
     }
 }
 
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -9,7 +9,7 @@
 use indigospur_members::Verdict;
 use indigospur_once::Recorded;
 use indigospur_protocol::{
-    Answer, Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work, fingerprint,
+    Answer, Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work,
 };
 use indigospur_relay::{BackendError, HttpRequest, Judge, runtime};
 use std::sync::Arc;
@@ -34,7 +34,7 @@
         );
     }
     let known = learn_crashes(daemon, &message);
-    let digest = fingerprint(&message.call);
+    let digest = message.context.digest;
     let mut reply = admit(daemon, &backend, message).await;
     reply.crashes = crashes_beyond(daemon, digest, known);
     reply.pressures = lock(&daemon.pressures).tell(Instant::now());
@@ -46,11 +46,11 @@
 
 /// Learns the crashes that the sender lays to the request; the number of those known then.
 fn learn_crashes(daemon: &Daemon, message: &RelayMessage) -> usize {
-    let mut fleet = lock(&daemon.fleet);
-    for crash in &message.context.crashes {
-        fleet.suspects.learn(crash.clone());
+    let crashes = &message.context.crashes;
+    if !crashes.is_empty() {
+        lock(&daemon.fleet).suspects.learn_all(crashes);
     }
-    message.context.crashes.len()
+    crashes.len()
 }
 
 /// The crashes laid to the request, if the sender does not know them all: it must not try another
@@ -67,7 +67,7 @@
 async fn admit(daemon: &Arc<Daemon>, backend: &Arc<Backend>, message: RelayMessage) -> Reply {
     let retries = message.context.retries;
     let deadline = Instant::now() + message.context.remaining;
-    let suspect = match Suspected::start(daemon, fingerprint(&message.call)) {
+    let suspect = match Suspected::start(daemon, message.context.digest) {
         Ok(suspect) => suspect,
         Err(refusal) => return Reply::refused(refusal, retries),
     };
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -26,7 +26,7 @@
 pub use dialect::{Above, CallHead, Dialect, Meaning, Sending, SentHead};
 pub use failure::StartError;
 pub use journal::start_journal;
-pub use lifecycle::{Addresses, Serving, Starting};
+pub use lifecycle::{Addresses, Serving, Starting, listen};
 pub use port::Port;
-pub use run::{run, stop_signals};
+pub use run::{EXIT_SETTINGS, run, serve_until_stopped, stop_signals};
 pub use settings::Settings;
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -115,7 +115,11 @@
     }
 }
 
-async fn listen(key: &'static str, address: &str) -> Result<(TcpListener, String), StartError> {
+/// Listens on the address that the settings give at `key`; the listener and the address it has.
+///
+/// # Errors
+/// The address can't be listened on.
+pub async fn listen(key: &'static str, address: &str) -> Result<(TcpListener, String), StartError> {
     let failed = |error| StartError::Listen(key, address.to_owned(), error);
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -5,7 +5,6 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// What the daemon counts.
@@ -31,7 +30,6 @@
     control_bytes: Counter<u64>,
     parent_hints: Counter<u64>,
     source_failures: Counter<u64>,
-    source_up: AtomicBool,
 }
 
 impl Metrics {
@@ -70,7 +68,6 @@
             control_bytes: meter.u64_counter("indigospur_control_bytes").build(),
             parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
             source_failures: meter.u64_counter("indigospur_source_failures").build(),
-            source_up: AtomicBool::new(false),
             registry,
             _provider: provider,
         }
@@ -135,11 +132,6 @@
         self.source_failures.add(1, &[]);
     }
 
-    /// Notes whether the configuration's source answers; true if that has changed.
-    pub(crate) fn set_source_up(&self, up: bool) -> bool {
-        self.source_up.swap(up, Ordering::Relaxed) != up
-    }
-
     /// Counts a published configuration that was skipped.
     pub(crate) fn skip(&self) {
         self.skips.add(1, &[]);
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -16,7 +16,6 @@
 
 /// Upstreams out of order that a call may pass over without credit.
 const MOST_PASSES: u32 = 2;
-
 /// Backend servers' own refusals after which a call goes elsewhere without credit: with as many
 /// upstreams as the smallest services have, all are tried.
 const MOST_SHEDS: u32 = 2;
@@ -81,13 +80,11 @@
             }
             Outcome::Refused(refusal) => refusal,
         };
-        if !tries_again(
-            daemon,
-            &message,
-            &mut course,
-            &member,
-            (&refusal, reply.retried),
-        ) {
+        let attempted = Attempted {
+            refusal: &refusal,
+            retried: reply.retried,
+        };
+        if !tries_again(daemon, &message, &mut course, &member, attempted) {
             return course.conclude(Outcome::Refused(refusal));
         }
         course.avoid.push(member.host);
@@ -232,10 +229,7 @@
 fn hear(daemon: &Daemon, service: &ServiceName, reply: &Reply) {
     let now = Instant::now();
     if !reply.crashes.is_empty() {
-        let mut fleet = lock(&daemon.fleet);
-        for crash in &reply.crashes {
-            fleet.suspects.learn(crash.clone());
-        }
+        lock(&daemon.fleet).suspects.learn_all(&reply.crashes);
     }
     let own = lock(&daemon.router).pressure(now, service);
     let mut pressures = lock(&daemon.pressures);
@@ -309,8 +303,9 @@
     message: &RelayMessage,
     course: &mut Course,
     member: &Member,
-    (refusal, retried): (&Refusal, bool),
+    attempted: Attempted<'_>,
 ) -> bool {
+    let refusal = attempted.refusal;
     let service = &message.call.service;
     if refusal.ran != Ran::No {
         course.runs_left = course.runs_left.saturating_sub(1);
@@ -327,7 +322,6 @@
             RESERVE
         },
     };
-    let attempted = Attempted { refusal, retried };
     let credit = &mut course.credit;
     let decided = match course.runs_left {
         0 => Err(RetryReason::AttemptsSpent),
--- a/crates/indigospur-daemon/src/port.rs
+++ b/crates/indigospur-daemon/src/port.rs
@@ -1,6 +1,6 @@
 //! What programs that embed the daemon may ask of it and tell it.
 
-use crate::daemon::{Daemon, lock};
+use crate::daemon::Daemon;
 use crate::{backend, control};
 use indigospur_protocol::Announcement;
 use std::sync::Arc;
@@ -50,9 +50,4 @@
     pub fn metrics(&self) -> Vec<u8> {
         self.daemon.scrape()
     }
-
-    /// Version of the configuration in force; zero if there is none.
-    pub fn version(&self) -> u64 {
-        lock(&self.daemon.newest).version()
-    }
 }
--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -1,7 +1,7 @@
 //! The daemon's program: command line, settings, logs, signals.
 
 use crate::failure::StartError;
-use crate::lifecycle::Starting;
+use crate::lifecycle::{Serving, Starting};
 use crate::settings::Settings;
 use async_std::channel::{Receiver, bounded};
 use bpaf::Bpaf;
@@ -11,7 +11,7 @@
 use std::process::ExitCode;
 
 /// Exit status after wrong settings.
-const EXIT_SETTINGS: u8 = 2;
+pub const EXIT_SETTINGS: u8 = 2;
 /// Exit status after a stop that cut something off.
 const EXIT_CUT_OFF: u8 = 3;
 
@@ -54,16 +54,20 @@
             "{}",
             serde_json::to_string(serving.addresses()).unwrap_or_default()
         );
-        let _ = stop.recv().await;
-        let finished = serving.stop().await;
-        Ok(if finished {
-            ExitCode::SUCCESS
-        } else {
-            ExitCode::from(EXIT_CUT_OFF)
-        })
+        Ok(serve_until_stopped(serving, &stop).await)
     })
 }
 
+/// Serves until a signal to stop, and stops; the program's exit status.
+pub async fn serve_until_stopped(serving: Serving, stop: &Receiver<()>) -> ExitCode {
+    let _ = stop.recv().await;
+    if serving.stop().await {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_CUT_OFF)
+    }
+}
+
 /// Tells of each signal to stop.
 ///
 /// # Errors
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -92,9 +92,7 @@
         suspects: &mut Suspects,
         heard: &Message,
     ) -> Vec<Member> {
-        for crash in &heard.crashes {
-            suspects.learn(crash.clone());
-        }
+        suspects.learn_all(&heard.crashes);
         members.reached(&heard.from);
         if heard.full {
             members.merge_whole(now, heard.members.clone())
--- a/crates/indigospur-members/src/suspects.rs
+++ b/crates/indigospur-members/src/suspects.rs
@@ -125,6 +125,13 @@
         if known.is_empty() { running } else { known }
     }
 
+    /// Takes in crashes that others tell of.
+    pub fn learn_all(&mut self, crashes: &[Crash]) {
+        for crash in crashes {
+            self.learn(crash.clone());
+        }
+    }
+
     /// Takes in a crash; false if it was known.
     pub fn learn(&mut self, crash: Crash) -> bool {
         if !self.is_suspect(crash.fingerprint) {
