Draw the targets of a split in even steps

Targets were drawn independently at random: over 300 requests the share of an even split strays by 0.1 now and then.

Ruled out: a share moved by refusals. Admission at the entry decides before the target is drawn.

Change: each rule draws in steps of the golden ratio from a start of its own at each daemon.

--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -198,7 +198,7 @@
     if !inside {
         enter(daemon, &request, rule.as_ref(), &treatment)?;
     }
-    let service = target(daemon, &treatment, &head)?;
+    let service = target(daemon, rule.as_ref(), &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &path);
     let key = key(&head, &treatment)?;
     let call = Call {
@@ -322,10 +322,17 @@
 }
 
 /// The service that takes the call: the rule's, else the one that the caller names.
-fn target(daemon: &Daemon, treatment: &Treatment, head: &CallHead) -> Result<ServiceName, Refusal> {
-    let drawn = lock(&daemon.rng).random::<f64>();
-    if let Some(service) = treatment.target(drawn) {
-        return Ok(service.clone());
+fn target(
+    daemon: &Daemon,
+    rule: Option<&Arc<str>>,
+    treatment: &Treatment,
+    head: &CallHead,
+) -> Result<ServiceName, Refusal> {
+    if let Some(rule) = rule {
+        let start = lock(&daemon.rng).random::<f64>();
+        if let Some(service) = lock(&daemon.draws).target(rule, treatment, start) {
+            return Ok(service);
+        }
     }
     if head.service.is_empty() {
         let detail = "neither the request nor a rule names a service";
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -17,7 +17,7 @@
 use indigospur_publish::Follower;
 use indigospur_relay::{HttpService, Links, LogClient};
 use indigospur_routing::Router;
-use indigospur_rules::RuleSet;
+use indigospur_rules::{Draws, RuleSet};
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -78,6 +78,8 @@
     /// Start of the last read of the log that succeeded.
     pub(crate) log_read: Mutex<Option<Instant>>,
     pub(crate) rules: Mutex<Option<Arc<RuleSet>>>,
+    /// Draws of the targets of the rules in force.
+    pub(crate) draws: Mutex<Draws>,
     /// Current member list of each service.
     pub(crate) epochs: Mutex<HashMap<ServiceName, EpochRecord>>,
     pub(crate) router: Mutex<Router>,
@@ -158,6 +160,7 @@
             newest: Mutex::default(),
             log_read: Mutex::default(),
             rules: Mutex::default(),
+            draws: Mutex::default(),
             epochs: Mutex::default(),
             router: Mutex::new(Router::new(
                 settings.data_centre.clone(),
@@ -234,6 +237,7 @@
             callers.set_bounds(self.settings.caller_bounds(&rules.callers));
         }
         *lock(&self.rules) = Some(rules);
+        *lock(&self.draws) = Draws::default();
     }
 
     /// Whether calls of callers are still taken: while serving, and for a time after the shutdown
--- a/crates/indigospur-rules/src/lib.rs
+++ b/crates/indigospur-rules/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod condition;
+mod draws;
 mod parse;
 mod pattern;
 mod set;
@@ -9,6 +10,7 @@
 
 pub use check::check_order;
 pub use condition::{Condition, Subject};
+pub use draws::Draws;
 pub use parse::parse;
 pub use pattern::Pattern;
 pub use set::{CallerBounds, Decision, Rule, RuleParts, RuleSet};
--- /dev/null
+++ b/crates/indigospur-rules/tests/draws.rs
@@ -0,0 +1,92 @@
+//! How calls are shared out among the targets of a rule.
+
+use indigospur_rules::{Draws, RuleSet, Subject, parse};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+
+const DAEMONS: usize = 16;
+/// Calls of a span over which operators compare the shares.
+const CALLS: usize = 300;
+
+fn split(first: u32, second: u32) -> RuleSet {
+    let text = format!(
+        "[[rule]]\nname = \"pages\"\nwhen.service = \"pages\"\n\
+         then.split = [{{ service = \"old\", weight = {first} }}, {{ service = \"new\", weight = {second} }}]\n"
+    );
+    parse("rules.toml", &text).expect("the rules are valid")
+}
+
+/// Share of the calls that the first target gets when they arrive at daemons drawn at random.
+fn share_of_first(rules: &RuleSet, seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut daemons: [Draws; DAEMONS] = Default::default();
+    let mut taken = HashMap::new();
+    for _ in 0..CALLS {
+        let decision = rules.decide(&Subject {
+            service: "pages",
+            host: "",
+            method: "GET",
+            path: "/",
+            customer: "anyone",
+            above: None,
+            idempotent: true,
+            attempt: 0,
+        });
+        let rule = &rules.rules[decision.rule.expect("the rule matches")].name;
+        let daemon = rng.random_range(0..DAEMONS);
+        let start = rng.random();
+        let target = daemons[daemon].target(rule, &decision.treatment, start);
+        *taken
+            .entry(target.expect("the rule has targets"))
+            .or_insert(0_usize) += 1;
+    }
+    taken.get("old").copied().unwrap_or(0) as f64 / CALLS as f64
+}
+
+#[test]
+fn a_few_hundred_calls_already_share_out_by_weight() {
+    for (first, second) in [(1, 1), (9, 1), (3, 1), (1, 19)] {
+        let rules = split(first, second);
+        let wanted = f64::from(first) / f64::from(first + second);
+        for seed in 0..500 {
+            let share = share_of_first(&rules, seed);
+            assert!(
+                (share - wanted).abs() < 0.05,
+                "weights {first}:{second}, seed {seed}: {share:.3} instead of {wanted:.3}"
+            );
+        }
+    }
+}
+
+#[test]
+fn calls_that_come_in_a_pattern_share_out_by_weight_too() {
+    let rules = split(1, 1);
+    let subject = Subject {
+        service: "pages",
+        host: "",
+        method: "GET",
+        path: "/",
+        customer: "anyone",
+        above: None,
+        idempotent: true,
+        attempt: 0,
+    };
+    let decision = rules.decide(&subject);
+    let rule = &rules.rules[0].name;
+    for period in 2..12 {
+        let mut draws = Draws::default();
+        let taken: Vec<_> = (0..CALLS * period)
+            .map(|_| draws.target(rule, &decision.treatment, 0.25))
+            .collect();
+        let every = taken.iter().step_by(period);
+        let first = every
+            .filter(|target| target.as_deref() == Some("old"))
+            .count();
+        let share = first as f64 / CALLS as f64;
+        assert!(
+            (share - 0.5).abs() < 0.05,
+            "each {period}th call: {share:.3}"
+        );
+    }
+}
