Wait 300 ms instead of 700 ms for another daemon's word after a start

Cause: after a loss of all daemons the announcements of backend servers wait for the first answer of another daemon, which comes within a few milliseconds or not at all; 700 ms were lost.

Ruled out: dropping the wait. It keeps an instance that has left from being taken in anew (a_daemon_that_starts_anew_is_told_which_instance_has_left_beside_it, which still passes).

What fills the seconds after the restart is the slow start of the limits, which is another change.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -16,7 +16,7 @@
 /// Time without an announcement after which the backend server is asked for a connection.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Time in which a daemon that starts hears of the others, if it reaches any.
-const FLEET_TIME: Duration = Duration::from_millis(700);
+const FLEET_TIME: Duration = Duration::from_millis(300);
 /// Largest number of slots or connections that is believed.
 const MOST_SLOTS: u32 = 65_536;
 
