Give cold backend servers all their slots on the users' platform

Cause: after a start the limit grew from a quarter of the slots in 10 s. There a cold backend server takes twice as long for 3 s but runs as many calls at a time, so a service with demand of 0.3 of its slots (quoting) stood at two calls a slot, and the entry refused two thirds of the requests for four seconds after every restart, release and loss of power.

Change: the time of the slow start is a setting, limits.ramp, 10 s as before and zero there.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -24,8 +24,8 @@
     pub policy: LimitPolicy,
     /// Announced slots.
     pub slots: u32,
-    /// The backend server has just started.
-    pub cold: bool,
+    /// Time in which a backend server that starts cold gets its full limit; zero if it is warm.
+    pub ramp: Duration,
     /// Longest time a call should wait, at the rate at which calls finish.
     pub target_wait: Duration,
     /// Most waiting calls, whatever the rate.
@@ -43,7 +43,7 @@
         Options {
             policy: LimitPolicy::Aimd,
             slots: 1,
-            cold: false,
+            ramp: Duration::ZERO,
             target_wait: Duration::from_millis(500),
             places: 4_096,
             seed: 1,
@@ -93,7 +93,7 @@
                 options.policy,
                 options.used(options.slots),
                 now,
-                options.cold,
+                options.ramp,
             ),
             line: Line::default(),
             running: BTreeMap::new(),
--- a/crates/indigospur-admission/src/limit.rs
+++ b/crates/indigospur-admission/src/limit.rs
@@ -3,8 +3,6 @@
 use crate::effect::Finish;
 use std::time::{Duration, Instant};
 
-/// Time in which a backend server that has just started gets its full limit.
-const RAMP: Duration = Duration::from_secs(10);
 /// Share of the slots that a backend server that has just started gets, as a divisor.
 const RAMP_START: u32 = 4;
 /// Smallest share of the slots that refusals can reduce the limit to, as a divisor.
@@ -38,21 +36,22 @@
     /// Always between `slots / FLOOR` and `slots`.
     current: f64,
     started: Instant,
-    ramped: bool,
+    /// Time from the start to the full limit; zero for a backend server that is warm.
+    ramp: Duration,
     decreased: Option<Instant>,
     fastest: Duration,
 }
 
 impl Limit {
-    /// A limit of a backend server that starts cold at `now`, or that is warm already.
-    pub fn new(policy: LimitPolicy, slots: u32, now: Instant, cold: bool) -> Limit {
+    /// A limit that reaches its full size `ramp` after `now`; a warm backend server has none.
+    pub fn new(policy: LimitPolicy, slots: u32, now: Instant, ramp: Duration) -> Limit {
         let slots = slots.max(1);
         Limit {
             policy,
             slots,
             current: f64::from(slots),
             started: now,
-            ramped: !cold,
+            ramp,
             decreased: None,
             fastest: Duration::MAX,
         }
@@ -67,7 +66,7 @@
 
     /// Calls that may run at a time; at least one.
     pub fn get(&self, now: Instant) -> u32 {
-        let limit = self.current * self.ramp(now);
+        let limit = self.current * self.ramped(now);
         (limit.round() as u32).max(1)
     }
 
@@ -81,13 +80,14 @@
         }
     }
 
-    fn ramp(&self, now: Instant) -> f64 {
+    /// Share of the limit that the ramp has reached.
+    fn ramped(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.started);
-        if self.ramped || age >= RAMP {
+        if age >= self.ramp {
             return 1.0;
         }
         let start = 1.0 / f64::from(RAMP_START);
-        start + (1.0 - start) * age.as_secs_f64() / RAMP.as_secs_f64()
+        start + (1.0 - start) * age.as_secs_f64() / self.ramp.as_secs_f64()
     }
 
     fn decrease(&mut self, now: Instant) {
--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -223,7 +223,7 @@
     let now = Instant::now();
     let options = Options {
         slots: 40,
-        cold: true,
+        ramp: Duration::from_secs(10),
         ..Options::default()
     };
     let admission = Admission::new(options, now);
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -38,7 +38,11 @@
         let options = Options {
             policy: daemon.settings.limit,
             slots: announced.slots,
-            cold,
+            ramp: if cold {
+                daemon.settings.ramp
+            } else {
+                Duration::ZERO
+            },
             target_wait: daemon.settings.target_wait,
             seed: daemon.incarnation,
             preempts: daemon.settings.preempts,
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -65,6 +65,8 @@
     pub yields_below: bool,
     /// How the limit of a backend server follows what its calls show.
     pub limit: LimitPolicy,
+    /// Time in which a backend server that starts cold gets all its slots.
+    pub ramp: Duration,
     /// Share of the backend server's slots that is used, in percent.
     pub fill: u32,
     /// Retries that a hundred first attempts allow, in calls to one service.
@@ -166,6 +168,7 @@
         chains_first: limits.boolean("chains-first").unwrap_or(false),
         yields_below: limits.boolean("yield-below").unwrap_or(true),
         limit: limit(&limits),
+        ramp: duration(&limits, "ramp", Duration::ZERO..=SECOND * 600, SECOND * 10),
         fill: small(limits.integer("fill", 10..=100)).unwrap_or(100),
         retry_percent: small(retries.integer("percent", 0..=100)).unwrap_or(10),
         retries_saved: small(retries.integer("saved", 1..=100_000)).unwrap_or(10),
