Let calls inside chains go first within their class only

Cause: at the tight service all calls inside chains had the highest class.

Ruled out: a reserve at the entry; the entries already refuse the lesser class first, only not yet enough of it.

Change: the order is by class, and of a class calls inside chains before requests that begin.

--- a/crates/indigospur-admission/src/effect.rs
+++ b/crates/indigospur-admission/src/effect.rs
@@ -23,6 +23,14 @@
     pub waits: bool,
 }
 
+impl Arrival {
+    /// The class among calls where those inside chains go first: by class, and of a class what has
+    /// work behind it.
+    pub fn chain_class(class: Class, inside: bool) -> Class {
+        class.saturating_mul(2).saturating_add((!inside).into())
+    }
+}
+
 /// Why a call gets no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused {
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -91,6 +91,10 @@
     stations: Vec<Station>,
     entries: Vec<Entry>,
     controlled: bool,
+    /// Class at the stations of a call inside a request's chain.
+    class: fn(Class) -> Class,
+    /// Stations that are gone from the start of the burst on.
+    lost: usize,
     told: Pressures,
     news: VecDeque<Pressure>,
     requests: Vec<Request>,
@@ -101,6 +105,7 @@
 
 impl World {
     fn new(seed: u64, controlled: bool) -> World {
+        let class = |class| Arrival::chain_class(class, true);
         let now = Instant::now();
         let options = Options {
             policy: LimitPolicy::Aimd,
@@ -131,6 +136,8 @@
             stations: SPEEDS.map(station).into(),
             entries,
             controlled,
+            class,
+            lost: 0,
             told: Pressures::default(),
             news: VecDeque::new(),
             requests: Vec::new(),
@@ -139,8 +146,16 @@
         }
     }
 
-    fn run(mut self, burst: f64) -> Outcome {
+    fn run(self, burst: f64) -> Outcome {
+        self.run_after(burst, |_| {})
+    }
+
+    /// Plays the load with a change at the start of the burst.
+    fn run_after(mut self, burst: f64, change: impl Fn(&mut World)) -> Outcome {
         for milli in 0..END {
+            if milli == BURST.start {
+                change(&mut self);
+            }
             self.now += MILLI;
             self.tell();
             let factor = if BURST.contains(&milli) { burst } else { 0.6 };
@@ -164,9 +179,16 @@
         self.outcome
     }
 
+    /// Stations that take calls: the slow ones are lost last.
+    fn usable(&self) -> std::ops::Range<usize> {
+        0..self.stations.len() - self.lost
+    }
+
     /// Tells the entries what the tight service was like some time ago.
     fn tell(&mut self) {
-        let loads = self.stations.iter().map(|s| s.admission.load(self.now));
+        let loads = self
+            .usable()
+            .map(|i| self.stations[i].admission.load(self.now));
         let (occupied, capacity) = loads.fold((0, 0), |(occupied, capacity), load| {
             (
                 occupied + load.in_flight + load.queued,
@@ -235,11 +257,13 @@
             let load = station.admission.load(self.now);
             u64::from(load.in_flight + load.queued) * 1_000 / u64::from(load.limit)
         };
-        let best = (0..self.stations.len()).min_by_key(|index| score(&self.stations[*index]));
+        let best = self
+            .usable()
+            .min_by_key(|index| score(&self.stations[*index]));
         let index = best.expect("there are stations");
         let asked = &self.requests[request];
         let arrival = Arrival {
-            class: 0,
+            class: (self.class)(KINDS[asked.kind].class),
             rank: 0,
             customer: "anonymous".into(),
             share: 1,
@@ -335,6 +359,18 @@
     }
 }
 
+/// Share of the urgent kind that is served when two of three stations leave at the usual demand.
+fn urgent_share_after_loss(class: fn(Class) -> Class) -> f64 {
+    const SEEDS: u64 = 5;
+    let shares = (0..SEEDS).map(|seed| {
+        let mut world = World::new(seed, true);
+        world.class = class;
+        let outcome = world.run_after(2.4, |world| world.lost = 2);
+        f64::from(outcome.served[1]) / f64::from(outcome.asked[1])
+    });
+    shares.sum::<f64>() / SEEDS as f64
+}
+
 fn mean(burst: f64, controlled: bool) -> (f64, f64, Outcome) {
     const SEEDS: u64 = 3;
     let mut earned = 0.0;
@@ -368,6 +404,15 @@
     }
 }
 
+/// Until the entries have found the new level the queue of the tight service is full.
+#[test]
+fn while_the_entries_adapt_to_a_loss_the_calls_of_urgent_requests_go_first() {
+    let equal = urgent_share_after_loss(|_| 0);
+    let ordered = urgent_share_after_loss(|class| Arrival::chain_class(class, true));
+    assert!(ordered > equal + 0.1, "{ordered:.3} {equal:.3}");
+    assert!(ordered > 0.8, "{ordered:.3} {equal:.3}");
+}
+
 #[test]
 fn a_load_within_the_slots_is_let_in_whole() {
     let (earned, _, _) = mean(1.0, true);
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -88,9 +88,13 @@
 }
 
 fn arrival(daemon: &Daemon, context: &Context, deadline: Instant) -> Arrival {
-    let chained = context.depth > 0 && daemon.settings.chains_first;
+    let class = if daemon.settings.chains_first {
+        Arrival::chain_class(context.class, context.depth > 0)
+    } else {
+        context.class
+    };
     Arrival {
-        class: if chained { 0 } else { context.class },
+        class,
         rank: context.rank,
         customer: context.customer.clone(),
         share: context.share,
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -59,7 +59,7 @@
     pub leave: Duration,
     /// Running calls are cancelled for more important ones.
     pub preempts: bool,
-    /// Calls inside chains go before requests that begin, whatever their classes.
+    /// Of a class, calls inside chains go before requests that begin.
     pub chains_first: bool,
     /// A backend server gets fewer calls when a service below it sheds.
     pub yields_below: bool,
