Give scarce retries to the most urgent class by a cut-off that adapts

Cause: where all upstreams of a service shed, the part of the saved retries kept for the most urgent class was void: in a fleet of sixteen a daemon saves one retry, and nothing of one can be kept.

Change: a link that has no retry for a call that may have one lowers the class up to which calls are tried again; a retry that goes to waste raises it slowly. What is saved is counted in parts of a retry, so that the fleet's share is used whole.

--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -214,7 +214,7 @@
         expected: Duration::from_millis(10),
         passes: 0,
         sheds: 0,
-        reserve: 0.0,
+        class: 0,
     };
     let mut ratio = RetryRatio::default();
     time(|_| {
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -395,7 +395,7 @@
                 expected: self.scenario.services[service].work,
                 passes: 0,
                 sheds: 0,
-                reserve: 0.0,
+                class: 0,
             };
             let attempted = Attempted {
                 refusal: &refusal,
--- a/crates/indigospur-budget/src/decide.rs
+++ b/crates/indigospur-budget/src/decide.rs
@@ -2,7 +2,7 @@
 
 use crate::credit::Credit;
 use crate::ratio::RetryRatio;
-use indigospur_protocol::{Kind, Ran, Refusal, RetryReason};
+use indigospur_protocol::{Class, Kind, Ran, Refusal, RetryReason};
 use std::time::Duration;
 
 /// Options of the retry decision.
@@ -18,8 +18,8 @@
     pub passes: u32,
     /// Backend servers' own refusals after which the call may still go elsewhere without credit.
     pub sheds: u32,
-    /// Part of what the ratio has saved that is left for more urgent calls, of 1.
-    pub reserve: f64,
+    /// Class of the call; zero is tried again first.
+    pub class: Class,
 }
 
 /// An attempt that failed.
@@ -77,7 +77,7 @@
     if credit.left() == 0 && !free {
         return Err(RetryReason::CreditSpent);
     }
-    if !ratio.spend_above(options.reserve) {
+    if !ratio.spend(options.class) {
         return Err(RetryReason::RatioSpent);
     }
     if !free {
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the decision whether a failed attempt is followed by another.
 
 mod credit;
+mod cutoff;
 mod decide;
 mod ledger;
 mod ratio;
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -1,37 +1,39 @@
 //! The share of retries among the calls of one link.
 
-/// Cost of a retry, in the unit of a bucket's level.
-const RETRY: u32 = 100;
-/// Repeats that can be owed: a flood of them does not stop retries for long.
-const MOST_OWED: u32 = 20;
+use crate::cutoff::Cutoff;
+use indigospur_protocol::Class;
+
+/// Retries that can be owed: a flood of forced ones does not stop the others for long.
+const MOST_OWED: f64 = 20.0;
 
 /// How many retries a bucket allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RatioOptions {
     /// Retries that a hundred first attempts earn.
     pub percent: u32,
-    /// Retries that can be saved up.
-    pub saved: u32,
+    /// Retries that can be saved up; at least one.
+    pub saved: f64,
 }
 
 impl Default for RatioOptions {
     fn default() -> Self {
         RatioOptions {
             percent: 10,
-            saved: 10,
+            saved: 10.0,
         }
     }
 }
 
 /// A bucket that first attempts fill and retries empty, so that retries stay under a share of the
-/// calls however many fail.
+/// calls however many fail. While it does not last for all, the most urgent calls get them.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryRatio {
     options: RatioOptions,
-    /// In hundredths of a retry; at most what `options` let be saved.
-    level: u32,
-    /// Repeats that were made without credit, in the same unit; zero while `level` is not.
-    owed: u32,
+    /// In retries; at most what `options` let be saved.
+    level: f64,
+    /// Repeats that were made without credit; zero while `level` is not.
+    owed: f64,
+    cutoff: Cutoff,
 }
 
 impl Default for RetryRatio {
@@ -45,26 +47,31 @@
     pub fn new(options: RatioOptions) -> RetryRatio {
         RetryRatio {
             options,
-            level: options.saved * RETRY,
-            owed: 0,
+            level: options.saved,
+            owed: 0.0,
+            cutoff: Cutoff::default(),
         }
     }
 
     /// Changes what is allowed from now on.
     pub fn set_options(&mut self, options: RatioOptions) {
         self.options = options;
-        self.level = self.level.min(options.saved * RETRY);
+        self.level = self.level.min(options.saved);
     }
 
     /// Counts a first attempt.
     pub fn earn(&mut self) {
-        self.level = (self.level + self.options.percent).min(self.options.saved * RETRY);
+        let level = self.level + f64::from(self.options.percent) / 100.0;
+        if level > self.options.saved {
+            self.cutoff.relax();
+        }
+        self.level = level.min(self.options.saved);
         self.settle();
     }
 
     /// Takes a repeat into account that can't be refused; later retries wait for it.
     pub fn charge(&mut self) {
-        self.owed = (self.owed + RETRY).min(MOST_OWED * RETRY);
+        self.owed = (self.owed + 1.0).min(MOST_OWED);
         self.settle();
     }
 
@@ -74,20 +81,17 @@
         self.level -= paid;
     }
 
-    /// Spends a retry; false if the link has spent its share.
-    pub fn spend(&mut self) -> bool {
-        self.spend_above(0.0)
-    }
-
-    /// Spends a retry if enough is saved: a part of what can be saved beyond one retry, of 1, is
-    /// kept for others.
-    pub fn spend_above(&mut self, reserve: f64) -> bool {
-        let most_kept = f64::from(self.options.saved.saturating_sub(1) * RETRY);
-        let needed = RETRY + (most_kept * reserve) as u32;
-        if self.level < needed {
+    /// Spends a retry; false if the link has spent its share, or keeps the rest for more urgent
+    /// calls.
+    pub fn spend(&mut self, class: Class) -> bool {
+        if !self.cutoff.allows(class) {
+            return false;
+        }
+        if self.level < 1.0 {
+            self.cutoff.tighten();
             return false;
         }
-        self.level -= RETRY;
+        self.level -= 1.0;
         true
     }
 }
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -3,7 +3,7 @@
 use indigospur_budget::{
     Attempted, Credit, RatioOptions, RetryOptions, RetryRatio, SeenRequests, decide_retry,
 };
-use indigospur_protocol::{Kind, Ran, Refusal, RetryReason};
+use indigospur_protocol::{Class, Kind, Ran, Refusal, RetryReason};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::rngs::SmallRng;
@@ -102,7 +102,7 @@
     let mut retries = 0;
     for _ in 0..10_000 {
         ratio.earn();
-        retries += u32::from(ratio.spend());
+        retries += u32::from(ratio.spend(0));
     }
     assert!(retries <= 1_010, "{retries}");
 }
@@ -135,7 +135,7 @@
             expected: Duration::from_millis(10),
             passes: 0,
             sheds: 0,
-            reserve: 0.0,
+            class: 0,
         };
         let attempted = Attempted {
             refusal: &refusal,
@@ -159,7 +159,7 @@
             expected: long / 100,
             passes,
             sheds: 0,
-            reserve: 0.0,
+            class: 0,
         };
         let attempted = Attempted {
             refusal: &refusal,
@@ -210,73 +210,119 @@
         } else {
             ratio.earn();
         }
-        retries += u32::from(ratio.spend());
+        retries += u32::from(ratio.spend(0));
     }
     assert!(retries + repeats <= 1_000 + 10, "{retries} {repeats}");
     assert!(retries > 300, "{retries}");
 }
 
 /// The load of a service whose upstreams turn 55 in 100 calls away though they have room. Requests
-/// of two classes make four calls in a row there.
-#[test]
-fn when_a_service_sheds_the_scarce_retries_finish_urgent_requests() {
+/// of two classes make four calls in a row there, many at a time, from a few daemons.
+struct Shedding {
+    rng: SmallRng,
+    ratios: Vec<RetryRatio>,
+    /// Class, daemon and calls left of each request under way.
+    open: Vec<(Class, usize, u32)>,
+    /// Requests begun and finished, by class.
+    begun: [u32; 2],
+    finished: [u32; 2],
+    first: u32,
+    repeats: u32,
+}
+
+impl Shedding {
     const SHED: f64 = 0.55;
     const UPSTREAMS: u32 = 3;
-    let run = |reserve: f64| {
-        let mut rng = SmallRng::seed_from_u64(3);
-        let mut ratio = RetryRatio::new(RatioOptions {
-            percent: 16,
-            saved: 3,
-        });
-        let (mut first, mut repeats) = (0_u32, 0_u32);
-        let mut finished = [0_u32; 2];
-        for request in 0..20_000 {
-            let urgent = request % 4 == 0;
-            let whole = (0..4).all(|_| {
-                ratio.earn();
-                first += 1;
-                let mut sheds = UPSTREAMS - 1;
-                while rng.random_bool(SHED) {
-                    let refusal = Refusal::new(Kind::BackendShed, "");
-                    let options = RetryOptions {
-                        idempotent: true,
-                        remaining: Duration::from_secs(1),
-                        expected: Duration::ZERO,
-                        passes: 0,
-                        sheds,
-                        reserve: if urgent { 0.0 } else { reserve },
-                    };
-                    let attempted = Attempted {
-                        refusal: &refusal,
-                        retried: false,
-                    };
-                    let mut credit = Credit::default();
-                    if decide_retry(options, attempted, &mut credit, &mut ratio).is_err() {
-                        return false;
-                    }
-                    repeats += 1;
-                    sheds -= 1;
-                }
-                true
-            });
-            finished[usize::from(urgent)] += u32::from(whole);
+
+    fn new(daemons: usize, saved: f64) -> Shedding {
+        let options = RatioOptions { percent: 16, saved };
+        Shedding {
+            rng: SmallRng::seed_from_u64(3),
+            ratios: vec![RetryRatio::new(options); daemons],
+            open: Vec::new(),
+            begun: [0; 2],
+            finished: [0; 2],
+            first: 0,
+            repeats: 0,
         }
-        assert!(
-            f64::from(repeats) <= 0.2 * f64::from(first) + 3.0,
-            "{repeats}"
-        );
-        finished.map(|count| f64::from(count) / 20_000.0)
-    };
-    let (without, with) = (run(0.0), run(0.6));
-    assert!(with[1] > 1.5 * without[1], "{without:?} {with:?}");
-    assert!(with[0] + 3.0 * with[1] > without[0] + 3.0 * without[1]);
+    }
+
+    /// Plays the load; `seen` is the class that the retries see.
+    fn run(mut self, seen: impl Fn(Class) -> Class) -> Shedding {
+        for request in 0..40_000 {
+            let class = Class::from(request % 4 != 0);
+            let daemon = self.rng.random_range(0..self.ratios.len());
+            self.begun[usize::from(class)] += 1;
+            self.open.push((class, daemon, 4));
+            while self.open.len() > 40 {
+                let next = self.rng.random_range(0..self.open.len());
+                self.call(next, &seen);
+            }
+        }
+        self
+    }
+
+    fn call(&mut self, index: usize, seen: &impl Fn(Class) -> Class) {
+        let (class, daemon, left) = self.open[index];
+        self.ratios[daemon].earn();
+        self.first += 1;
+        let mut sheds = Shedding::UPSTREAMS - 1;
+        while self.rng.random_bool(Shedding::SHED) {
+            let refusal = Refusal::new(Kind::BackendShed, "");
+            let options = RetryOptions {
+                idempotent: true,
+                remaining: Duration::from_secs(1),
+                expected: Duration::ZERO,
+                passes: 0,
+                sheds,
+                class: seen(class),
+            };
+            let attempted = Attempted {
+                refusal: &refusal,
+                retried: false,
+            };
+            let credit = &mut Credit::new(0);
+            if decide_retry(options, attempted, credit, &mut self.ratios[daemon]).is_err() {
+                self.open.swap_remove(index);
+                return;
+            }
+            self.repeats += 1;
+            sheds -= 1;
+        }
+        self.open[index].2 = left - 1;
+        if left == 1 {
+            self.finished[usize::from(class)] += 1;
+            self.open.swap_remove(index);
+        }
+    }
+
+    /// Share of the requests of a class that are finished.
+    fn share(&self, class: usize) -> f64 {
+        f64::from(self.finished[class]) / f64::from(self.begun[class])
+    }
+}
+
+#[test]
+fn when_a_service_sheds_the_scarce_retries_finish_urgent_requests() {
+    for (daemons, saved, gain) in [(1, 3.0, 2.2), (4, 1.9, 1.8), (12, 1.0, 1.5)] {
+        let equal = Shedding::new(daemons, saved).run(|_| 0);
+        let ordered = Shedding::new(daemons, saved).run(|class| class);
+        for outcome in [&equal, &ordered] {
+            let allowed = 0.16 * f64::from(outcome.first) + saved * daemons as f64;
+            assert!(f64::from(outcome.repeats) <= allowed);
+        }
+        let (before, after) = (equal.share(0), ordered.share(0));
+        assert!(after > gain * before, "{daemons}: {before:.3} {after:.3}");
+        let worth = |outcome: &Shedding| 3 * outcome.finished[0] + outcome.finished[1];
+        assert!(worth(&ordered) > worth(&equal), "{daemons}");
+    }
 }
 
 /// In a large fleet each daemon can save up one or two retries only.
 #[test]
 fn less_urgent_calls_are_tried_again_too_however_little_can_be_saved() {
-    for saved in 1..5 {
+    for saved in [1.0, 1.9, 3.0, 5.0] {
         let mut ratio = RetryRatio::new(RatioOptions { percent: 16, saved });
-        assert!(ratio.spend_above(0.6), "{saved}");
+        assert!(ratio.spend(2), "{saved}");
     }
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -209,11 +209,12 @@
         service: &ServiceName,
         act: impl FnOnce(&mut RetryRatio) -> T,
     ) -> T {
-        let members = lock(&self.fleet).members.len() as u32;
+        let members = lock(&self.fleet).members.len().max(1) as f64;
         let options = RatioOptions {
             percent: self.settings.retry_percent,
-            saved: (self.settings.fleet_retries / members.max(1))
-                .clamp(1, self.settings.retries_saved),
+            saved: (f64::from(self.settings.fleet_retries) / members)
+                .min(f64::from(self.settings.retries_saved))
+                .max(1.0),
         };
         let mut ratios = lock(&self.ratios);
         let ratio = ratios
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -19,8 +19,6 @@
 /// Backend servers' own refusals after which a call goes elsewhere without credit: with as many
 /// upstreams as the smallest services have, all are tried.
 const MOST_SHEDS: u32 = 2;
-/// Part of the saved retries that is left for the most urgent class, of 1.
-const RESERVE: f64 = 0.6;
 
 /// The attempts of one call so far.
 struct Course {
@@ -316,11 +314,7 @@
         expected: lock(&daemon.router).expected_time(service),
         passes: course.passes,
         sheds: course.sheds,
-        reserve: if message.context.class == 0 {
-            0.0
-        } else {
-            RESERVE
-        },
+        class: message.context.class,
     };
     let credit = &mut course.credit;
     let decided = match course.runs_left {
