Lend retry credit to a call only when it is about to be sent

Cause: a call inside a chain took its share of the credit while its context was read. Refused after that (no rule, no room below, a key that is not accepted), it gave nothing back, and the later calls of the request had fewer retries.

Change: reading the context lends nothing; the share is lent where the message is made, after the last refusal. prepare(), which was long, is split into who asks, which rule decides and what is sent, in a file of its own.

Test: three calls that are not sent leave the credit whole. The old ledger lent in the one call that read the context, so the test could not hold there.

--- a/crates/indigospur-budget/src/ledger.rs
+++ b/crates/indigospur-budget/src/ledger.rs
@@ -69,18 +69,25 @@
         );
     }
 
-    /// The context of a call below, with its share of the credit; `None` if the call above does not
-    /// run here (any more).
-    pub fn lend(&mut self, now: Instant, token: &str) -> Option<Context> {
-        let entry = self.entries.get_mut(token)?;
+    /// The context of a call below, without retry credit; `None` if the call above does not run here
+    /// (any more).
+    pub fn below(&self, now: Instant, token: &str) -> Option<Context> {
+        let entry = self.entries.get(token)?;
         let mut context = entry.context.clone();
-        context.retries = entry.credit.lend().left();
+        context.retries = 0;
         context.depth += 1;
         context.repeated |= context.attempt > 0;
         context.remaining = entry.deadline.saturating_duration_since(now);
         Some(context)
     }
 
+    /// Lends a call below, which will be sent, its share of the credit; it comes back by
+    /// [`Ledger::give_back`].
+    pub fn lend(&mut self, token: &str) -> u32 {
+        let entry = self.entries.get_mut(token);
+        entry.map_or(0, |entry| entry.credit.lend().left())
+    }
+
     /// Takes back what a call below has left, and whether a retry was made for it.
     pub fn give_back(&mut self, token: &str, lent: u32, left: u32, retried: bool) {
         if let Some(entry) = self.entries.get_mut(token) {
--- /dev/null
+++ b/crates/indigospur-budget/tests/ledger.rs
@@ -0,0 +1,55 @@
+//! The credit of running calls, and what their own calls take of it.
+
+use indigospur_budget::{Ledger, Token};
+use indigospur_protocol::Context;
+use std::time::{Duration, Instant};
+
+fn context(retries: u32) -> Context {
+    Context {
+        request_id: "r-1".into(),
+        customer: "anyone".into(),
+        class: 1,
+        rank: 0,
+        share: 1,
+        retries,
+        depth: 2,
+        remaining: Duration::from_secs(1),
+        idempotent: true,
+        waits: false,
+        key: None,
+        digest: 0,
+        epoch: 0,
+        home: None,
+        attempt: 0,
+        crashes: Vec::new(),
+        repeated: false,
+    }
+}
+
+/// A call that no rule allows, or that the entry refuses, is never sent.
+#[test]
+fn a_call_that_is_refused_before_it_is_sent_costs_no_credit() {
+    let now = Instant::now();
+    let token: Token = "t-1".into();
+    let mut ledger = Ledger::default();
+    ledger.open(now, token.clone(), context(4));
+    for _ in 0..3 {
+        let below = ledger.below(now, &token).expect("the call runs");
+        assert_eq!((below.depth, below.retries), (3, 0));
+    }
+    assert_eq!(ledger.lend(&token), 3);
+    ledger.give_back(&token, 3, 2, false);
+    assert_eq!(ledger.close(&token).left, 3);
+}
+
+#[test]
+fn a_call_below_has_the_time_that_the_call_above_has_left() {
+    let now = Instant::now();
+    let token: Token = "t-1".into();
+    let mut ledger = Ledger::default();
+    ledger.open(now, token.clone(), context(0));
+    let later = now + Duration::from_millis(400);
+    let below = ledger.below(later, &token).expect("the call runs");
+    assert_eq!(below.remaining, Duration::from_millis(600));
+    assert!(ledger.below(later, "t-2").is_none());
+}
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer_port;
 mod peers;
 mod port;
+mod preparation;
 mod run;
 mod settings;
 mod slots;
