Check and explain the configuration of the users' platform with the operators' tool

Cause: explain and check read the product's own rule sets only; nobody could ask which route a call on the platform hits before the configuration is written.

Change: the tool takes further formats from its program; files that end in .json are read by the platform's translator, the one that the daemon uses. check tells each route that would be left out. publish refuses such a file and says where it goes: there the operator writes to the store.

--- a/crates/indigospur-command/src/commands/check.rs
+++ b/crates/indigospur-command/src/commands/check.rs
@@ -2,8 +2,8 @@
 
 use crate::example::Example;
 use crate::failure::ToolError;
+use crate::format::{Formats, load_rules};
 use crate::output::Output;
-use crate::platform::load_rules;
 use bpaf::Bpaf;
 use serde::Serialize;
 
@@ -19,7 +19,7 @@
     footer("Example: indigospur check examples/lisbon/rules.toml")
 )]
 pub(crate) struct Check {
-    /// Rule set, in TOML
+    /// Rule set: TOML, or .json as the users' platform holds it
     #[bpaf(positional("FILE"))]
     file: String,
 }
@@ -32,8 +32,8 @@
 }
 
 impl Check {
-    pub(crate) fn run(self) -> Result<Output, ToolError> {
-        let (_, rules) = load_rules(&self.file)?;
+    pub(crate) fn run(self, formats: Formats<'_>) -> Result<Output, ToolError> {
+        let rules = load_rules(&self.file, formats)?;
         let classes: Vec<String> = rules.classes.iter().map(ToString::to_string).collect();
         let text = format!(
             "{}: ok, {} rules, classes {}",
--- a/crates/indigospur-command/src/commands/explain.rs
+++ b/crates/indigospur-command/src/commands/explain.rs
@@ -2,8 +2,8 @@
 
 use crate::example::Example;
 use crate::failure::ToolError;
+use crate::format::{Formats, load_rules};
 use crate::output::Output;
-use crate::platform::load_rules;
 use bpaf::Bpaf;
 use indigospur_document::show_duration;
 use indigospur_protocol::is_safe_method;
@@ -45,7 +45,7 @@
     /// Times the caller has sent the request before
     #[bpaf(argument("N"), fallback(0))]
     attempt: u32,
-    /// Rule set, in TOML
+    /// Rule set: TOML, or .json as the users' platform holds it
     #[bpaf(positional("FILE"))]
     file: String,
 }
@@ -69,8 +69,8 @@
 }
 
 impl Explain {
-    pub(crate) fn run(self) -> Result<Output, ToolError> {
-        let (_, rules) = load_rules(&self.file)?;
+    pub(crate) fn run(self, formats: Formats<'_>) -> Result<Output, ToolError> {
+        let rules = load_rules(&self.file, formats)?;
         let above = rules
             .classes
             .iter()
--- a/crates/indigospur-command/src/commands/publish.rs
+++ b/crates/indigospur-command/src/commands/publish.rs
@@ -2,8 +2,9 @@
 
 use crate::example::Example;
 use crate::failure::ToolError;
+use crate::format::{Formats, load_text};
 use crate::output::Output;
-use crate::platform::{load_rules, read};
+use crate::platform::read;
 use bpaf::Bpaf;
 use indigospur_publish::{Attempt, Conflict, Judgement, STREAM};
 use indigospur_relay::{LogClient, LogError};
@@ -49,8 +50,8 @@
 }
 
 impl Publish {
-    pub(crate) async fn run(self) -> Result<Output, ToolError> {
-        let (text, _) = load_rules(&self.file)?;
+    pub(crate) async fn run(self, formats: Formats<'_>) -> Result<Output, ToolError> {
+        let (text, _) = load_text(&self.file, formats)?;
         let id = self
             .id
             .clone()
--- a/crates/indigospur-command/src/commands/register.rs
+++ b/crates/indigospur-command/src/commands/register.rs
@@ -3,6 +3,7 @@
 use super::{check, drain, explain, publish, status, watch};
 use crate::example::Example;
 use crate::failure::ToolError;
+use crate::format::Formats;
 use bpaf::{OptionParser, Parser, construct};
 
 /// A command line that was understood.
@@ -40,12 +41,12 @@
 }
 
 /// Runs a command; what it prints.
-pub(crate) async fn run(options: Options) -> Result<String, ToolError> {
+pub(crate) async fn run(options: Options, formats: Formats<'_>) -> Result<String, ToolError> {
     let output = match options.command {
-        Command::Check(command) => command.run()?,
+        Command::Check(command) => command.run(formats)?,
         Command::Drain(command) => command.run().await?,
-        Command::Explain(command) => command.run()?,
-        Command::Publish(command) => command.run().await?,
+        Command::Explain(command) => command.run(formats)?,
+        Command::Publish(command) => command.run(formats).await?,
         Command::Status(command) => command.run().await?,
         Command::Watch(command) => command.run(options.json).await?,
     };
--- a/crates/indigospur-command/src/failure.rs
+++ b/crates/indigospur-command/src/failure.rs
@@ -13,6 +13,10 @@
     Unreadable(String, io::Error),
     /// the rule set has problems:\n{0}
     Problems(Problems),
+    /// {0} has problems:\n{1}
+    Document(String, String),
+    /// {0} is published by its own platform, not by this tool; write it to the platform's store, or give a rule set in TOML
+    Foreign(String),
     /// the log at {0} did not answer ({1:?}); nothing was published, try again when it is up
     LogDown(String, LogError),
     /// the log at {0} did not answer, and the rule set may or may not arrive there; run the same command again with --id {1}
@@ -38,7 +42,10 @@
     /// The exit status.
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            ToolError::Unreadable(..) | ToolError::Problems(_) => 2,
+            ToolError::Unreadable(..)
+            | ToolError::Problems(_)
+            | ToolError::Document(..)
+            | ToolError::Foreign(_) => 2,
             ToolError::Conflict { .. } => 3,
             ToolError::Unsure(..) => 4,
             ToolError::LogDown(..) | ToolError::DaemonDown(..) => 5,
--- a/crates/indigospur-command/src/lib.rs
+++ b/crates/indigospur-command/src/lib.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod example;
 mod failure;
+mod format;
 mod output;
 mod platform;
 mod run;
@@ -10,4 +11,5 @@
 pub use commands::examples;
 pub use example::Example;
 pub use failure::ToolError;
+pub use format::Format;
 pub use run::{run, run_with};
--- a/crates/indigospur-command/src/platform.rs
+++ b/crates/indigospur-command/src/platform.rs
@@ -62,11 +62,3 @@
         text,
     ))
 }
-
-/// Reads a rule set file and checks it.
-pub(crate) fn load_rules(path: &str) -> Result<(String, indigospur_rules::RuleSet), ToolError> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|error| ToolError::Unreadable(path.to_owned(), error))?;
-    let rules = indigospur_rules::parse(path, &text).map_err(ToolError::Problems)?;
-    Ok((text, rules))
-}
--- a/crates/indigospur-command/tests/command.rs
+++ b/crates/indigospur-command/tests/command.rs
@@ -11,7 +11,7 @@
 
 fn run(line: &str) -> Result<String, String> {
     let words = at_root(line);
-    run_with(&words.iter().map(String::as_str).collect::<Vec<_>>())
+    run_with(&words.iter().map(String::as_str).collect::<Vec<_>>(), &[])
 }
 
 #[test]
