Add a fault soak: rounds of random faults on real processes, with checks

A run draws from its seed a few faults a round (kills, freezes and stops of daemons, kills, freezes and leaves of backend servers, silent, cut and reset connections, a log that is down, slow or loses answers, publishes), in series and overlapping, while callers go on. Then the site must be calm within 13 s, and the checks look at all that callers and backend servers have seen: at most once, "not run" true, whole and own answers, bounded attempts, no version back, nothing new after leaving, nothing cut or held by planned work.

--- /dev/null
+++ b/crates/indigospur-soak/src/checks.rs
@@ -0,0 +1,105 @@
+//! What must hold, whatever fails.
+
+use crate::observed::{Asked, Observed, Seen};
+use displaydoc::Display;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Runs of one request: the first and the retries that a rule gives where it says nothing.
+const MOST_RUNS: usize = 4;
+/// Time beyond its deadline within which a request is answered while only planned work is done.
+const LATE: Duration = Duration::from_millis(1_000);
+/// Deadline that the callers give.
+pub(crate) const DEADLINE: Duration = Duration::from_millis(2_000);
+
+/// Something that must not happen.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Breach {
+    /// request {0} must run at most once and ran {1} times
+    Twice(u64, usize),
+    /// request {0} ran {1} times, more often than its retries allow
+    Attempts(u64, usize),
+    /// request {0} was answered "not run" ({1}) and has run
+    NotRunFalse(u64, String),
+    /// request {0} got an answer that is not whole or not its own: {1}
+    Foreign(u64, String),
+    /// request {0} was cut at {1} while only planned work was done: {2}
+    Cut(u64, String, String),
+    /// request {0} was answered {1:?} after it was sent, with a deadline of 2 s and planned work only
+    Late(u64, Duration),
+    /// {0} went back from version {1} to {2}
+    WentBack(String, u64, u64),
+    /// the backend server at {0} had left and began {1} more runs
+    AfterLeaving(String, usize),
+    /// {0}
+    Found(String),
+}
+
+/// All that has happened and must not.
+pub fn check(observed: &Observed) -> Vec<Breach> {
+    let runs = observed.runs();
+    let asked = observed.asked.iter();
+    let mut breaches: Vec<Breach> = asked
+        .flat_map(|asked| check_request(observed, asked, &runs))
+        .collect();
+    breaches.extend(check_versions(&observed.seen));
+    let leaves = observed.leaves.iter();
+    let after = leaves.filter(|leave| leave.later > leave.noticed);
+    breaches.extend(
+        after.map(|leave| Breach::AfterLeaving(leave.host.clone(), leave.later - leave.noticed)),
+    );
+    breaches.extend(observed.findings.iter().cloned().map(Breach::Found));
+    breaches
+}
+
+fn check_request(observed: &Observed, asked: &Asked, runs: &HashMap<u64, usize>) -> Vec<Breach> {
+    let number = asked.number;
+    let count = runs.get(&number).copied().unwrap_or(0);
+    let mut breaches = Vec::new();
+    if asked.keyed && count > 1 {
+        breaches.push(Breach::Twice(number, count));
+    }
+    if count > MOST_RUNS {
+        breaches.push(Breach::Attempts(number, count));
+    }
+    if asked.ran == "no" && count > 0 {
+        breaches.push(Breach::NotRunFalse(number, asked.kind.clone()));
+    }
+    if asked.status == 200 && asked.body != expected_body(number, asked.keyed) {
+        breaches.push(Breach::Foreign(number, asked.body.clone()));
+    }
+    let calm = |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
+    if observed.planned.iter().any(calm) {
+        // A daemon that has stopped takes no connection; that cuts nothing.
+        if asked.status == 0 && !asked.body.contains("refused") {
+            breaches.push(Breach::Cut(number, asked.host.clone(), asked.body.clone()));
+        }
+        let took = asked.answered.saturating_sub(asked.sent);
+        if took > DEADLINE + LATE {
+            breaches.push(Breach::Late(number, took));
+        }
+    }
+    breaches
+}
+
+/// What the backend servers of the site answer to a request.
+pub(crate) fn expected_body(number: u64, keyed: bool) -> String {
+    if keyed {
+        format!("contracts/sign?n={number}()")
+    } else {
+        format!("quoting/quote?n={number}(accounts/rates())")
+    }
+}
+
+fn check_versions(seen: &[Seen]) -> Vec<Breach> {
+    let mut newest: HashMap<(&str, u32), u64> = HashMap::new();
+    let mut breaches = Vec::new();
+    for seen in seen {
+        let known = newest.entry((&seen.host, seen.start)).or_insert(0);
+        if seen.version < *known {
+            breaches.push(Breach::WentBack(seen.host.clone(), *known, seen.version));
+        }
+        *known = seen.version.max(*known);
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/indigospur-soak/src/soak.rs
@@ -0,0 +1,400 @@
+//! The site, its rounds and the report.
+
+use crate::callers::{self, HostEntry, Shared, lock};
+use crate::checks::{Breach, check};
+use crate::faults::{Fault, Planned, draw};
+use crate::observed::{Leave, Run, Seen};
+use crate::options::SoakOptions;
+use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wire, get, post};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const CALLERS: u64 = 6;
+/// Rule sets differ in the name of the last rule.
+const RULES: &str = "[[rule]]\nname = \"signatures\"\nwhen = { service = \"contracts\", method = \"POST\" }\n\
+                     then = { class = \"protected\", at-most-once = true, deadline = \"5s\" }\n";
+/// Time in which a published rule set is in force, and in which the site calms down.
+const RECOVERY: Duration = Duration::from_secs(13);
+/// Time in which all daemons notice that a backend server leaves.
+const NOTICE: Duration = Duration::from_millis(2_000);
+/// Time for which a backend server that has left is watched.
+const WATCH: Duration = Duration::from_millis(700);
+/// Requests in a row that must be served for the site to count as calm.
+const STREAK: usize = 30;
+/// Time between two looks at the versions, and at a condition.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// A running soak.
+#[derive(Debug)]
+pub struct Soak {
+    site: Site,
+    /// The wire through which the others reach each host, by its place.
+    wires: Vec<Wire>,
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+    rng: SmallRng,
+    seconds: u64,
+    published: u32,
+    events: Vec<String>,
+}
+
+/// What a soak has found.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// What must not happen and did.
+    pub breaches: Vec<Breach>,
+    /// What was done to the site, in order.
+    pub events: Vec<String>,
+    /// Requests, and those that were served.
+    pub asked: (usize, usize),
+    /// Rounds played.
+    pub rounds: usize,
+}
+
+/// A step of a round.
+enum Step {
+    Begin(Planned),
+    /// A leave that everyone should have noticed by now.
+    Noticed(Planned),
+    End(Planned),
+}
+
+impl Soak {
+    /// Starts the site and the callers.
+    ///
+    /// # Errors
+    /// A process can't be started.
+    pub fn start(options: &SoakOptions) -> io::Result<Soak> {
+        let mut site = Site::start(&SitePlan {
+            rules: RULES.to_owned(),
+            ..SitePlan::default()
+        })?;
+        let hosts = (options.processes / 2).max(8);
+        let plans = [
+            ServicePlan::new("quoting", 0, &["accounts/rates"]),
+            ServicePlan::new("contracts", 0, &[]),
+            ServicePlan::new("accounts", 0, &[]),
+        ];
+        let mut wires = Vec::new();
+        for index in 0..hosts {
+            let wire = Wire::start();
+            let plan = &plans[index % plans.len()];
+            site.add_behind(&wire, &format!("{}-{index}", plan.name), plan)?;
+            wires.push(wire);
+        }
+        site.settle();
+        let entries = site.nodes.iter().map(|node| entry(node, 0)).collect();
+        let shared = Shared::new(entries);
+        let mut threads = callers::start(&shared, CALLERS, options.seed);
+        for place in 0..hosts {
+            let shared = shared.clone();
+            threads.push(std::thread::spawn(move || watch_version(&shared, place)));
+        }
+        Ok(Soak {
+            site,
+            wires,
+            shared,
+            threads,
+            rng: SmallRng::seed_from_u64(options.seed),
+            seconds: options.seconds,
+            published: 0,
+            events: vec![format!("seed {}, {hosts} hosts", options.seed)],
+        })
+    }
+
+    /// Plays rounds until the time is over or a check fails.
+    pub fn run(mut self) -> Report {
+        let end = Instant::now() + Duration::from_secs(self.seconds);
+        let mut rounds = 0;
+        let mut breaches = Vec::new();
+        while breaches.is_empty() && Instant::now() < end {
+            rounds += 1;
+            let faults = draw(&mut self.rng, self.site.nodes.len());
+            self.play(&faults);
+            self.calm_down();
+            breaches = check(&lock(&self.shared.observed));
+        }
+        self.shared.ended.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        let observed = lock(&self.shared.observed);
+        let served = observed.asked.iter().filter(|asked| asked.status == 200);
+        Report {
+            breaches,
+            events: self.events.clone(),
+            asked: (observed.asked.len(), served.count()),
+            rounds,
+        }
+    }
+
+    fn play(&mut self, faults: &[Planned]) {
+        let begun = Instant::now();
+        let from = self.shared.now();
+        for (at, step) in steps(faults) {
+            std::thread::sleep(at.saturating_sub(begun.elapsed()));
+            match step {
+                Step::Begin(planned) => self.begin(planned),
+                Step::Noticed(planned) => self.count_leaver(planned, true),
+                Step::End(planned) => self.end(planned),
+            }
+        }
+        if faults.iter().all(|planned| planned.fault.is_planned()) {
+            let span = (from, self.shared.now());
+            lock(&self.shared.observed).planned.push(span);
+        }
+    }
+
+    fn note(&mut self, what: &str, planned: Planned) {
+        let name = &self.site.nodes[planned.host].name;
+        let at = self.shared.now().as_secs_f64();
+        let line = format!("{at:8.3} {what} {:?} at {name}", planned.fault);
+        self.events.push(line);
+    }
+
+    fn begin(&mut self, planned: Planned) {
+        self.note("begin", planned);
+        let wire = &self.wires[planned.host];
+        match planned.fault {
+            Fault::KillDaemon => self.site.nodes[planned.host].daemon.kill(),
+            Fault::FreezeDaemon => self.site.nodes[planned.host].daemon.signal("STOP"),
+            Fault::StopDaemon => self.site.nodes[planned.host].daemon.signal("TERM"),
+            Fault::KillBackend => {
+                self.collect(planned.host);
+                self.site.nodes[planned.host].backend.kill();
+            }
+            Fault::FreezeBackend => self.site.nodes[planned.host].backend.signal("STOP"),
+            Fault::Leave => {
+                let address = self.site.nodes[planned.host].backend.address("address");
+                post(&address, "/stand-in/drain", "");
+            }
+            Fault::Silence => {
+                wire.silence();
+            }
+            Fault::Cut => wire.cut(),
+            Fault::Reset => wire.reset(),
+            Fault::LogDown => self.site.set_log_mode("{\"down\":true}"),
+            Fault::LogSlow => self.site.set_log_mode("{\"delay-ms\":700}"),
+            Fault::LogLosesAnswers => self.site.set_log_mode("{\"lose-answers\":true}"),
+            Fault::Publish => self.publish(),
+        }
+    }
+
+    fn end(&mut self, planned: Planned) {
+        self.note("end", planned);
+        match planned.fault {
+            Fault::KillDaemon => self.restart(planned.host),
+            Fault::StopDaemon => {
+                self.site.nodes[planned.host].daemon.wait();
+                self.restart(planned.host);
+            }
+            Fault::FreezeDaemon => self.site.nodes[planned.host].daemon.signal("CONT"),
+            Fault::FreezeBackend => self.site.nodes[planned.host].backend.signal("CONT"),
+            Fault::KillBackend => self.restart_backend(planned.host),
+            Fault::Leave => {
+                self.count_leaver(planned, false);
+                self.restart_backend(planned.host);
+            }
+            Fault::Cut => self.wires[planned.host].heal(),
+            Fault::LogDown | Fault::LogSlow | Fault::LogLosesAnswers => {
+                self.site.set_log_mode("{}");
+            }
+            Fault::Silence | Fault::Reset | Fault::Publish => {}
+        }
+    }
+
+    /// Starts daemon and backend server of a host anew.
+    fn restart(&mut self, place: usize) {
+        self.collect(place);
+        let node = &mut self.site.nodes[place];
+        if let Err(error) = node.restart() {
+            let finding = format!("{} does not start again: {error}", node.name);
+            lock(&self.shared.observed).findings.push(finding);
+            return;
+        }
+        self.wires[place].set_target(&node.daemon.address("peers"));
+        let mut hosts = lock(&self.shared.hosts);
+        hosts[place] = entry(node, hosts[place].start + 1);
+    }
+
+    fn restart_backend(&mut self, place: usize) {
+        self.collect(place);
+        let node = &mut self.site.nodes[place];
+        if let Err(error) = node.restart_backend() {
+            let finding = format!("{} does not start again: {error}", node.name);
+            lock(&self.shared.observed).findings.push(finding);
+        }
+    }
+
+    /// Publishes a rule set. While the log fails the outcome may be unknown, which is no finding.
+    fn publish(&mut self) {
+        self.published += 1;
+        let rules = format!("{RULES}[[rule]]\nname = \"rule set {}\"\n", self.published);
+        let outcome = self.site.publish(&rules);
+        self.events.push(match outcome {
+            Ok((text, _)) => format!("         {}", text.lines().next().unwrap_or_default()),
+            Err(error) => format!("         the tool does not start: {error}"),
+        });
+    }
+
+    /// Takes over what a backend server has run so far.
+    fn collect(&self, place: usize) -> usize {
+        let node = &self.site.nodes[place];
+        let runs: Vec<Run> = node.journal().iter().map(read_run).collect();
+        let count = runs.len();
+        if count > 0 {
+            // Each start of a backend server has a process number of its own.
+            let key = (node.name.clone(), node.backend.id());
+            lock(&self.shared.observed).journals.insert(key, runs);
+        }
+        count
+    }
+
+    fn count_leaver(&mut self, planned: Planned, noticed: bool) {
+        let runs = self.collect(planned.host);
+        let host = self.site.nodes[planned.host].name.clone();
+        let mut observed = lock(&self.shared.observed);
+        if noticed {
+            observed.leaves.push(Leave {
+                host,
+                noticed: runs,
+                later: runs,
+            });
+        } else if let Some(leave) = observed.leaves.iter_mut().rfind(|leave| leave.host == host) {
+            leave.later = runs;
+        }
+    }
+
+    /// Waits until all know each other and the newest rule set, and callers are served again.
+    fn calm_down(&mut self) {
+        let end = Instant::now() + RECOVERY;
+        let calm = loop {
+            if self.has_settled() && self.is_serving() {
+                break true;
+            }
+            if Instant::now() > end {
+                break false;
+            }
+            std::thread::sleep(LOOK);
+        };
+        if !calm {
+            let known = self.site.nodes.iter().map(|node| node.status().to_string());
+            let known: Vec<String> = known.collect();
+            let finding = format!("not calm in {RECOVERY:?}:\n{}", known.join("\n"));
+            lock(&self.shared.observed).findings.push(finding);
+        }
+        for place in 0..self.site.nodes.len() {
+            self.collect(place);
+        }
+    }
+
+    fn has_settled(&self) -> bool {
+        let all = self.site.nodes.len();
+        let statuses: Vec<_> = self.site.nodes.iter().map(Node::status).collect();
+        let versions = statuses
+            .iter()
+            .map(|status| status["rules-version"].as_u64());
+        let newest = versions.clone().max().flatten();
+        let ready = |status: &serde_json::Value| {
+            let members = status["members"].as_array().into_iter().flatten();
+            members.filter(|member| member["state"] == "ready").count()
+        };
+        versions
+            .clone()
+            .all(|version| version.is_some() && version == newest)
+            && statuses.iter().all(|status| ready(status) == all)
+    }
+
+    fn is_serving(&self) -> bool {
+        let observed = lock(&self.shared.observed);
+        let last = observed.asked.iter().rev().take(STREAK);
+        last.filter(|asked| asked.status == 200).count() == STREAK
+    }
+}
+
+impl Drop for Soak {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for event in &self.events {
+            writeln!(f, "{event}")?;
+        }
+        let (asked, served) = self.asked;
+        writeln!(
+            f,
+            "{} rounds, {asked} requests, {served} served",
+            self.rounds
+        )?;
+        for breach in &self.breaches {
+            writeln!(f, "BREACH {breach}")?;
+        }
+        if self.breaches.is_empty() {
+            write!(f, "nothing found")?;
+        }
+        Ok(())
+    }
+}
+
+/// The steps of a round in order of time.
+fn steps(faults: &[Planned]) -> Vec<(Duration, Step)> {
+    let mut steps = Vec::new();
+    for planned in faults {
+        steps.push((planned.at, Step::Begin(*planned)));
+        if planned.fault == Fault::Leave {
+            let noticed = planned.at + NOTICE;
+            steps.push((noticed, Step::Noticed(*planned)));
+            steps.push((noticed + WATCH, Step::End(*planned)));
+        } else {
+            steps.push((planned.at + planned.length, Step::End(*planned)));
+        }
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+fn entry(node: &Node, start: u32) -> HostEntry {
+    HostEntry {
+        name: node.name.clone(),
+        calls: node.calls(),
+        admin: node.admin(),
+        start,
+    }
+}
+
+fn read_run(value: &serde_json::Value) -> Run {
+    let call = value["call"].as_str().unwrap_or_default();
+    let number = call.split("?n=").nth(1);
+    Run {
+        number: number.and_then(|number| number.parse().ok()),
+        finished: value["finished"] == true,
+    }
+}
+
+/// Looks at the version that a daemon has, until the soak ends.
+fn watch_version(shared: &Shared, place: usize) {
+    while !shared.ended.load(Ordering::Relaxed) {
+        let host = lock(&shared.hosts)[place].clone();
+        let at = shared.now();
+        let status = get(&host.admin, "/status");
+        let status: serde_json::Value = serde_json::from_str(&status.body).unwrap_or_default();
+        if let Some(version) = status["rules-version"].as_u64() {
+            lock(&shared.observed).seen.push(Seen {
+                host: host.name,
+                start: host.start,
+                at,
+                version,
+            });
+        }
+        std::thread::sleep(LOOK);
+    }
+}
--- a/crates/indigospur-test-support/src/raw.rs
+++ b/crates/indigospur-test-support/src/raw.rs
@@ -112,6 +112,8 @@
     silent: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
     /// New connections are silent from the start.
     cut: Arc<AtomicBool>,
+    /// Both ends of each connection opened so far.
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Wire {
@@ -126,8 +128,10 @@
             target: Arc::default(),
             silent: Arc::default(),
             cut: Arc::default(),
+            open: Arc::default(),
         };
         let (target, silent, cut) = (wire.target.clone(), wire.silent.clone(), wire.cut.clone());
+        let open = wire.open.clone();
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let address = target
@@ -143,6 +147,8 @@
                     .unwrap_or_else(PoisonError::into_inner)
                     .push(flag.clone());
                 join(&near, &far, &flag);
+                let mut open = open.lock().unwrap_or_else(PoisonError::into_inner);
+                open.extend([near, far]);
             }
         });
         wire
@@ -159,6 +165,19 @@
         self.silence();
     }
 
+    /// Ends a cut: new connections pass again.
+    pub fn heal(&self) {
+        self.cut.store(false, Ordering::Relaxed);
+    }
+
+    /// Resets the connections that are open now.
+    pub fn reset(&self) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in open.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Silences the connections that are open now; their number.
     pub fn silence(&self) -> usize {
         let flags = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
