Clear a suspect that a backend server serves

The request became a suspect, suspects run one at a time on each host, and nothing ever cleared one: a third of all requests was refused with "another suspect of a crash runs here" until the end. Three such ends over any time would have refused the request for good.

Ruled out: the limit of the callers' service, which had shrunk to an eighth: it follows the refusals.

Change: a whole answer of the backend server clears the request there; a crash that is cleared and still told by others does not count again. A request that crashes every backend server is never answered and is condemned as before.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -82,7 +82,11 @@
     if let Err(refusal) = record(daemon, &message.context) {
         return Reply::refused(refusal, retries);
     }
+    let digest = message.context.digest;
     let reply = run(daemon, backend, message, slot, deadline).await;
+    if matches!(reply.outcome, Outcome::Answered(_)) {
+        lock(&daemon.fleet).suspects.survived(digest);
+    }
     drop(suspect);
     reply
 }
--- a/crates/indigospur-members/src/suspects.rs
+++ b/crates/indigospur-members/src/suspects.rs
@@ -2,7 +2,7 @@
 //!
 //! When a backend server goes away, each call it ran is a suspect. A suspect then runs only where
 //! no other suspect runs, so a second crash points at one request, and the innocent ones that ran
-//! beside it the first time are never blamed again.
+//! beside it the first time are never blamed again. One that a backend server survives is cleared.
 
 use indigospur_protocol::{Crash, HostId};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -36,6 +36,8 @@
     crashes: BTreeSet<(HostId, u64)>,
     /// At least one of the crashes can have no other cause.
     alone: bool,
+    /// Earlier crashes that had another cause, as the request was served since.
+    cleared: BTreeSet<(HostId, u64)>,
 }
 
 /// The suspects that one daemon knows of.
@@ -81,6 +83,20 @@
         Verdict::Run
     }
 
+    /// The backend server beside this daemon has served a request: it was not to blame.
+    pub fn survived(&mut self, fingerprint: u64) {
+        let Some(evidence) = self.evidence.get_mut(&fingerprint) else {
+            return;
+        };
+        evidence.alone = false;
+        evidence.cleared.append(&mut evidence.crashes);
+        while evidence.cleared.len() > MOST_CRASHES {
+            evidence.cleared.pop_first();
+        }
+        self.news
+            .retain(|(crash, _)| crash.fingerprint != fingerprint);
+    }
+
     /// A request no longer runs here.
     pub fn finish(&mut self, fingerprint: u64) {
         let Some(count) = self.running.get_mut(&fingerprint) else {
@@ -115,7 +131,8 @@
     }
 
     fn is_suspect(&self, fingerprint: u64) -> bool {
-        self.evidence.contains_key(&fingerprint)
+        let evidence = self.evidence.get(&fingerprint);
+        evidence.is_some_and(|evidence| !evidence.crashes.is_empty())
     }
 
     /// The calls to blame: the suspects among them if there are any, else all.
@@ -134,15 +151,18 @@
 
     /// Takes in a crash; false if it was known.
     pub fn learn(&mut self, crash: Crash) -> bool {
-        if !self.is_suspect(crash.fingerprint) {
+        if !self.evidence.contains_key(&crash.fingerprint) {
             self.order.push_back(crash.fingerprint);
             self.forget();
         }
         let evidence = self.evidence.entry(crash.fingerprint).or_default();
+        let place = (crash.host.clone(), crash.number);
+        if evidence.cleared.contains(&place) {
+            return false;
+        }
         let clearer = crash.alone && !evidence.alone;
         evidence.alone |= crash.alone;
-        let another = evidence.crashes.len() < MOST_CRASHES
-            && evidence.crashes.insert((crash.host.clone(), crash.number));
+        let another = evidence.crashes.len() < MOST_CRASHES && evidence.crashes.insert(place);
         if another || clearer {
             self.news.push_front((crash, TELLINGS));
         }
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -3,11 +3,12 @@
 use crate::callers::{self, HostEntry, Shared, lock};
 use crate::checks::{Breach, check};
 use crate::faults::{Fault, Planned, draw};
-use crate::observed::{Leave, Run, Seen};
+use crate::observed::{Asked, Leave, Run, Seen};
 use crate::options::SoakOptions;
 use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wire, get, post};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::sync::Arc;
@@ -15,7 +16,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const CALLERS: u64 = 6;
+const CALLERS: u64 = 12;
+/// Time that a call takes at a backend server, so that faults meet calls that run.
+const WORK_MILLIS: u64 = 25;
 /// Rule sets differ in the name of the last rule.
 const RULES: &str = "[[rule]]\nname = \"signatures\"\nwhen = { service = \"contracts\", method = \"POST\" }\n\
                      then = { class = \"protected\", at-most-once = true, deadline = \"5s\" }\n";
@@ -27,6 +30,8 @@
 const WATCH: Duration = Duration::from_millis(700);
 /// Requests in a row that must be served for the site to count as calm.
 const STREAK: usize = 30;
+/// Outcomes that the report sums up.
+const LAST: usize = 300;
 /// Time between two looks at the versions, and at a condition.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -55,6 +60,8 @@
     pub asked: (usize, usize),
     /// Rounds played.
     pub rounds: usize,
+    /// The last outcomes, by what they were, with their number.
+    pub last: Vec<(String, usize)>,
 }
 
 /// A step of a round.
@@ -76,10 +83,14 @@
             ..SitePlan::default()
         })?;
         let hosts = (options.processes / 2).max(8);
+        let plan = |name, calls: &[&str]| ServicePlan {
+            work_ms: WORK_MILLIS,
+            ..ServicePlan::new(name, 0, calls)
+        };
         let plans = [
-            ServicePlan::new("quoting", 0, &["accounts/rates"]),
-            ServicePlan::new("contracts", 0, &[]),
-            ServicePlan::new("accounts", 0, &[]),
+            plan("quoting", &["accounts/rates"]),
+            plan("contracts", &[]),
+            plan("accounts", &[]),
         ];
         let mut wires = Vec::new();
         for index in 0..hosts {
@@ -131,6 +142,7 @@
             events: self.events.clone(),
             asked: (observed.asked.len(), served.count()),
             rounds,
+            last: summarize(&observed.asked),
         }
     }
 
@@ -335,6 +347,9 @@
             "{} rounds, {asked} requests, {served} served",
             self.rounds
         )?;
+        for (what, count) in &self.last {
+            writeln!(f, "of the last {LAST}: {count} {what}")?;
+        }
         for breach in &self.breaches {
             writeln!(f, "BREACH {breach}")?;
         }
@@ -345,6 +360,18 @@
     }
 }
 
+/// The last outcomes, by status, kind and whether they ran.
+fn summarize(asked: &[Asked]) -> Vec<(String, usize)> {
+    let mut counts = BTreeMap::new();
+    for asked in asked.iter().rev().take(LAST) {
+        let service = if asked.keyed { "contracts" } else { "quoting" };
+        let detail = if asked.status == 200 { "" } else { &asked.body };
+        let what = format!("{service} {} {detail}", asked.status);
+        *counts.entry(what).or_insert(0) += 1;
+    }
+    counts.into_iter().collect()
+}
+
 /// The steps of a round in order of time.
 fn steps(faults: &[Planned]) -> Vec<(Duration, Step)> {
     let mut steps = Vec::new();
