--- a/crates/indigospur-rules/tests/draws.rs
+++ b/crates/indigospur-rules/tests/draws.rs
@@ -1,6 +1,6 @@
 //! How calls are shared out among the targets of a rule.
 
-use indigospur_rules::{Draws, RuleSet, Subject, parse};
+use indigospur_rules::{Decision, Draws, RuleSet, Subject, parse};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
@@ -17,22 +17,26 @@
     parse("rules.toml", &text).expect("the rules are valid")
 }
 
+fn decide(rules: &RuleSet) -> Decision {
+    rules.decide(&Subject {
+        service: "pages",
+        host: "",
+        method: "GET",
+        path: "/",
+        customer: "anyone",
+        above: None,
+        idempotent: true,
+        attempt: 0,
+    })
+}
+
 /// Share of the calls that the first target gets when they arrive at daemons drawn at random.
 fn share_of_first(rules: &RuleSet, seed: u64) -> f64 {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut daemons: [Draws; DAEMONS] = Default::default();
     let mut taken = HashMap::new();
     for _ in 0..CALLS {
-        let decision = rules.decide(&Subject {
-            service: "pages",
-            host: "",
-            method: "GET",
-            path: "/",
-            customer: "anyone",
-            above: None,
-            idempotent: true,
-            attempt: 0,
-        });
+        let decision = decide(rules);
         let rule = &rules.rules[decision.rule.expect("the rule matches")].name;
         let daemon = rng.random_range(0..DAEMONS);
         let start = rng.random();
@@ -62,17 +66,7 @@
 #[test]
 fn calls_that_come_in_a_pattern_share_out_by_weight_too() {
     let rules = split(1, 1);
-    let subject = Subject {
-        service: "pages",
-        host: "",
-        method: "GET",
-        path: "/",
-        customer: "anyone",
-        above: None,
-        idempotent: true,
-        attempt: 0,
-    };
-    let decision = rules.decide(&subject);
+    let decision = decide(&rules);
     let rule = &rules.rules[0].name;
     for period in 2..12 {
         let mut draws = Draws::default();
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -68,7 +68,7 @@
 
 /// A fault of a round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Planned {
+pub struct Scheduled {
     /// What happens.
     pub fault: Fault,
     /// Host that it happens to, by its place among all; no two faults of a round have the same.
@@ -80,14 +80,14 @@
 }
 
 /// Draws the faults of a round on a site of some hosts, in the order in which they begin.
-pub fn draw(rng: &mut SmallRng, hosts: usize) -> Vec<Planned> {
+pub fn draw(rng: &mut SmallRng, hosts: usize) -> Vec<Scheduled> {
     let mut places: Vec<usize> = (0..hosts).collect();
     places.shuffle(rng);
     let planned_only = rng.random_bool(PLANNED_SHARE);
     let count = rng.random_range(1..=MOST_FAULTS.min(hosts));
-    let mut drawn: Vec<Planned> = places[..count]
+    let mut drawn: Vec<Scheduled> = places[..count]
         .iter()
-        .map(|host| Planned {
+        .map(|host| Scheduled {
             fault: draw_fault(rng, planned_only),
             host: *host,
             at: Duration::from_millis(rng.random_range(BEGIN_MILLIS)),
--- a/crates/indigospur-soak/src/lib.rs
+++ b/crates/indigospur-soak/src/lib.rs
@@ -9,10 +9,12 @@
 mod faults;
 mod observed;
 mod options;
+mod report;
 mod soak;
 
 pub use checks::{Breach, check};
-pub use faults::{Fault, Planned, draw};
+pub use faults::{Fault, Scheduled, draw};
 pub use observed::{Asked, Leave, Observed, Run, Seen};
 pub use options::{SoakOptions, read_options};
-pub use soak::{Report, Soak};
+pub use report::Report;
+pub use soak::Soak;
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -1,15 +1,14 @@
 //! The site, its rounds and the report.
 
 use crate::callers::{self, HostEntry, Shared, lock};
-use crate::checks::{Breach, check};
-use crate::faults::{Fault, Planned, draw};
-use crate::observed::{Asked, Leave, Run, Seen};
+use crate::checks::check;
+use crate::faults::{Fault, Scheduled, draw};
+use crate::observed::{Leave, Run, Seen};
 use crate::options::SoakOptions;
+use crate::report::{Report, summarize};
 use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wire, get, post};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::collections::BTreeMap;
-use std::fmt;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -30,8 +29,6 @@
 const WATCH: Duration = Duration::from_millis(700);
 /// Requests in a row that must be served for the site to count as calm.
 const STREAK: usize = 30;
-/// Outcomes that the report sums up.
-const LAST: usize = 300;
 /// Time between two looks at the versions, and at a condition.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -49,27 +46,12 @@
     events: Vec<String>,
 }
 
-/// What a soak has found.
-#[derive(Clone, Debug)]
-pub struct Report {
-    /// What must not happen and did.
-    pub breaches: Vec<Breach>,
-    /// What was done to the site, in order.
-    pub events: Vec<String>,
-    /// Requests, and those that were served.
-    pub asked: (usize, usize),
-    /// Rounds played.
-    pub rounds: usize,
-    /// The last outcomes, by what they were, with their number.
-    pub last: Vec<(String, usize)>,
-}
-
 /// A step of a round.
 enum Step {
-    Begin(Planned),
+    Begin(Scheduled),
     /// A leave that everyone should have noticed by now.
-    Noticed(Planned),
-    End(Planned),
+    Noticed(Scheduled),
+    End(Scheduled),
 }
 
 impl Soak {
@@ -146,44 +128,44 @@
         }
     }
 
-    fn play(&mut self, faults: &[Planned]) {
+    fn play(&mut self, faults: &[Scheduled]) {
         let begun = Instant::now();
         let from = self.shared.now();
         for (at, step) in steps(faults) {
             std::thread::sleep(at.saturating_sub(begun.elapsed()));
             match step {
-                Step::Begin(planned) => self.begin(planned),
-                Step::Noticed(planned) => self.count_leaver(planned, true),
-                Step::End(planned) => self.end(planned),
+                Step::Begin(scheduled) => self.begin(scheduled),
+                Step::Noticed(scheduled) => self.count_leaver(scheduled, true),
+                Step::End(scheduled) => self.end(scheduled),
             }
         }
-        if faults.iter().all(|planned| planned.fault.is_planned()) {
+        if faults.iter().all(|scheduled| scheduled.fault.is_planned()) {
             let span = (from, self.shared.now());
             lock(&self.shared.observed).planned.push(span);
         }
     }
 
-    fn note(&mut self, what: &str, planned: Planned) {
-        let name = &self.site.nodes[planned.host].name;
+    fn note(&mut self, what: &str, scheduled: Scheduled) {
+        let name = &self.site.nodes[scheduled.host].name;
         let at = self.shared.now().as_secs_f64();
-        let line = format!("{at:8.3} {what} {:?} at {name}", planned.fault);
+        let line = format!("{at:8.3} {what} {:?} at {name}", scheduled.fault);
         self.events.push(line);
     }
 
-    fn begin(&mut self, planned: Planned) {
-        self.note("begin", planned);
-        let wire = &self.wires[planned.host];
-        match planned.fault {
-            Fault::KillDaemon => self.site.nodes[planned.host].daemon.kill(),
-            Fault::FreezeDaemon => self.site.nodes[planned.host].daemon.signal("STOP"),
-            Fault::StopDaemon => self.site.nodes[planned.host].daemon.signal("TERM"),
+    fn begin(&mut self, scheduled: Scheduled) {
+        self.note("begin", scheduled);
+        let wire = &self.wires[scheduled.host];
+        match scheduled.fault {
+            Fault::KillDaemon => self.site.nodes[scheduled.host].daemon.kill(),
+            Fault::FreezeDaemon => self.site.nodes[scheduled.host].daemon.signal("STOP"),
+            Fault::StopDaemon => self.site.nodes[scheduled.host].daemon.signal("TERM"),
             Fault::KillBackend => {
-                self.collect(planned.host);
-                self.site.nodes[planned.host].backend.kill();
+                self.collect(scheduled.host);
+                self.site.nodes[scheduled.host].backend.kill();
             }
-            Fault::FreezeBackend => self.site.nodes[planned.host].backend.signal("STOP"),
+            Fault::FreezeBackend => self.site.nodes[scheduled.host].backend.signal("STOP"),
             Fault::Leave => {
-                let address = self.site.nodes[planned.host].backend.address("address");
+                let address = self.site.nodes[scheduled.host].backend.address("address");
                 post(&address, "/stand-in/drain", "");
             }
             Fault::Silence => {
@@ -198,22 +180,22 @@
         }
     }
 
-    fn end(&mut self, planned: Planned) {
-        self.note("end", planned);
-        match planned.fault {
-            Fault::KillDaemon => self.restart(planned.host),
+    fn end(&mut self, scheduled: Scheduled) {
+        self.note("end", scheduled);
+        match scheduled.fault {
+            Fault::KillDaemon => self.restart(scheduled.host),
             Fault::StopDaemon => {
-                self.site.nodes[planned.host].daemon.wait();
-                self.restart(planned.host);
+                self.site.nodes[scheduled.host].daemon.wait();
+                self.restart(scheduled.host);
             }
-            Fault::FreezeDaemon => self.site.nodes[planned.host].daemon.signal("CONT"),
-            Fault::FreezeBackend => self.site.nodes[planned.host].backend.signal("CONT"),
-            Fault::KillBackend => self.restart_backend(planned.host),
+            Fault::FreezeDaemon => self.site.nodes[scheduled.host].daemon.signal("CONT"),
+            Fault::FreezeBackend => self.site.nodes[scheduled.host].backend.signal("CONT"),
+            Fault::KillBackend => self.restart_backend(scheduled.host),
             Fault::Leave => {
-                self.count_leaver(planned, false);
-                self.restart_backend(planned.host);
+                self.count_leaver(scheduled, false);
+                self.restart_backend(scheduled.host);
             }
-            Fault::Cut => self.wires[planned.host].heal(),
+            Fault::Cut => self.wires[scheduled.host].heal(),
             Fault::LogDown | Fault::LogSlow | Fault::LogLosesAnswers => {
                 self.site.set_log_mode("{}");
             }
@@ -226,9 +208,7 @@
         self.collect(place);
         let node = &mut self.site.nodes[place];
         if let Err(error) = node.restart() {
-            let finding = format!("{} does not start again: {error}", node.name);
-            lock(&self.shared.observed).findings.push(finding);
-            return;
+            return self.found_dead(place, &error);
         }
         self.wires[place].set_target(&node.daemon.address("peers"));
         let mut hosts = lock(&self.shared.hosts);
@@ -237,13 +217,17 @@
 
     fn restart_backend(&mut self, place: usize) {
         self.collect(place);
-        let node = &mut self.site.nodes[place];
-        if let Err(error) = node.restart_backend() {
-            let finding = format!("{} does not start again: {error}", node.name);
-            lock(&self.shared.observed).findings.push(finding);
+        if let Err(error) = self.site.nodes[place].restart_backend() {
+            self.found_dead(place, &error);
         }
     }
 
+    fn found_dead(&self, place: usize, error: &io::Error) {
+        let name = &self.site.nodes[place].name;
+        let finding = format!("{name} does not start again: {error}");
+        lock(&self.shared.observed).findings.push(finding);
+    }
+
     /// Publishes a rule set. While the log fails the outcome may be unknown, which is no finding.
     fn publish(&mut self) {
         self.published += 1;
@@ -268,9 +252,9 @@
         count
     }
 
-    fn count_leaver(&mut self, planned: Planned, noticed: bool) {
-        let runs = self.collect(planned.host);
-        let host = self.site.nodes[planned.host].name.clone();
+    fn count_leaver(&mut self, scheduled: Scheduled, noticed: bool) {
+        let runs = self.collect(scheduled.host);
+        let host = self.site.nodes[scheduled.host].name.clone();
         let mut observed = lock(&self.shared.observed);
         if noticed {
             observed.leaves.push(Leave {
@@ -336,53 +320,17 @@
     }
 }
 
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for event in &self.events {
-            writeln!(f, "{event}")?;
-        }
-        let (asked, served) = self.asked;
-        writeln!(
-            f,
-            "{} rounds, {asked} requests, {served} served",
-            self.rounds
-        )?;
-        for (what, count) in &self.last {
-            writeln!(f, "of the last {LAST}: {count} {what}")?;
-        }
-        for breach in &self.breaches {
-            writeln!(f, "BREACH {breach}")?;
-        }
-        if self.breaches.is_empty() {
-            write!(f, "nothing found")?;
-        }
-        Ok(())
-    }
-}
-
-/// The last outcomes, by status, kind and whether they ran.
-fn summarize(asked: &[Asked]) -> Vec<(String, usize)> {
-    let mut counts = BTreeMap::new();
-    for asked in asked.iter().rev().take(LAST) {
-        let service = if asked.keyed { "contracts" } else { "quoting" };
-        let detail = if asked.status == 200 { "" } else { &asked.body };
-        let what = format!("{service} {} {detail}", asked.status);
-        *counts.entry(what).or_insert(0) += 1;
-    }
-    counts.into_iter().collect()
-}
-
 /// The steps of a round in order of time.
-fn steps(faults: &[Planned]) -> Vec<(Duration, Step)> {
+fn steps(faults: &[Scheduled]) -> Vec<(Duration, Step)> {
     let mut steps = Vec::new();
-    for planned in faults {
-        steps.push((planned.at, Step::Begin(*planned)));
-        if planned.fault == Fault::Leave {
-            let noticed = planned.at + NOTICE;
-            steps.push((noticed, Step::Noticed(*planned)));
-            steps.push((noticed + WATCH, Step::End(*planned)));
+    for scheduled in faults {
+        steps.push((scheduled.at, Step::Begin(*scheduled)));
+        if scheduled.fault == Fault::Leave {
+            let noticed = scheduled.at + NOTICE;
+            steps.push((noticed, Step::Noticed(*scheduled)));
+            steps.push((noticed + WATCH, Step::End(*scheduled)));
         } else {
-            steps.push((planned.at + planned.length, Step::End(*planned)));
+            steps.push((scheduled.at + scheduled.length, Step::End(*scheduled)));
         }
     }
     steps.sort_by_key(|(at, _)| *at);
