Close the callers' port before a stop ends, and wait until answers are written

Ruled out: a request cut at the backend server (it had no run).

Change: requests count from when they are read until the answer is written, in the listener; before the last wait the port is closed, after what waits there was accepted; what comes on kept connections during the wait for the log is waited for.

--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -6,29 +6,11 @@
 use indigospur_protocol::{Answer, Outcome, Refusal, Reply, RequestId};
 use indigospur_relay::Received;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// A call of a caller that is under way.
-struct OpenCall<'a>(&'a Daemon);
-
-impl<'a> OpenCall<'a> {
-    fn new(daemon: &'a Daemon) -> OpenCall<'a> {
-        daemon.open_calls.fetch_add(1, Ordering::Relaxed);
-        OpenCall(daemon)
-    }
-}
-
-impl Drop for OpenCall<'_> {
-    fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers a caller's request.
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: Received) -> Answer {
     let begun = Instant::now();
-    let _open = OpenCall::new(&daemon);
     let mut request: RequestId = "".into();
     let outcome = match prepare(&daemon, &mut received, &mut request) {
         Ok(prepared) => carry_out(&daemon, prepared).await,
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -95,8 +95,6 @@
     pub(crate) news: (Sender<()>, Receiver<()>),
     /// When the graceful shutdown began.
     drained: Mutex<Option<Instant>>,
-    /// Calls of callers under way.
-    pub(crate) open_calls: AtomicUsize,
     /// Protected calls under way that outlive their callers.
     pub(crate) open_keys: AtomicUsize,
     next_call: AtomicU64,
@@ -174,7 +172,6 @@
             rng: Mutex::new(SmallRng::from_os_rng()),
             news: bounded(1),
             drained: Mutex::default(),
-            open_calls: AtomicUsize::new(0),
             open_keys: AtomicUsize::new(0),
             next_call: AtomicU64::new(1),
             crashes: AtomicU64::new(0),
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -166,10 +166,14 @@
         let finished = runtime::within(bound, leave(&daemon)).await.is_some();
         let left = bound.saturating_sub(begun.elapsed()).min(HAND_OVER_TIME);
         let handed = runtime::within(left, hand_over(&daemon)).await.is_some();
+        if let Some(callers) = daemon.callers.get() {
+            callers.stop_listening();
+        }
         let finished = finished && runtime::within(bound, finish(&daemon)).await.is_some();
         log::info!(finished, handed, left = busy(&daemon), took_ms = begun.elapsed().as_millis() as u64; "stopped");
         runtime::sleep(LOG_TIME).await;
-        finished
+        // What came meanwhile on a kept connection is refused, and its answer written.
+        finished && runtime::within(bound, finish(&daemon)).await.is_some()
     }
 }
 
@@ -191,7 +195,8 @@
 fn busy(daemon: &Daemon) -> usize {
     let slots = daemon.backend().map_or(0, |backend| backend.slots.busy());
     let keys = daemon.open_keys.load(Ordering::Relaxed);
-    slots + keys + daemon.open_calls.load(Ordering::Relaxed)
+    let callers = daemon.callers.get().map_or(0, HttpService::open_requests);
+    slots + keys + callers
 }
 
 async fn hand_over(daemon: &Arc<Daemon>) {
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -3,6 +3,7 @@
 use crate::connection::{BodyError, Connection};
 use crate::head::{Framing, HeadError, RequestHead};
 use crate::runtime::{self, BoxFuture};
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::{TcpListener, TcpStream};
 use indigospur_protocol::{Answer, Header, Kind, Refusal};
 use std::io;
@@ -77,6 +78,10 @@
     refuse: Refuse,
     bounds: Arc<Mutex<Bounds>>,
     closing: Arc<AtomicBool>,
+    /// Requests that were read and are not answered yet.
+    open: Arc<AtomicUsize>,
+    /// Closed when no more connections are accepted.
+    listening: (Sender<()>, Receiver<()>),
 }
 
 impl std::fmt::Debug for HttpService {
@@ -96,6 +101,8 @@
             refuse,
             bounds: Arc::new(Mutex::new(bounds)),
             closing: Arc::default(),
+            open: Arc::default(),
+            listening: bounded(1),
         }
     }
 
@@ -114,19 +121,57 @@
         self.closing.store(true, Ordering::Relaxed);
     }
 
+    /// Accepts the connections that wait already, and none after them.
+    pub fn stop_listening(&self) {
+        self.listening.0.close();
+    }
+
+    /// Requests that were read and whose answers are not written yet.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     fn is_closing(&self) -> bool {
         self.closing.load(Ordering::Relaxed)
     }
 }
 
-/// Serves connections until the listener fails. The handler's future is dropped when its caller
+/// A request that was read, until it is answered or its caller has gone.
+struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    fn new(service: &HttpService) -> OpenRequest {
+        service.open.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(service.open.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The next connection; `None` once the service has stopped listening and none waits.
+async fn accept(listener: &TcpListener, service: &HttpService) -> Option<io::Result<TcpStream>> {
+    let accepted = async { Some(listener.accept().await.map(|(stream, _)| stream)) };
+    let stopped = async {
+        // Nothing is ever sent: this ends when the channel is closed.
+        let _ = service.listening.1.recv().await;
+        None
+    };
+    futures_lite::future::or(accepted, stopped).await
+}
+
+/// Serves connections until the service stops listening. The handler's future is dropped when its caller
 /// goes away.
 pub async fn serve_http(listener: TcpListener, service: HttpService) {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
+        let stream = match accept(&listener, &service).await {
+            None => return,
+            Some(Ok(stream)) => stream,
+            Some(Err(error)) => {
                 log::warn!(error:display; "a connection could not be accepted");
                 runtime::sleep(ACCEPT_PAUSE).await;
                 continue;
@@ -172,6 +217,7 @@
             return Ok(false);
         }
     };
+    let _open = OpenRequest::new(service);
     let Request { received, closes } = received;
     let method = received.method.clone();
     let handled = (service.handler)(received);
--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -23,8 +23,8 @@
     NotRunFalse(u64, String),
     /// request {0} got an answer that is not whole or not its own: {1}
     Foreign(u64, String),
-    /// request {0} was cut at {1} while only planned work was done: {2}
-    Cut(u64, String, String),
+    /// request {0} was cut at {1} while only planned work was done, {2:?} after it was sent, with {3} runs: {4}
+    Cut(u64, String, Duration, usize, String),
     /// request {0} was answered {1:?} after it was sent, with a deadline of 2 s and planned work only
     Late(u64, Duration),
     /// {0} went back from version {1} to {2}
@@ -70,11 +70,12 @@
     }
     let calm = |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
     if observed.planned.iter().any(calm) {
+        let took = asked.answered.saturating_sub(asked.sent);
         // A daemon that has stopped takes no connection; that cuts nothing.
         if asked.status == 0 && !asked.body.contains("refused") {
-            breaches.push(Breach::Cut(number, asked.host.clone(), asked.body.clone()));
+            let (host, body) = (asked.host.clone(), asked.body.clone());
+            breaches.push(Breach::Cut(number, host, took, count, body));
         }
-        let took = asked.answered.saturating_sub(asked.sent);
         if took > DEADLINE + LATE {
             breaches.push(Breach::Late(number, took));
         }
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -131,10 +131,18 @@
     fn play(&mut self, faults: &[Scheduled]) {
         let begun = Instant::now();
         let from = self.shared.now();
-        for (at, step) in steps(faults) {
+        let begins = faults
+            .iter()
+            .map(|scheduled| (scheduled.at, Step::Begin(*scheduled)));
+        let mut steps: Vec<(Duration, Step)> = begins.collect();
+        while let Some((at, step)) = take_next(&mut steps) {
             std::thread::sleep(at.saturating_sub(begun.elapsed()));
             match step {
-                Step::Begin(scheduled) => self.begin(scheduled),
+                Step::Begin(scheduled) => {
+                    self.begin(scheduled);
+                    // A step before this one may have taken long: what follows counts from now.
+                    steps.extend(follow(scheduled, begun.elapsed()));
+                }
                 Step::Noticed(scheduled) => self.count_leaver(scheduled, true),
                 Step::End(scheduled) => self.end(scheduled),
             }
@@ -320,21 +328,24 @@
     }
 }
 
-/// The steps of a round in order of time.
-fn steps(faults: &[Scheduled]) -> Vec<(Duration, Step)> {
-    let mut steps = Vec::new();
-    for scheduled in faults {
-        steps.push((scheduled.at, Step::Begin(*scheduled)));
-        if scheduled.fault == Fault::Leave {
-            let noticed = scheduled.at + NOTICE;
-            steps.push((noticed, Step::Noticed(*scheduled)));
-            steps.push((noticed + WATCH, Step::End(*scheduled)));
-        } else {
-            steps.push((scheduled.at + scheduled.length, Step::End(*scheduled)));
-        }
+/// The step that is due first.
+fn take_next(steps: &mut Vec<(Duration, Step)>) -> Option<(Duration, Step)> {
+    let times = steps.iter().map(|(at, _)| *at).enumerate();
+    let (index, _) = times.min_by_key(|(_, at)| *at)?;
+    Some(steps.swap_remove(index))
+}
+
+/// The steps that follow a fault that has begun.
+fn follow(scheduled: Scheduled, begun: Duration) -> Vec<(Duration, Step)> {
+    if scheduled.fault == Fault::Leave {
+        let noticed = begun + NOTICE;
+        vec![
+            (noticed, Step::Noticed(scheduled)),
+            (noticed + WATCH, Step::End(scheduled)),
+        ]
+    } else {
+        vec![(begun + scheduled.length, Step::End(scheduled))]
     }
-    steps.sort_by_key(|(at, _)| *at);
-    steps
 }
 
 fn entry(node: &Node, start: u32) -> HostEntry {
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -124,7 +124,13 @@
     assert_eq!(
         check(&observed),
         [
-            Breach::Cut(1, "quoting-0".into(), "io: connection closed".into()),
+            Breach::Cut(
+                1,
+                "quoting-0".into(),
+                30 * MILLI,
+                0,
+                "io: connection closed".into()
+            ),
             Breach::Late(2, 3_100 * MILLI)
         ]
     );
