Join what the read-through found written twice or never used

- A random start was drawn, under the generator's lock, for every call, though only the first split call of a rule needs one.
It is asked for there; one or no target takes the treatment's own choice.
- The soak read a daemon's status and counted its ready members as the site's test support does: both are one function now.
- The tool looked for a file's format in two places.

--- a/crates/indigospur-command/src/format.rs
+++ b/crates/indigospur-command/src/format.rs
@@ -17,7 +17,7 @@
 
 /// Reads a file with a rule set, in the format that its name tells, and checks it.
 pub(crate) fn load_rules(path: &str, formats: Formats<'_>) -> Result<RuleSet, ToolError> {
-    let Some(format) = formats.iter().find(|format| path.ends_with(format.ending)) else {
+    let Some(format) = format_of(path, formats) else {
         return load_own(path).map(|(_, rules)| rules);
     };
     let body = std::fs::read(path);
@@ -28,10 +28,15 @@
 
 /// Reads a rule set that is to be published, in the tool's own format; its text too.
 pub(crate) fn load_text(path: &str, formats: Formats<'_>) -> Result<(String, RuleSet), ToolError> {
-    match formats.iter().any(|format| path.ends_with(format.ending)) {
-        true => Err(ToolError::Foreign(path.to_owned())),
-        false => load_own(path),
+    if format_of(path, formats).is_some() {
+        return Err(ToolError::Foreign(path.to_owned()));
     }
+    load_own(path)
+}
+
+/// The format that a file's name tells; `None` for the tool's own.
+fn format_of<'a>(path: &str, formats: Formats<'a>) -> Option<&'a Format> {
+    formats.iter().find(|format| path.ends_with(format.ending))
 }
 
 fn load_own(path: &str) -> Result<(String, RuleSet), ToolError> {
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -275,7 +275,7 @@
     head: &CallHead,
 ) -> Result<ServiceName, Refusal> {
     if let Some(rule) = rule {
-        let start = lock(&daemon.rng).random::<f64>();
+        let start = || lock(&daemon.rng).random::<f64>();
         if let Some(service) = lock(&daemon.draws).target(rule, treatment, start) {
             return Ok(service);
         }
--- a/crates/indigospur-rules/src/draws.rs
+++ b/crates/indigospur-rules/src/draws.rs
@@ -18,20 +18,17 @@
 
 impl Draws {
     /// The target of a call under a rule; `None` if it names none. The rule's first draw is
-    /// `start`, from 0 to 1, which should differ from daemon to daemon.
+    /// `start`, from 0 to 1, which should differ from daemon to daemon; it is asked for only then.
     pub fn target(
         &mut self,
         rule: &Arc<str>,
         treatment: &Treatment,
-        start: f64,
+        start: impl FnOnce() -> f64,
     ) -> Option<ServiceName> {
-        if let [only] = &*treatment.targets {
-            return Some(only.service.clone());
+        if treatment.targets.len() < 2 {
+            return treatment.target(0.0).cloned();
         }
-        if treatment.targets.is_empty() {
-            return None;
-        }
-        let next = self.next.entry(rule.clone()).or_insert(start);
+        let next = self.next.entry(rule.clone()).or_insert_with(start);
         let drawn = *next;
         *next = (drawn + STEP).fract();
         treatment.target(drawn).cloned()
--- a/crates/indigospur-rules/tests/draws.rs
+++ b/crates/indigospur-rules/tests/draws.rs
@@ -40,7 +40,7 @@
         let rule = &rules.rules[decision.rule.expect("the rule matches")].name;
         let daemon = rng.random_range(0..DAEMONS);
         let start = rng.random();
-        let target = daemons[daemon].target(rule, &decision.treatment, start);
+        let target = daemons[daemon].target(rule, &decision.treatment, || start);
         *taken
             .entry(target.expect("the rule has targets"))
             .or_insert(0_usize) += 1;
@@ -71,7 +71,7 @@
     for period in 2..12 {
         let mut draws = Draws::default();
         let taken: Vec<_> = (0..CALLS * period)
-            .map(|_| draws.target(rule, &decision.treatment, 0.25))
+            .map(|_| draws.target(rule, &decision.treatment, || 0.25))
             .collect();
         let every = taken.iter().step_by(period);
         let first = every
--- a/crates/indigospur-soak/src/lib.rs
+++ b/crates/indigospur-soak/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use checks::{Breach, check};
 pub use faults::{Fault, Scheduled, draw};
-pub use observed::{Asked, Leave, Observed, Run, Seen};
+pub use observed::{Asked, Leave, Observed, Seen};
 pub use options::{SoakOptions, read_options};
 pub use report::Report;
 pub use soak::Soak;
--- a/crates/indigospur-soak/src/observed.rs
+++ b/crates/indigospur-soak/src/observed.rs
@@ -26,15 +26,6 @@
     pub body: String,
 }
 
-/// A run at a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Run {
-    /// Number of the request; `None` for the calls of other backend servers.
-    pub number: Option<u64>,
-    /// It ran to its end.
-    pub finished: bool,
-}
-
 /// Version of the rule set that a daemon had.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -42,8 +33,6 @@
     pub host: String,
     /// Starts of the host's daemon so far.
     pub start: u32,
-    /// When it was asked.
-    pub at: Duration,
     /// The version.
     pub version: u64,
 }
@@ -64,8 +53,8 @@
 pub struct Observed {
     /// Requests that have ended.
     pub asked: Vec<Asked>,
-    /// Runs of each start of a backend server, by host and start.
-    pub journals: HashMap<(String, u32), Vec<Run>>,
+    /// Numbers of the requests that each start of a backend server has run, by host and start.
+    pub journals: HashMap<(String, u32), Vec<u64>>,
     /// Versions, in order of time.
     pub seen: Vec<Seen>,
     /// Leaves.
@@ -80,13 +69,8 @@
     /// Runs of each request.
     pub fn runs(&self) -> HashMap<u64, usize> {
         let mut runs = HashMap::new();
-        for number in self
-            .journals
-            .values()
-            .flatten()
-            .filter_map(|run| run.number)
-        {
-            *runs.entry(number).or_insert(0) += 1;
+        for number in self.journals.values().flatten() {
+            *runs.entry(*number).or_insert(0) += 1;
         }
         runs
     }
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -3,10 +3,12 @@
 use crate::callers::{self, HostEntry, Shared, lock};
 use crate::checks::check;
 use crate::faults::{Fault, Scheduled, draw};
-use crate::observed::{Leave, Run, Seen};
+use crate::observed::{Leave, Seen};
 use crate::options::SoakOptions;
 use crate::report::{Report, summarize};
-use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wire, get, post};
+use indigospur_test_support::{
+    Node, ServicePlan, Site, SitePlan, Wire, post, ready_members, status_of,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::io;
@@ -250,8 +252,9 @@
     /// Takes over what a backend server has run so far.
     fn collect(&self, place: usize) -> usize {
         let node = &self.site.nodes[place];
-        let runs: Vec<Run> = node.journal().iter().map(read_run).collect();
-        let count = runs.len();
+        let journal = node.journal();
+        let count = journal.len();
+        let runs = journal.iter().filter_map(read_number).collect();
         if count > 0 {
             // Each start of a backend server has a process number of its own.
             let key = (node.name.clone(), node.backend.id());
@@ -305,14 +308,10 @@
             .iter()
             .map(|status| status["rules-version"].as_u64());
         let newest = versions.clone().max().flatten();
-        let ready = |status: &serde_json::Value| {
-            let members = status["members"].as_array().into_iter().flatten();
-            members.filter(|member| member["state"] == "ready").count()
-        };
         versions
             .clone()
             .all(|version| version.is_some() && version == newest)
-            && statuses.iter().all(|status| ready(status) == all)
+            && statuses.iter().all(|status| ready_members(status) == all)
     }
 
     fn is_serving(&self) -> bool {
@@ -357,27 +356,21 @@
     }
 }
 
-fn read_run(value: &serde_json::Value) -> Run {
-    let call = value["call"].as_str().unwrap_or_default();
-    let number = call.split("?n=").nth(1);
-    Run {
-        number: number.and_then(|number| number.parse().ok()),
-        finished: value["finished"] == true,
-    }
+/// The number of the request that was run; `None` for the calls of other backend servers.
+fn read_number(run: &serde_json::Value) -> Option<u64> {
+    let call = run["call"].as_str()?;
+    call.split("?n=").nth(1)?.parse().ok()
 }
 
 /// Looks at the version that a daemon has, until the soak ends.
 fn watch_version(shared: &Shared, place: usize) {
     while !shared.ended.load(Ordering::Relaxed) {
         let host = lock(&shared.hosts)[place].clone();
-        let at = shared.now();
-        let status = get(&host.admin, "/status");
-        let status: serde_json::Value = serde_json::from_str(&status.body).unwrap_or_default();
+        let status = status_of(&host.admin);
         if let Some(version) = status["rules-version"].as_u64() {
             lock(&shared.observed).seen.push(Seen {
                 host: host.name,
                 start: host.start,
-                at,
                 version,
             });
         }
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -1,6 +1,6 @@
 //! Each check fires on the fault that it is there for, and on nothing else.
 
-use indigospur_soak::{Asked, Breach, Fault, Leave, Observed, Run, Seen, check, draw};
+use indigospur_soak::{Asked, Breach, Fault, Leave, Observed, Seen, check, draw};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashSet;
@@ -37,19 +37,13 @@
 }
 
 fn seen(asked: Vec<Asked>, runs: &[u64]) -> Observed {
-    let run = |number: &u64| Run {
-        number: Some(*number),
-        finished: true,
-    };
     let mut observed = Observed {
         asked,
         planned: vec![(Duration::ZERO, 5_000 * MILLI)],
         ..Observed::default()
     };
     let key = ("quoting-0".to_owned(), 1);
-    observed
-        .journals
-        .insert(key, runs.iter().map(run).collect());
+    observed.journals.insert(key, runs.to_vec());
     observed
 }
 
@@ -142,7 +136,6 @@
     let seen = seen.iter().map(|(start, version)| Seen {
         host: "quoting-0".into(),
         start: *start,
-        at: Duration::ZERO,
         version: *version,
     });
     seen.collect()
--- a/crates/indigospur-test-support/src/lib.rs
+++ b/crates/indigospur-test-support/src/lib.rs
@@ -8,4 +8,4 @@
 pub use client::{Answered, Call, get, post, request};
 pub use process::{Process, program};
 pub use raw::{RawBackend, Script, Wire};
-pub use site::{Node, ServicePlan, Site, SitePlan, wait_until};
+pub use site::{Node, ServicePlan, Site, SitePlan, ready_members, status_of, wait_until};
--- a/crates/indigospur-test-support/src/site.rs
+++ b/crates/indigospur-test-support/src/site.rs
@@ -86,7 +86,7 @@
 
     /// The daemon's status.
     pub fn status(&self) -> Value {
-        serde_json::from_str(&get(&self.admin(), "/status").body).unwrap_or(Value::Null)
+        status_of(&self.admin())
     }
 
     /// What the backend server ran.
@@ -303,6 +303,17 @@
     }
 }
 
+/// The status of the daemon with an admin address; null without an answer.
+pub fn status_of(admin: &str) -> Value {
+    serde_json::from_str(&get(admin, "/status").body).unwrap_or(Value::Null)
+}
+
+/// Members that a daemon counts as ready, by its status.
+pub fn ready_members(status: &Value) -> usize {
+    let members = status["members"].as_array().into_iter().flatten();
+    members.filter(|member| member["state"] == "ready").count()
+}
+
 /// Waits until a condition holds.
 ///
 /// # Panics
@@ -324,17 +335,9 @@
 
 fn has_settled(node: &Node, all: usize, services: usize) -> bool {
     let status = node.status();
-    let members = status["members"]
-        .as_array()
-        .map(Vec::as_slice)
-        .unwrap_or_default();
-    let ready = members
-        .iter()
-        .filter(|member| member["state"] == "ready")
-        .count();
     status["ready"] == true
         && status["services"] == services as u64
-        && ready == all
+        && ready_members(&status) == all
         && status["epoch"].as_u64().is_some_and(|epoch| epoch > 0)
 }
 
