Receive every signal that the daemon may get, before anything else

Cause: the daemon received SIGTERM and SIGINT only, and only once it had read its settings. The default action of every other signal, and of these two before that, ends the process.

Now signals are received as the first step of the program.

--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod preparation;
 mod run;
 mod settings;
+mod signals;
 mod slots;
 
 pub use configuration::{Configuration, Contact, Found, Position, Published, SourceError};
@@ -29,5 +30,6 @@
 pub use journal::start_journal;
 pub use lifecycle::{Addresses, Serving, Starting, listen};
 pub use port::Port;
-pub use run::{EXIT_SETTINGS, run, serve_until_stopped, stop_signals};
+pub use run::{EXIT_SETTINGS, run, serve_until_stopped};
 pub use settings::Settings;
+pub use signals::{Request, Signals};
--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -3,11 +3,9 @@
 use crate::failure::StartError;
 use crate::lifecycle::{Serving, Starting};
 use crate::settings::Settings;
-use async_std::channel::{Receiver, bounded};
+use crate::signals::{Request, Signals};
 use bpaf::Bpaf;
 use indigospur_relay::runtime;
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::process::ExitCode;
 
 /// Exit status after wrong settings.
@@ -29,9 +27,10 @@
 
 /// Runs the daemon's program.
 pub fn run() -> ExitCode {
+    let signals = Signals::receive();
     let options = options().run();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match start(&options) {
+    match signals.and_then(|signals| start(&options, &signals)) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("indigospurd: {error}");
@@ -40,45 +39,29 @@
     }
 }
 
-fn start(options: &Options) -> Result<ExitCode, StartError> {
+fn start(options: &Options, signals: &Signals) -> Result<ExitCode, StartError> {
     let settings = Settings::load(&options.settings)?;
     if options.check {
         println!("{}: ok", options.settings);
         return Ok(ExitCode::SUCCESS);
     }
     runtime::set_threads(1);
-    let stop = stop_signals()?;
     runtime::block_on(async {
         let serving = Starting::new(settings).serve().await?;
         println!(
             "{}",
             serde_json::to_string(serving.addresses()).unwrap_or_default()
         );
-        Ok(serve_until_stopped(serving, &stop).await)
+        Ok(serve_until_stopped(serving, signals).await)
     })
 }
 
 /// Serves until a signal to stop, and stops; the program's exit status.
-pub async fn serve_until_stopped(serving: Serving, stop: &Receiver<()>) -> ExitCode {
-    let _ = stop.recv().await;
+pub async fn serve_until_stopped(serving: Serving, signals: &Signals) -> ExitCode {
+    while signals.next().await != Request::Stop {}
     if serving.stop().await {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(EXIT_CUT_OFF)
     }
 }
-
-/// Tells of each signal to stop.
-///
-/// # Errors
-/// Signals can't be received.
-pub fn stop_signals() -> Result<Receiver<()>, StartError> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(StartError::Signals)?;
-    let (sender, receiver) = bounded(1);
-    std::thread::spawn(move || {
-        for _ in signals.forever() {
-            let _ = sender.try_send(());
-        }
-    });
-    Ok(receiver)
-}
