Take up changed settings while the daemon runs

What callers and operators saw: a changed settings file was read at the next start only. With SIGHUP received and nothing done, a host would go on with bounds, retry budget and store address that no longer hold.

The file is read again at SIGHUP, and every 5 s since it may change without a signal. What can change is put in force at once: bounds on callers, admission, retry budget, stop time, and the address of the log or the configuration's source, whose read under way is given up. Names, addresses and keys wait for the next start and are logged so. A file that is missing, cut off or wrong is left aside whole, counted and logged once with each problem.

Weighed: a watch on the file (inotify is not to be had everywhere), its modification time (a clock that steps makes it lie; the text is compared).

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -107,10 +107,23 @@
 
     /// Takes over another number of announced slots.
     pub fn set_slots(&mut self, now: Instant, slots: u32) -> Vec<Effect> {
+        self.options.slots = slots;
         self.limit.set_slots(self.options.used(slots));
         self.fill(now)
     }
 
+    /// Takes over other settings, but for the slots, the policy and the ramp of this backend server.
+    pub fn set_options(&mut self, now: Instant, options: Options) -> Vec<Effect> {
+        self.options = Options {
+            slots: self.options.slots,
+            policy: self.options.policy,
+            ramp: self.options.ramp,
+            seed: self.options.seed,
+            ..options
+        };
+        self.set_slots(now, self.options.slots)
+    }
+
     /// Takes no new work from now on; what waits is still served.
     pub fn drain(&mut self) {
         self.draining = true;
--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -47,6 +47,28 @@
     effects.iter().filter_map(run).collect()
 }
 
+#[test]
+fn settings_that_change_hold_for_the_calls_that_come_and_wait() {
+    let now = Instant::now();
+    let mut admission = warm(10, now);
+    let changed = |fill, places| Options {
+        fill,
+        places,
+        ..Options::default()
+    };
+    admission.set_options(now, changed(50, 4));
+    let mut verdicts = (0..10).map(|_| admission.arrive(now, arrival(now, 1, "x", 0)).0);
+    let (mut runs, mut waits) = (0, 0);
+    verdicts.by_ref().for_each(|verdict| match verdict {
+        Verdict::Run(_) => runs += 1,
+        Verdict::Wait(_) => waits += 1,
+        Verdict::Refuse(_) => {}
+    });
+    assert_eq!((runs, waits), (5, 4));
+    let effects = admission.set_options(now, changed(100, 4));
+    assert_eq!(ran(&effects).len(), 4, "what waits gets the new slots");
+}
+
 #[test]
 fn a_protected_call_takes_the_queue_place_of_a_lesser_one() {
     let now = Instant::now();
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -35,20 +35,14 @@
 
 impl Backend {
     fn new(daemon: &Daemon, announced: &Announcement, cold: bool) -> Arc<Backend> {
-        let options = Options {
-            policy: daemon.settings.limit,
+        let mut options = Options {
             slots: announced.slots,
-            ramp: if cold {
-                daemon.settings.ramp
-            } else {
-                Duration::ZERO
-            },
-            target_wait: daemon.settings.target_wait,
             seed: daemon.incarnation,
-            preempts: daemon.settings.preempts,
-            fill: daemon.settings.fill,
-            ..Options::default()
+            ..daemon.settings().admission()
         };
+        if !cold {
+            options.ramp = Duration::ZERO;
+        }
         let slots = Slots::new(Admission::new(options, Instant::now()));
         runtime::spawn(slots.clone().run_ticks());
         Arc::new(Backend {
@@ -197,7 +191,7 @@
             *lock(&daemon.backend) = Some(Backend::new(daemon, announced, cold));
         }
     }
-    if daemon.settings.at_most_once {
+    if daemon.settings().at_most_once {
         start_once(daemon, &announced.service);
     }
 }
@@ -208,9 +202,10 @@
     if once.is_some() {
         return;
     }
+    let settings = daemon.settings();
     let options = OnceOptions {
-        horizon: daemon.settings.key_horizon,
-        lease: daemon.settings.key_lease,
+        horizon: settings.key_horizon,
+        lease: settings.key_lease,
         ..OnceOptions::default()
     };
     let me = lock(&daemon.fleet).members.my_id();
--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -64,6 +64,9 @@
     /// The configurations published after `from`; waits for one for at most `wait`.
     fn changes(&self, from: Position, wait: Duration) -> BoxFuture<Result<Found, SourceError>>;
 
+    /// Reads and writes go to another address from now on.
+    fn move_to(&self, address: Arc<str>);
+
     /// What a published configuration says.
     ///
     /// # Errors
--- a/crates/indigospur-daemon/src/control/epochs.rs
+++ b/crates/indigospur-daemon/src/control/epochs.rs
@@ -48,7 +48,8 @@
         part.tick(Instant::now());
         daemon.metrics.keys(part.len());
     }
-    let age = daemon.settings.key_horizon + daemon.settings.key_lease * 2;
+    let settings = daemon.settings();
+    let age = settings.key_horizon + settings.key_lease * 2;
     lock(&daemon.follower).close_epochs(Instant::now(), age);
 }
 
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -70,7 +70,7 @@
 /// Asks the seeds of the settings and of the log for the fleet while no other member is known.
 async fn ask_seeds(daemon: &Arc<Daemon>) {
     let own = lock(&daemon.fleet).members.me().address.clone();
-    let mut seeds = daemon.settings.seeds.clone();
+    let mut seeds = daemon.settings().seeds.clone();
     seeds.extend(lock(&daemon.follower).seeds().cloned());
     for seed in seeds.iter().filter(|seed| **seed != own) {
         if lock(&daemon.fleet).members.is_empty() {
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -26,7 +26,7 @@
         renew(&daemon).await;
         report(&daemon);
         let size = lock(&daemon.fleet).members.len() as u32;
-        let pause = daemon.settings.poll.max(PAUSE_PER_MEMBER * size);
+        let pause = daemon.settings().poll.max(PAUSE_PER_MEMBER * size);
         let pause = lock(&daemon.rng).random_range(pause / 2..pause * 3 / 2);
         runtime::sleep(pause).await;
     }
@@ -128,7 +128,7 @@
     if !is_first(daemon) {
         return;
     }
-    let due = daemon.settings.retention / RENEW_AFTER;
+    let due = daemon.settings().retention / RENEW_AFTER;
     let newest = lock(&daemon.follower).newest_seed();
     if newest.is_none_or(|at| at.elapsed() >= due) {
         append_seed(daemon).await;
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -35,9 +35,16 @@
     let mut answers = false;
     loop {
         let begun = Instant::now();
-        let read = match position {
-            Some(from) => source.changes(from, wait(&daemon)).await,
-            None => source.newest().await,
+        let read = async {
+            Some(match position {
+                Some(from) => source.changes(from, wait(&daemon)).await,
+                None => source.newest().await,
+            })
+        };
+        // Positions in one source say nothing of another.
+        let Some(read) = futures_lite::future::or(read, moved(&daemon)).await else {
+            position = None;
+            continue;
         };
         match read {
             Ok(found) => {
@@ -59,6 +66,12 @@
     }
 }
 
+/// Ends when the source has moved.
+async fn moved<T>(daemon: &Daemon) -> Option<T> {
+    let _ = daemon.moved.1.recv().await;
+    None
+}
+
 /// Pauses between tries that fail, longer each time and spread.
 struct Backoff {
     pause: Duration,
--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -12,7 +12,7 @@
         Some(source) => runtime::spawn(source_reader::run(daemon.clone(), source)),
         None => runtime::spawn(log_reader::run(daemon.clone())),
     };
-    if daemon.settings.at_most_once {
+    if daemon.settings().at_most_once {
         runtime::spawn(epochs::run(daemon.clone()));
     }
     runtime::spawn(crate::backend::watch(daemon.clone()));
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -48,7 +48,8 @@
 /// are held they are taken in the order of the fields.
 #[derive(Debug)]
 pub(crate) struct Daemon {
-    pub(crate) settings: Settings,
+    /// Host name; the settings may change, it does not.
+    host: HostId,
     pub(crate) dialect: Arc<dyn Dialect>,
     /// Where rule sets come from, if not from the log.
     pub(crate) source: Option<Arc<dyn Configuration>>,
@@ -78,6 +79,8 @@
     /// Start of the last read of the log that succeeded.
     pub(crate) log_read: Mutex<Option<Instant>>,
     pub(crate) rules: Mutex<Option<Arc<RuleSet>>>,
+    /// The settings in force.
+    settings: Mutex<Arc<Settings>>,
     /// Draws of the targets of the rules in force.
     pub(crate) draws: Mutex<Draws>,
     /// Current member list of each service.
@@ -93,6 +96,8 @@
     pub(crate) rng: Mutex<SmallRng>,
     /// Wakes the gossip task before its time.
     pub(crate) news: (Sender<()>, Receiver<()>),
+    /// Tells the reader of the source that the source has moved.
+    pub(crate) moved: (Sender<()>, Receiver<()>),
     /// When the graceful shutdown began.
     drained: Mutex<Option<Instant>>,
     /// Protected calls under way that outlive their callers.
@@ -171,11 +176,13 @@
             ratios: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             news: bounded(1),
+            moved: bounded(1),
             drained: Mutex::default(),
             open_keys: AtomicUsize::new(0),
             next_call: AtomicU64::new(1),
             crashes: AtomicU64::new(0),
-            settings,
+            host: settings.name.clone(),
+            settings: Mutex::new(Arc::new(settings)),
         })
     }
 
@@ -188,7 +195,26 @@
     }
 
     pub(crate) fn host(&self) -> &HostId {
-        &self.settings.name
+        &self.host
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<Settings> {
+        lock(&self.settings).clone()
+    }
+
+    /// Puts changed settings in force, but for those that hold from start to stop.
+    pub(crate) fn change_settings(&self, changed: Settings) {
+        let before = self.settings();
+        let settings = Arc::new(changed.keep_fixed(&before));
+        *lock(&self.settings) = settings.clone();
+        if before.log != settings.log {
+            self.follow_log(&settings.log);
+        }
+        self.update_bounds();
+        if let Some(backend) = self.backend() {
+            backend.slots.set_options(settings.admission());
+        }
     }
 
     /// Version of the newest configuration, as told to other daemons: the highest accepted offset
@@ -207,10 +233,11 @@
         act: impl FnOnce(&mut RetryRatio) -> T,
     ) -> T {
         let members = lock(&self.fleet).members.len().max(1) as f64;
+        let settings = self.settings();
         let options = RatioOptions {
-            percent: self.settings.retry_percent,
-            saved: (f64::from(self.settings.fleet_retries) / members)
-                .min(f64::from(self.settings.retries_saved))
+            percent: settings.retry_percent,
+            saved: (f64::from(settings.fleet_retries) / members)
+                .min(f64::from(settings.retries_saved))
                 .max(1.0),
         };
         let mut ratios = lock(&self.ratios);
@@ -231,18 +258,35 @@
 
     /// Puts a rule set in force.
     pub(crate) fn put_in_force(&self, rules: Arc<RuleSet>) {
-        if let Some(callers) = self.callers.get() {
-            callers.set_bounds(self.settings.caller_bounds(&rules.callers));
-        }
         *lock(&self.rules) = Some(rules);
         *lock(&self.draws) = Draws::default();
+        self.update_bounds();
+    }
+
+    /// The log, or the configuration's source in its place, has moved.
+    fn follow_log(&self, address: &Arc<str>) {
+        self.log.move_to(address.clone());
+        if let Some(source) = &self.source {
+            source.move_to(address.clone());
+            let _ = self.moved.0.try_send(());
+        }
+    }
+
+    /// Bounds callers by the rule set and the settings in force, one of which has changed.
+    fn update_bounds(&self) {
+        let Some(callers) = self.callers.get() else {
+            return;
+        };
+        let rules = lock(&self.rules);
+        let asked = rules.as_ref().map(|rules| rules.callers);
+        callers.set_bounds(self.settings().caller_bounds(&asked.unwrap_or_default()));
     }
 
     /// Whether calls of callers are still taken: while serving, and for a time after the shutdown
     /// has begun, until the callers have noticed.
     pub(crate) fn takes_callers(&self) -> bool {
         let since = *lock(&self.drained);
-        since.is_none_or(|since| since.elapsed() < self.settings.leave)
+        since.is_none_or(|since| since.elapsed() < self.settings().leave)
     }
 
     /// Whether calls can be treated: a rule set is in force, or the log is known to hold none.
@@ -257,7 +301,7 @@
     /// Begins the graceful shutdown: no new work, and everyone is told.
     pub(crate) fn drain(&self) {
         lock(&self.drained).get_or_insert_with(Instant::now);
-        log::info!(leave_ms = self.settings.leave.as_millis() as u64; "stopping");
+        log::info!(leave_ms = self.settings().leave.as_millis() as u64; "stopping");
         if let Some(callers) = self.callers.get() {
             callers.close_connections();
         }
@@ -311,7 +355,7 @@
     /// A name for a call that is unique among all daemons.
     pub(crate) fn new_token(&self) -> Arc<str> {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{:x}-{number:x}", self.settings.name, self.incarnation).into()
+        format!("{}-{:x}-{number:x}", self.host, self.incarnation).into()
     }
 
     /// A number for a crash of the backend server, unique over starts of the daemon.
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -92,7 +92,7 @@
 }
 
 fn arrival(daemon: &Daemon, context: &Context, deadline: Instant) -> Arrival {
-    let class = if daemon.settings.chains_first {
+    let class = if daemon.settings().chains_first {
         Arrival::chain_class(context.class, context.depth > 0)
     } else {
         context.class
@@ -164,7 +164,7 @@
     let ended = exchange(daemon, backend, &message, &open.token, &slot, deadline).await;
     let outcome = conclude(daemon, backend, &context, ended, &mut slot).await;
     let closed = open.close();
-    if closed.shed_below && !is_success(&outcome) && daemon.settings.yields_below {
+    if closed.shed_below && !is_success(&outcome) && daemon.settings().yields_below {
         slot.ended(Finish::Shed);
     }
     let mut work = closed.work;
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod preparation;
 mod run;
 mod settings;
+mod settings_file;
 mod signals;
 mod slots;
 
@@ -32,4 +33,5 @@
 pub use port::Port;
 pub use run::{EXIT_SETTINGS, run, serve_until_stopped};
 pub use settings::Settings;
+pub use settings_file::{Changed, ReadSettings, SettingsFile, Unusable};
 pub use signals::{Request, Signals};
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -98,7 +98,7 @@
             .unwrap_or_else(|| addresses.peers.as_str().into());
         let daemon = Daemon::new(self.settings, self.dialect, self.source, &told);
         runtime::spawn(serve_peers(peers.0, Arc::new(PeerPort(daemon.clone()))));
-        let bounds = daemon.settings.caller_bounds(&CallerBounds::default());
+        let bounds = daemon.settings().caller_bounds(&CallerBounds::default());
         let callers = HttpService::new(bounds, caller_handler(&daemon), refuse(&daemon));
         let callers = daemon.callers.get_or_init(|| callers).clone();
         runtime::spawn(serve_http(calls.0, callers));
@@ -155,11 +155,21 @@
         &self.addresses
     }
 
+    /// Puts changed settings in force, but for those that hold from start to stop.
+    pub fn change_settings(&self, settings: Settings) {
+        self.daemon.change_settings(settings);
+    }
+
+    /// Counts changed settings that could not be used.
+    pub(crate) fn skip_settings(&self) {
+        self.daemon.metrics.skip_settings();
+    }
+
     /// Stops gracefully: takes no new work, finishes what is in flight, hands its keys over.
     /// Whether all of it was done within the settings' bound.
     pub async fn stop(self) -> bool {
         let daemon = self.daemon;
-        let bound = daemon.settings.shutdown;
+        let bound = daemon.settings().shutdown;
         let begun = Instant::now();
         daemon.drain();
         runtime::sleep(LEAVE_TIME).await;
@@ -200,7 +210,7 @@
 }
 
 async fn hand_over(daemon: &Arc<Daemon>) {
-    if !daemon.settings.at_most_once {
+    if !daemon.settings().at_most_once {
         return;
     }
     while !control::hand_over_to_all(daemon).await {
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -30,6 +30,7 @@
     control_bytes: Counter<u64>,
     parent_hints: Counter<u64>,
     source_failures: Counter<u64>,
+    bad_settings: Counter<u64>,
 }
 
 impl Metrics {
@@ -67,6 +68,7 @@
             skipped: meter.u64_gauge("indigospur_records_skipped").build(),
             control_bytes: meter.u64_counter("indigospur_control_bytes").build(),
             parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
+            bad_settings: meter.u64_counter("indigospur_settings_skipped").build(),
             source_failures: meter.u64_counter("indigospur_source_failures").build(),
             registry,
             _provider: provider,
@@ -132,6 +134,11 @@
         self.source_failures.add(1, &[]);
     }
 
+    /// Counts changed settings that were left aside.
+    pub(crate) fn skip_settings(&self) {
+        self.bad_settings.add(1, &[]);
+    }
+
     /// Counts a published configuration that was skipped.
     pub(crate) fn skip(&self) {
         self.skips.add(1, &[]);
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -184,7 +184,7 @@
     if let (Some(inherited), Some(token)) = (&asker.inherited, &asker.above) {
         context.retries = lock(&daemon.ledger).lend(token);
         inherit(&mut context, inherited);
-        if daemon.settings.chains_first {
+        if daemon.settings().chains_first {
             context.class = inherited.class;
         }
     }
--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -3,13 +3,17 @@
 use crate::failure::StartError;
 use crate::lifecycle::{Serving, Starting};
 use crate::settings::Settings;
+use crate::settings_file::SettingsFile;
 use crate::signals::{Request, Signals};
 use bpaf::Bpaf;
 use indigospur_relay::runtime;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit status after wrong settings.
 pub const EXIT_SETTINGS: u8 = 2;
+/// Time between two looks at the settings file without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Exit status after a stop that cut something off.
 const EXIT_CUT_OFF: u8 = 3;
 
@@ -40,7 +44,8 @@
 }
 
 fn start(options: &Options, signals: &Signals) -> Result<ExitCode, StartError> {
-    let settings = Settings::load(&options.settings)?;
+    let read = |file: &str, text: &str| Ok((Settings::parse(file, text)?, ()));
+    let (file, settings, ()) = SettingsFile::open(&options.settings, read, &[])?;
     if options.check {
         println!("{}: ok", options.settings);
         return Ok(ExitCode::SUCCESS);
@@ -52,16 +57,46 @@
             "{}",
             serde_json::to_string(serving.addresses()).unwrap_or_default()
         );
-        Ok(serve_until_stopped(serving, signals).await)
+        Ok(serve_until_stopped(serving, signals, file).await)
     })
 }
 
-/// Serves until a signal to stop, and stops; the program's exit status.
-pub async fn serve_until_stopped(serving: Serving, signals: &Signals) -> ExitCode {
-    while signals.next().await != Request::Stop {}
+/// Serves until a signal to stop, and stops; the program's exit status. Settings that change
+/// meanwhile are put in force, at a signal or when it is noticed that the file has changed.
+pub async fn serve_until_stopped<T>(
+    serving: Serving,
+    signals: &Signals,
+    mut file: SettingsFile<T>,
+) -> ExitCode {
+    loop {
+        let request = runtime::within(SETTINGS_CHECK, signals.next()).await;
+        if request == Some(Request::Stop) {
+            break;
+        }
+        reload(&serving, &mut file);
+    }
     if serving.stop().await {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(EXIT_CUT_OFF)
     }
 }
+
+/// Puts settings that have changed in force; those that can't be used are left aside.
+fn reload<T>(serving: &Serving, file: &mut SettingsFile<T>) {
+    let changed = match file.read_again() {
+        Ok(None) => return,
+        Ok(Some(changed)) => changed,
+        Err(error) => {
+            serving.skip_settings();
+            log::warn!(path = file.path(), error:%; "changed settings are left aside; those in force stay");
+            return;
+        }
+    };
+    let (applied, waiting) = (changed.applied.join(", "), changed.waiting.join(", "));
+    log::info!(path = file.path(), applied, waiting; "settings changed");
+    if !changed.waiting.is_empty() {
+        log::warn!(waiting; "these settings change at the next start");
+    }
+    serving.change_settings(changed.settings);
+}
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings in TOML, checked as a whole before the daemon starts.
 
-use crate::failure::StartError;
-use indigospur_admission::LimitPolicy;
+use indigospur_admission::{LimitPolicy, Options};
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_relay::Bounds;
 use indigospur_rules::CallerBounds;
@@ -78,16 +77,6 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    /// The file can't be read, or has problems; all of them are given.
-    pub fn load(path: &str) -> Result<Settings, StartError> {
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|error| StartError::Unreadable(path.to_owned(), error))?;
-        Settings::parse(path, &text).map_err(StartError::Settings)
-    }
-
     /// Checks the text of a settings file.
     ///
     /// # Errors
@@ -105,6 +94,36 @@
         read(root)
     }
 
+    /// These settings, with what holds from start to stop as it was at the start.
+    pub(crate) fn keep_fixed(self, started: &Settings) -> Settings {
+        let started = started.clone();
+        Settings {
+            name: started.name,
+            data_centre: started.data_centre,
+            region: started.region,
+            calls: started.calls,
+            peers: started.peers,
+            advertise: started.advertise,
+            admin: started.admin,
+            key_horizon: started.key_horizon,
+            key_lease: started.key_lease,
+            at_most_once: started.at_most_once,
+            ..self
+        }
+    }
+
+    /// The admission to a backend server that starts cold.
+    pub(crate) fn admission(&self) -> Options {
+        Options {
+            policy: self.limit,
+            ramp: self.ramp,
+            target_wait: self.target_wait,
+            preempts: self.preempts,
+            fill: self.fill,
+            ..Options::default()
+        }
+    }
+
     /// The bounds on callers: those of the rule set, within the daemon's own.
     pub(crate) fn caller_bounds(&self, asked: &CallerBounds) -> Bounds {
         let own = Bounds {
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -1,7 +1,7 @@
 //! The admission decisions carried out: calls that wait, run, and are cancelled.
 
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_admission::{Admission, Arrival, Effect, Finish, Refused, Ticket, Verdict};
+use indigospur_admission::{Admission, Arrival, Effect, Finish, Options, Refused, Ticket, Verdict};
 use indigospur_protocol::Load;
 use indigospur_relay::runtime;
 use std::collections::HashMap;
@@ -128,6 +128,12 @@
         state.apply(effects);
     }
 
+    pub(crate) fn set_options(&self, options: Options) {
+        let mut state = self.lock();
+        let effects = state.admission.set_options(Instant::now(), options);
+        state.apply(effects);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/indigospur-document/src/lib.rs
+++ b/crates/indigospur-document/src/lib.rs
@@ -1,10 +1,12 @@
 //! Reads TOML documents key by key and collects every problem with its place, so that a user sees
 //! all of them at once.
 
+mod changes;
 mod duration;
 mod problem;
 mod reader;
 
+pub use changes::changed_keys;
 pub use duration::{parse_duration, show_duration};
 pub use problem::{Problem, Problems};
 pub use reader::{Document, Reader};
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edges: HTTP/1.1 towards callers, backend servers and the platform's log, HTTP/2 between
 //! daemons, and the runtime below them.
 
+mod address;
 mod alarm;
 mod backend;
 mod connection;
@@ -12,6 +13,7 @@
 mod peer_server;
 pub mod runtime;
 
+pub use address::Address;
 pub use backend::{BackendError, BackendPool, Judge, Owner};
 pub use http::{HttpError, HttpRequest, get, post, request};
 pub use link::{Link, LinkError, Links};
--- a/crates/indigospur-relay/src/log_client.rs
+++ b/crates/indigospur-relay/src/log_client.rs
@@ -1,5 +1,6 @@
 //! The platform's log over HTTP.
 
+use crate::address::Address;
 use crate::http::{HttpError, get, post};
 use serde::Deserialize;
 use std::sync::Arc;
@@ -67,13 +68,20 @@
 /// A client of the platform's log.
 #[derive(Clone, Debug)]
 pub struct LogClient {
-    address: Arc<str>,
+    address: Address,
 }
 
 impl LogClient {
     /// A client of the log at `address`, an `IP:port`.
     pub fn new(address: Arc<str>) -> LogClient {
-        LogClient { address }
+        LogClient {
+            address: address.into(),
+        }
+    }
+
+    /// Calls go to another address from now on.
+    pub fn move_to(&self, address: Arc<str>) {
+        self.address.set(address);
     }
 
     /// Appends a record; its offset.
@@ -82,7 +90,7 @@
     /// The log gave no answer. See [`LogError`] for what that says of the append.
     pub async fn append(&self, stream: &str, body: &[u8]) -> Result<u64, LogError> {
         let answer = post(
-            &self.address,
+            &self.address.get(),
             &format!("/streams/{stream}/records"),
             body,
             TIMEOUT,
@@ -121,7 +129,7 @@
 
     async fn read_batch(&self, stream: &str, from: u64) -> Result<LogBatch, LogError> {
         let path = format!("/streams/{stream}/records?from={from}&limit={BATCH}");
-        let answer = get(&self.address, &path, TIMEOUT).await?;
+        let answer = get(&self.address.get(), &path, TIMEOUT).await?;
         if answer.status != 200 {
             return Err(LogError::Refused);
         }
