Keep a link when callers leave in a burst

What callers saw: 502, "the connection to the upstream's daemon broke", for all calls on a link between two daemons at once, while both daemons ran.

Cause: the HTTP/2 library ends a connection on which more than 20 calls were sent and taken back before the server looked at them (GOAWAY, too_many_resets). A daemon that is busy or held up for a moment while callers leave meets that at once, and every call that runs on the link goes with it.

A connection of another daemon that can't be accepted is logged.

--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -14,6 +14,12 @@
 
 /// Time after which an idle connection is asked for a sign of life.
 const PING_AFTER: Duration = Duration::from_secs(20);
+/// Calls on one connection that may be taken back before they are looked at. The library ends a
+/// connection with more, and with it every call that runs there: callers that leave while this
+/// daemon is busy must not do that.
+const MOST_TAKEN_BACK: usize = 65_536;
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Serves connections of other daemons. What is not the protocol is cut off.
 pub async fn serve_peers<P: Peer>(listener: TcpListener, peer: Arc<P>) {
@@ -25,7 +31,10 @@
             Ok((stream, _)) => {
                 runtime::spawn(serve_connection(stream, server.clone()));
             }
-            Err(_) => runtime::sleep(Duration::from_millis(10)).await,
+            Err(error) => {
+                log::warn!(error:display; "a connection of another daemon could not be accepted");
+                runtime::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -39,6 +48,7 @@
     let served = http2::Builder::new(Executor)
         .timer(AlarmTimer)
         .keep_alive_interval(PING_AFTER)
+        .max_pending_accept_reset_streams(MOST_TAKEN_BACK)
         .serve_connection(FuturesIo::new(stream), service)
         .await;
     if let Err(error) = served {
