--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 exchanges as a client.
 
 use crate::connection::Connection;
+use crate::encode::append_header;
 use crate::head::{AnswerHead, Framing, HeadError};
-use crate::listener::append_header;
+
 use crate::runtime;
 use async_std::net::TcpStream;
 use indigospur_protocol::{Answer, Header};
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -4,6 +4,7 @@
 mod alarm;
 mod backend;
 mod connection;
+mod encode;
 mod head;
 mod http;
 mod link;
@@ -11,10 +12,12 @@
 mod log_client;
 mod peer_server;
 pub mod runtime;
+mod service;
 
 pub use backend::{BackendError, BackendPool, Judge, Owner};
 pub use http::{HttpError, HttpRequest, get, post, request};
 pub use link::{Link, LinkError, Links};
-pub use listener::{Bounds, Handler, HttpService, Received, Refuse, serve_http};
+pub use listener::serve_http;
 pub use log_client::{LogBatch, LogClient, LogError, LogRecord};
 pub use peer_server::serve_peers;
+pub use service::{Bounds, Handler, HttpService, Received, Refuse};
