Answer for a handler that panics

What callers saw: a connection that was closed without a word. Each such panic also took a place among the connections for good, so that a listener with `connections` panics behind it served nobody.

Cause: the panic ended the connection's task. The executor goes on, but the task's stream was dropped, and the count of open connections was taken back only at the task's end.

The handler's panic is caught, logged and answered like any fault of the daemon, as "may have run". A connection's place is given back on drop.

--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -3,11 +3,13 @@
 use crate::connection::{BodyError, Connection};
 use crate::encode::encode_answer;
 use crate::head::{Framing, HeadError, RequestHead};
-use crate::runtime::{self, BoxFuture};
+use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, Received};
 use async_std::net::{TcpListener, TcpStream};
+use futures_lite::FutureExt;
 use indigospur_protocol::{Answer, Kind, Refusal};
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -41,18 +43,40 @@
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= service.bounds().connections {
-            open.fetch_sub(1, Ordering::Relaxed);
+        let place = Place::take(&open);
+        if place.number > service.bounds().connections {
             continue;
         }
-        let (open, service) = (open.clone(), service.clone());
+        let service = service.clone();
         runtime::spawn(async move {
             serve_connection(stream, &service).await;
-            open.fetch_sub(1, Ordering::Relaxed);
+            drop(place);
         });
     }
 }
 
+/// A connection among those that are open, until it is dropped.
+struct Place {
+    open: Arc<AtomicUsize>,
+    /// Connections that were open when it was taken, itself included.
+    number: usize,
+}
+
+impl Place {
+    fn take(open: &Arc<AtomicUsize>) -> Place {
+        Place {
+            number: open.fetch_add(1, Ordering::Relaxed) + 1,
+            open: open.clone(),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve_connection(stream: TcpStream, service: &HttpService) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:display; "a connection delays small messages");
@@ -84,8 +108,7 @@
     let _open = OpenRequest::new(service);
     let Request { received, closes } = received;
     let method = received.method.clone();
-    let handled = service.handle(received);
-    let Some(answer) = answer_or_closed(connection, handled).await else {
+    let Some(answer) = answer_or_closed(connection, handle(service, received)).await else {
         return Ok(false);
     };
     let closes = closes || service.is_closing();
@@ -169,10 +192,19 @@
     })
 }
 
+/// The handler's answer; a handler that panics is answered for.
+async fn handle(service: &HttpService, received: Received) -> Answer {
+    let handled = AssertUnwindSafe(async { service.handle(received).await });
+    handled.catch_unwind().await.unwrap_or_else(|_| {
+        log::error!("a handler panicked");
+        service.refuse(&Refusal::new(Kind::Internal, "the daemon failed"))
+    })
+}
+
 /// The handler's answer, or `None` if the caller went away first.
 async fn answer_or_closed(
     connection: &mut Connection,
-    handled: BoxFuture<Answer>,
+    handled: impl Future<Output = Answer>,
 ) -> Option<Answer> {
     let closed = async {
         connection.closed().await;
