Let refusals of requests that were not read whole reach their callers

What callers saw: - a body beyond the bound: the connection was reset while the body was still sent, and the 413 could be lost with it, so that the caller did not learn that the request can never be taken; - a HEAD request refused so: an answer with a body, whose bytes belong to no answer; - a request that stopped half way: after 30 s a closed connection, which promises nothing.

Cause: a refusal closed the connection with bytes unread, which resets it; a refused request counted as GET; the message's time ended without an answer.

After a refusal the rest is read and dropped, for at most 2 s, behind the end of the sending side (the runtime's close only flushes, so that is now told to the socket). The method is kept as far as it is known. A request that is late is answered 408 (request-timeout, "not run"); a connection on which nothing but empty lines came is closed as before.

The three tests were seen to fail first (a broken pipe for the sender, a body behind the head, an empty answer); they pass now.

--- a/crates/indigospur-protocol/src/kind.rs
+++ b/crates/indigospur-protocol/src/kind.rs
@@ -109,6 +109,8 @@
     OverloadedBelow,
     /// The backend server itself turned the call away.
     BackendShed,
+    /// The request did not arrive whole in time.
+    RequestTimeout,
 }
 
 /// One row of the table from kind to answer.
@@ -393,6 +395,15 @@
         true,
         false,
     ),
+    row(
+        Kind::RequestTimeout,
+        "request-timeout",
+        408,
+        Ran::No,
+        Later,
+        false,
+        false,
+    ),
 ];
 
 impl Kind {
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -4,11 +4,14 @@
 //! that a backend server sent more than one answer.
 
 use crate::head::{AnswerHead, Framing, HeadError, RequestHead};
+use crate::runtime;
 use async_std::net::TcpStream;
 use futures_lite::io::{AsyncRead, AsyncWriteExt};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 /// Bytes read from the socket at a time.
 const READ_SIZE: usize = 8 * 1024;
@@ -235,10 +238,25 @@
         self.stream.flush().await
     }
 
-    /// Tells the other side that nothing more comes.
-    pub(crate) async fn close(mut self) {
-        if let Err(error) = self.stream.close().await {
+    /// Whether what was read of the next message is but the empty lines that may come before it.
+    pub(crate) fn is_blank(&self) -> bool {
+        !self.buffer.is_empty() && self.buffer.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+    }
+
+    /// Tells the other side that nothing more comes, and reads what it still sends, for a time:
+    /// bytes left unread would reset the connection, and the last answer might be lost with it.
+    pub(crate) async fn linger(mut self, time: Duration) {
+        if let Err(error) = self.stream.shutdown(Shutdown::Write) {
             log::trace!(error:display; "a connection was not closed cleanly");
+            return;
+        }
+        let rest = async {
+            while matches!(self.fill().await, Ok(count) if count > 0) {
+                self.buffer.clear();
+            }
+        };
+        if runtime::within(time, rest).await.is_none() {
+            log::debug!("a connection was closed before the other side had sent all");
         }
     }
 }
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -12,12 +12,16 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which a caller must read an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which the rest of a refused request is read.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Stands for the method of a request whose head was not understood.
+const UNKNOWN_METHOD: &str = "GET";
 
 /// The next connection; `None` once the service has stopped listening and none waits.
 async fn accept(listener: &TcpListener, service: &HttpService) -> Option<io::Result<TcpStream>> {
@@ -82,38 +86,51 @@
         log::debug!(error:display; "a connection delays small messages");
     }
     let mut connection = Connection::new(stream);
-    while let Ok(true) = serve_request(&mut connection, service).await {
-        connection.shrink();
+    loop {
+        match serve_request(&mut connection, service).await {
+            Ok(Next::Request) => connection.shrink(),
+            Ok(Next::Close) => return,
+            Ok(Next::Rest) => return connection.linger(LINGER_TIME).await,
+            Err(error) => {
+                log::debug!(error:display; "an answer was not written whole");
+                return;
+            }
+        }
     }
-    connection.close().await;
 }
 
-/// Serves one request; whether another may follow on the connection.
-async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<bool> {
+/// What follows on a connection.
+enum Next {
+    /// Another request.
+    Request,
+    /// Nothing.
+    Close,
+    /// The rest of a request that was refused before it was read whole.
+    Rest,
+}
+
+async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<Next> {
     let bounds = service.bounds();
     if runtime::within(bounds.idle, connection.begins()).await != Some(true) {
-        return Ok(false);
+        return Ok(Next::Close);
     }
-    let bounds = service.bounds();
-    let reading = read_request(connection, bounds);
-    let received = match runtime::within(bounds.message, reading).await {
-        Some(Ok(received)) => received,
-        Some(Err(Unread::Gone)) | None => return Ok(false),
-        Some(Err(Unread::Refused(refusal))) => {
+    let Request { received, closes } = match read_request(connection, service.bounds()).await {
+        Ok(request) => request,
+        Err(Unread::Gone) => return Ok(Next::Close),
+        Err(Unread::Refused(refusal, method)) => {
             let answer = service.refuse(&refusal);
-            write(connection, &answer, "GET", true).await?;
-            return Ok(false);
+            write(connection, &answer, &method, true).await?;
+            return Ok(Next::Rest);
         }
     };
     let _open = OpenRequest::new(service);
-    let Request { received, closes } = received;
     let method = received.method.clone();
     let Some(answer) = answer_or_closed(connection, handle(service, received)).await else {
-        return Ok(false);
+        return Ok(Next::Close);
     };
     let closes = closes || service.is_closing();
     write(connection, &answer, &method, closes).await?;
-    Ok(!closes)
+    Ok(if closes { Next::Close } else { Next::Request })
 }
 
 /// A request, and whether its sender closes the connection after it.
@@ -124,45 +141,62 @@
 
 /// Why a request was not read.
 enum Unread {
-    /// The connection ended.
+    /// The connection ended, or nothing but empty lines came.
     Gone,
-    /// It is turned away.
-    Refused(Refusal),
-}
-
-impl From<Refusal> for Unread {
-    fn from(refusal: Refusal) -> Self {
-        Unread::Refused(refusal)
-    }
+    /// It is turned away, with its method as far as that is known.
+    Refused(Refusal, Arc<str>),
 }
 
 async fn read_request(connection: &mut Connection, bounds: Bounds) -> Result<Request, Unread> {
-    let head = connection.read_request_head(bounds.head).await;
-    let head = head.map_err(|error| match error {
-        HeadError::Ended => Unread::Gone,
-        HeadError::Malformed => {
-            Refusal::new(Kind::BadRequest, "the request's head is not HTTP/1.1").into()
+    let begun = Instant::now();
+    let head = runtime::within(bounds.message, connection.read_request_head(bounds.head)).await;
+    let refused = |refusal| Unread::Refused(refusal, UNKNOWN_METHOD.into());
+    let head = match head {
+        Some(Ok(head)) => head,
+        Some(Err(HeadError::Ended)) => return Err(Unread::Gone),
+        Some(Err(HeadError::Malformed)) => {
+            let detail = "the request's head is not HTTP/1.1";
+            return Err(refused(Refusal::new(Kind::BadRequest, detail)));
         }
-        HeadError::TooLarge => {
+        Some(Err(HeadError::TooLarge)) => {
             let detail = format!("at most {} bytes of head are accepted", bounds.head);
-            Refusal::new(Kind::HeadTooLarge, detail).into()
+            return Err(refused(Refusal::new(Kind::HeadTooLarge, detail)));
         }
-    })?;
+        None if connection.is_blank() => return Err(Unread::Gone),
+        None => return Err(refused(too_slow(bounds))),
+    };
+    let refused = |refusal| Unread::Refused(refusal, head.method.clone());
+    let left = bounds.message.saturating_sub(begun.elapsed());
+    let body = runtime::within(left, read_body(connection, &head, bounds)).await;
+    let body = body.unwrap_or_else(|| Err(too_slow(bounds)));
+    let body = body.map_err(refused)?;
+    let method = head.method.clone();
+    receive(head, body).map_err(|refusal| Unread::Refused(refusal, method))
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    head: &RequestHead,
+    bounds: Bounds,
+) -> Result<Vec<u8>, Refusal> {
+    let not_whole = || Refusal::new(Kind::BadRequest, "the body is not whole");
     if matches!(head.framing, Framing::Length(length) if length > bounds.body) {
-        return Err(too_large(bounds).into());
+        return Err(too_large(bounds));
     }
     if head.fields.lists("expect", "100-continue") {
         let interim = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        interim.map_err(|_| Unread::Gone)?;
+        interim.map_err(|_| not_whole())?;
     }
     let body = connection.read_body(head.framing, bounds.body).await;
-    let body = body.map_err(|error| match error {
-        BodyError::Ended | BodyError::Malformed => {
-            Unread::from(Refusal::new(Kind::BadRequest, "the body is not whole"))
-        }
-        BodyError::TooLarge => too_large(bounds).into(),
-    })?;
-    Ok(receive(head, body)?)
+    body.map_err(|error| match error {
+        BodyError::Ended | BodyError::Malformed => not_whole(),
+        BodyError::TooLarge => too_large(bounds),
+    })
+}
+
+fn too_slow(bounds: Bounds) -> Refusal {
+    let detail = format!("the request was not whole within {:?}", bounds.message);
+    Refusal::new(Kind::RequestTimeout, detail)
 }
 
 fn too_large(bounds: Bounds) -> Refusal {
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -10,6 +10,7 @@
 
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(10);
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
 const LAST_REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
 
 fn answer(status: u16, body: &str) -> Answer {
@@ -52,6 +53,17 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+/// Reads one answer that ends with `end`.
+fn read_through(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the answer goes on");
+        text.push(byte[0]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
 fn send(address: &str, bytes: &[u8]) -> String {
     let mut stream = connect(address);
     stream.write_all(bytes).expect("it is read");
@@ -73,3 +85,43 @@
     assert!(send(&address, LAST_REQUEST).ends_with("whole"));
     assert_eq!(service.open_requests(), 0);
 }
+
+#[test]
+fn a_body_beyond_the_bound_is_refused_and_the_answer_is_not_lost_with_the_rest() {
+    let (_service, address) = serve(Bounds::default());
+    let length = 16 * 1024 * 1024;
+    let head = format!("POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    let mut stream = connect(&address);
+    stream.write_all(head.as_bytes()).expect("it is read");
+    let answered = read_through(&mut stream, "body-too-large");
+    assert!(answered.starts_with("HTTP/1.1 413 "), "{answered}");
+    stream
+        .write_all(&vec![0; length])
+        .expect("a sender that looks for answers last is not reset");
+    assert_eq!(read_all(&mut stream), "");
+}
+
+#[test]
+fn a_refused_request_for_a_head_gets_no_body() {
+    let (_service, address) = serve(Bounds::default());
+    let head = b"HEAD /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n";
+    let answered = send(&address, head);
+    assert!(answered.starts_with("HTTP/1.1 413 "), "{answered}");
+    assert!(answered.ends_with("\r\n\r\n"), "{answered}");
+}
+
+#[test]
+fn a_request_that_stops_half_way_is_told_that_it_has_not_run() {
+    let (_service, address) = serve(Bounds {
+        message: Duration::from_millis(50),
+        ..Bounds::default()
+    });
+    for begun in [
+        &REQUEST[..12],
+        b"POST /x HTTP/1.1\r\ncontent-length: 9\r\n\r\nhalf",
+    ] {
+        let answered = send(&address, begun);
+        assert!(answered.starts_with("HTTP/1.1 408 "), "{answered}");
+    }
+    assert_eq!(send(&address, b"\r\n"), "", "no request has begun");
+}
