Tell a caller that too many connections are open

What callers saw beyond `limits.connections`: a connection that was accepted and closed without a word, which promises nothing; and no log line.

Up to 64 connections beyond the bound are read for at most 1 s, and their one request is refused as "overloaded", not run, with the time to come back. Beyond that they are closed as before, with a line.

--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -20,6 +20,10 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the rest of a refused request is read.
 const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Connections beyond the bound that are answered before they are closed.
+const MOST_TURNED_AWAY: usize = 64;
+/// Time for which a connection beyond the bound is kept, and after which its caller may come back.
+const TURN_AWAY_TIME: Duration = Duration::from_secs(1);
 /// Stands for the method of a request whose head was not understood.
 const UNKNOWN_METHOD: &str = "GET";
 
@@ -48,12 +52,18 @@
             }
         };
         let place = Place::take(&open);
-        if place.number > service.bounds().connections {
+        let beyond = place.number.saturating_sub(service.bounds().connections);
+        if beyond > MOST_TURNED_AWAY {
+            log::debug!(open = place.number; "a connection was closed at once");
             continue;
         }
         let service = service.clone();
         runtime::spawn(async move {
-            serve_connection(stream, &service).await;
+            if beyond > 0 {
+                turn_away(stream, &service).await;
+            } else {
+                serve_connection(stream, &service).await;
+            }
             drop(place);
         });
     }
@@ -81,6 +91,23 @@
     }
 }
 
+/// Refuses the one request of a connection beyond the bound.
+async fn turn_away(stream: TcpStream, service: &HttpService) {
+    let mut connection = Connection::new(stream);
+    let bounds = service.bounds();
+    let head = connection.read_request_head(bounds.head);
+    let Some(Ok(head)) = runtime::within(TURN_AWAY_TIME, head).await else {
+        return;
+    };
+    let refusal =
+        Refusal::new(Kind::Overloaded, "too many connections are open").retry_after(TURN_AWAY_TIME);
+    let answer = service.refuse(&refusal);
+    match write(&mut connection, &answer, &head.method, true).await {
+        Ok(()) => connection.linger(TURN_AWAY_TIME).await,
+        Err(error) => log::debug!(error:display; "an answer was not written whole"),
+    }
+}
+
 async fn serve_connection(stream: TcpStream, service: &HttpService) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:display; "a connection delays small messages");
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -110,6 +110,22 @@
     assert!(answered.ends_with("\r\n\r\n"), "{answered}");
 }
 
+#[test]
+fn a_connection_beyond_the_bound_is_told_so() {
+    let (_service, address) = serve(Bounds {
+        connections: 1,
+        ..Bounds::default()
+    });
+    let mut kept = connect(&address);
+    kept.write_all(REQUEST).expect("it is read");
+    read_through(&mut kept, "whole");
+    let answered = send(&address, REQUEST);
+    assert!(answered.starts_with("HTTP/1.1 503 "), "{answered}");
+    assert!(answered.contains("connection: close"), "{answered}");
+    kept.write_all(LAST_REQUEST).expect("it is read");
+    assert!(read_all(&mut kept).ends_with("whole"));
+}
+
 #[test]
 fn a_request_that_stops_half_way_is_told_that_it_has_not_run() {
     let (_service, address) = serve(Bounds {
