--- /dev/null
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -0,0 +1,143 @@
+//! What callers see at the edges of a listener: each request that is read is answered, whatever
+//! happens around it.
+
+use indigospur_protocol::{Answer, Refusal};
+use indigospur_relay::{Bounds, Handler, HttpService, Received, Refuse, runtime, serve_http};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+const LAST_REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+
+fn answer(status: u16, body: &str) -> Answer {
+    Answer {
+        status,
+        headers: Vec::new(),
+        body: body.as_bytes().into(),
+    }
+}
+
+/// Serves "whole" to each request, except that `/panic` panics; the service and its address.
+fn serve(bounds: Bounds) -> (HttpService, String) {
+    let handler: Handler = Arc::new(|received: Received| {
+        assert_ne!(&*received.path, "/early", "a handler that panics at once");
+        Box::pin(async move {
+            assert_ne!(&*received.path, "/late", "a handler that panics as it runs");
+            answer(200, "whole")
+        })
+    });
+    let refuse: Refuse =
+        Arc::new(|refusal: &Refusal| answer(refusal.kind.row().status, refusal.kind.name()));
+    let service = HttpService::new(bounds, handler, refuse);
+    let listener = runtime::block_on(async_std::net::TcpListener::bind("127.0.0.1:0"));
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("it listens").to_string();
+    runtime::spawn(serve_http(listener, service.clone()));
+    (service, address)
+}
+
+fn connect(address: &str) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("it is open");
+    stream
+}
+
+/// Reads until the other side closes without a reset.
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).expect("it ends cleanly");
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Reads one answer that ends with `end`.
+fn read_through(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the answer goes on");
+        text.push(byte[0]);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+fn send(address: &str, bytes: &[u8]) -> String {
+    let mut stream = connect(address);
+    stream.write_all(bytes).expect("it is read");
+    read_all(&mut stream)
+}
+
+#[test]
+fn a_handler_that_panics_is_answered_for_and_keeps_no_connection() {
+    let (service, address) = serve(Bounds {
+        connections: 2,
+        ..Bounds::default()
+    });
+    for path in ["/early", "/late", "/early", "/late"] {
+        let text = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        let answered = send(&address, text.as_bytes());
+        assert!(answered.starts_with("HTTP/1.1 500 "), "{path}: {answered}");
+        assert!(answered.ends_with("internal"), "{path}: {answered}");
+    }
+    assert!(send(&address, LAST_REQUEST).ends_with("whole"));
+    assert_eq!(service.open_requests(), 0);
+}
+
+#[test]
+fn a_body_beyond_the_bound_is_refused_and_the_answer_is_not_lost_with_the_rest() {
+    let (_service, address) = serve(Bounds::default());
+    let length = 16 * 1024 * 1024;
+    let head = format!("POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    let mut stream = connect(&address);
+    stream.write_all(head.as_bytes()).expect("it is read");
+    let answered = read_through(&mut stream, "body-too-large");
+    assert!(answered.starts_with("HTTP/1.1 413 "), "{answered}");
+    stream
+        .write_all(&vec![0; length])
+        .expect("a sender that looks for answers last is not reset");
+    assert_eq!(read_all(&mut stream), "");
+}
+
+#[test]
+fn a_refused_request_for_a_head_gets_no_body() {
+    let (_service, address) = serve(Bounds::default());
+    let head = b"HEAD /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n";
+    let answered = send(&address, head);
+    assert!(answered.starts_with("HTTP/1.1 413 "), "{answered}");
+    assert!(answered.ends_with("\r\n\r\n"), "{answered}");
+}
+
+#[test]
+fn a_connection_beyond_the_bound_is_told_so() {
+    let (_service, address) = serve(Bounds {
+        connections: 1,
+        ..Bounds::default()
+    });
+    let mut kept = connect(&address);
+    kept.write_all(REQUEST).expect("it is read");
+    read_through(&mut kept, "whole");
+    let answered = send(&address, REQUEST);
+    assert!(answered.starts_with("HTTP/1.1 503 "), "{answered}");
+    assert!(answered.contains("connection: close"), "{answered}");
+    kept.write_all(LAST_REQUEST).expect("it is read");
+    assert!(read_all(&mut kept).ends_with("whole"));
+}
+
+#[test]
+fn a_request_that_stops_half_way_is_told_that_it_has_not_run() {
+    let (_service, address) = serve(Bounds {
+        message: Duration::from_millis(50),
+        ..Bounds::default()
+    });
+    for begun in [
+        &REQUEST[..12],
+        b"POST /x HTTP/1.1\r\ncontent-length: 9\r\n\r\nhalf",
+    ] {
+        let answered = send(&address, begun);
+        assert!(answered.starts_with("HTTP/1.1 408 "), "{answered}");
+    }
+    assert_eq!(send(&address, b"\r\n"), "", "no request has begun");
+}
