Raise the number of a start above that of an earlier one

The number of a daemon's start is the time of day. A daemon that starts again after the time of day was set back has a lower number than before: the others kept its earlier account, and the daemon ignored what they said of it. Its state, address, backend server and leaving were never learnt, so callers were sent to the old address or to a backend server that had left.

Ruled out: a random number instead of the time, which orders no two starts; a number from the store, which may be down at a start.

A daemon that hears of itself with a higher number now takes the next one and tells it at once. Its part in at-most-once execution starts anew under that number, as after a crash. Call tokens and crash numbers, which must not repeat, come from a number drawn at each start.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -197,15 +197,25 @@
             *lock(&daemon.backend) = Some(Backend::new(daemon, announced, cold));
         }
     }
-    if daemon.settings.at_most_once {
-        start_once(daemon, &announced.service);
+    start_once(daemon, &announced.service);
+}
+
+/// The number of this start was raised above that of an earlier one.
+pub(crate) fn renumbered(daemon: &Daemon) {
+    if let Some(backend) = daemon.backend() {
+        start_once(daemon, &backend.service);
     }
 }
 
-/// Takes up this daemon's part in at-most-once execution for its service.
+/// Takes up this daemon's part in at-most-once execution for its service. The part of another
+/// number of this start is dropped as by a crash: other daemons take that number for gone.
 fn start_once(daemon: &Daemon, service: &ServiceName) {
+    if !daemon.settings.at_most_once {
+        return;
+    }
     let mut once = lock(&daemon.once);
-    if once.is_some() {
+    let me = lock(&daemon.fleet).members.my_id();
+    if once.as_ref().is_some_and(|part| *part.me() == me) {
         return;
     }
     let options = OnceOptions {
@@ -213,7 +223,6 @@
         lease: daemon.settings.key_lease,
         ..OnceOptions::default()
     };
-    let me = lock(&daemon.fleet).members.my_id();
     let follower = lock(&daemon.follower);
     let mut part = Once::new(*lock(&daemon.log_read), me, options);
     for fetched in follower.records(0) {
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -153,6 +153,10 @@
 fn take(daemon: &Arc<Daemon>, message: &Message, address: &Arc<str>) {
     let changed = lock(&daemon.fleet).take(message);
     route(daemon, &changed);
+    if changed.iter().any(|member| member.host == *daemon.host()) {
+        backend::renumbered(daemon);
+        daemon.tell_news();
+    }
     if let Some(instance) = &message.departed {
         backend::leave(daemon, instance);
     }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -52,7 +52,10 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     /// Where rule sets come from, if not from the log.
     pub(crate) source: Option<Arc<dyn Configuration>>,
+    /// Number of this start by the time of day; members may know this daemon by a higher one.
     pub(crate) incarnation: Incarnation,
+    /// Drawn at each start, for names that must not repeat though the time of day goes back.
+    nonce: u64,
     pub(crate) metrics: Metrics,
     pub(crate) links: Links,
     pub(crate) log: LogClient,
@@ -118,6 +121,7 @@
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
         let incarnation = since.as_millis() as u64;
+        let mut rng = SmallRng::from_os_rng();
         let me = Member {
             host: settings.name.clone(),
             incarnation,
@@ -141,6 +145,7 @@
             dialect,
             source,
             incarnation,
+            nonce: rng.random(),
             metrics: Metrics::new(),
             links: Links::default(),
             log: LogClient::new(settings.log.clone()),
@@ -169,7 +174,7 @@
             pressures: Mutex::default(),
             entry: Mutex::new(Entry::new(incarnation)),
             ratios: Mutex::default(),
-            rng: Mutex::new(SmallRng::from_os_rng()),
+            rng: Mutex::new(rng),
             news: bounded(1),
             drained: Mutex::default(),
             open_keys: AtomicUsize::new(0),
@@ -311,12 +316,12 @@
     /// A name for a call that is unique among all daemons.
     pub(crate) fn new_token(&self) -> Arc<str> {
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{:x}-{number:x}", self.settings.name, self.incarnation).into()
+        format!("{}-{:x}-{number:x}", self.settings.name, self.nonce).into()
     }
 
     /// A number for a crash of the backend server, unique over starts of the daemon.
     pub(crate) fn new_crash(&self) -> u64 {
-        self.incarnation
+        self.nonce
             .wrapping_add(self.crashes.fetch_add(1, Ordering::Relaxed))
     }
 
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -146,13 +146,17 @@
         Some(heard)
     }
 
-    /// Contradicts what others wrongly say of this daemon, such as that it is down.
+    /// Contradicts what others wrongly say of this daemon: that it is down, or that an earlier start
+    /// is the newest. The time of day numbers the starts and may go back between two of them.
     fn refute(&mut self, now: Instant, heard: &Member) -> Option<Member> {
-        if heard.incarnation != self.me().incarnation || heard.order() <= self.me().order() {
+        if heard.order() <= self.me().order() {
             return None;
         }
         let mut me = self.me().clone();
-        me.revision = heard.revision + 1;
+        if heard.incarnation > me.incarnation {
+            me.incarnation = heard.incarnation.saturating_add(1);
+        }
+        me.revision = heard.revision.saturating_add(1);
         self.store(now, me.clone());
         Some(me)
     }
--- a/crates/indigospur-once/src/once.rs
+++ b/crates/indigospur-once/src/once.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The start of the daemon whose part it is.
+    pub fn me(&self) -> &MemberId {
+        &self.me
+    }
+
     /// The current epoch.
     pub fn current(&self) -> Option<&EpochRecord> {
         self.epochs.current()
--- a/crates/indigospur-protocol/src/member.rs
+++ b/crates/indigospur-protocol/src/member.rs
@@ -46,7 +46,7 @@
 pub struct Member {
     /// Host name.
     pub host: HostId,
-    /// Start number of the daemon.
+    /// Start number of the daemon; one that learns of a higher one of its own takes the next.
     pub incarnation: Incarnation,
     /// Grows with each change within one incarnation.
     pub revision: u64,
