End idle connections as the listener stops, and not before their time

What callers saw: - a kept connection took requests until the process was gone: one that was read between the last look at what is open and the exit was neither answered nor refused; - a connection that waited to be accepted as the listener stopped was reset, though the listener says that it takes those that wait; - with an idle time that the operator makes longer, connections that were idle already were closed after the old one, while callers reuse them by the new one.

Once the service stops listening, a connection without a request ends, and nothing is read after it, so that a request that crosses this is closed on unread. A last look is taken at what waits to be accepted. The idle time is looked at again as it ends.

Both tests were seen to fail first (a kept connection that stays open; a broken pipe).

--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -29,12 +29,17 @@
 
 /// The next connection; `None` once the service has stopped listening and none waits.
 async fn accept(listener: &TcpListener, service: &HttpService) -> Option<io::Result<TcpStream>> {
-    let accepted = async { Some(listener.accept().await.map(|(stream, _)| stream)) };
+    let accepted = async { Some(listener.accept().await) };
     let stopped = async {
         service.stopped().await;
         None
     };
-    futures_lite::future::or(accepted, stopped).await
+    let accepted = match futures_lite::future::or(accepted, stopped).await {
+        Some(accepted) => accepted,
+        // A connection that waits may not have been noticed yet; one closed with the listener is reset.
+        None => futures_lite::future::poll_once(listener.accept()).await?,
+    };
+    Some(accepted.map(|(stream, _)| stream))
 }
 
 /// Serves connections until the service stops listening. The handler's future is dropped when its caller
@@ -136,9 +141,28 @@
     Rest,
 }
 
+/// Waits for a request; false if the connection ends, was idle for too long, or the service stops
+/// before one has begun.
+async fn begins(connection: &mut Connection, service: &HttpService) -> bool {
+    let idle = Instant::now();
+    loop {
+        let left = service.bounds().idle.saturating_sub(idle.elapsed());
+        let stopped = async {
+            service.stopped().await;
+            false
+        };
+        let begun = futures_lite::future::or(connection.begins(), stopped);
+        match runtime::within(left, begun).await {
+            Some(begun) => return begun,
+            // The bound may have grown meanwhile.
+            None if idle.elapsed() < service.bounds().idle => {}
+            None => return false,
+        }
+    }
+}
+
 async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<Next> {
-    let bounds = service.bounds();
-    if runtime::within(bounds.idle, connection.begins()).await != Some(true) {
+    if !begins(connection, service).await {
         return Ok(Next::Close);
     }
     let Request { received, closes } = match read_request(connection, service.bounds()).await {
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -73,10 +73,10 @@
 #[test]
 fn a_handler_that_panics_is_answered_for_and_keeps_no_connection() {
     let (service, address) = serve(Bounds {
-        connections: 2,
+        connections: 8,
         ..Bounds::default()
     });
-    for path in ["/early", "/late", "/early", "/late"] {
+    for path in ["/early", "/late"].repeat(8) {
         let text = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
         let answered = send(&address, text.as_bytes());
         assert!(answered.starts_with("HTTP/1.1 500 "), "{path}: {answered}");
@@ -141,3 +141,31 @@
     }
     assert_eq!(send(&address, b"\r\n"), "", "no request has begun");
 }
+
+#[test]
+fn idle_connections_end_when_the_service_stops() {
+    let (service, address) = serve(Bounds::default());
+    let mut kept = connect(&address);
+    kept.write_all(REQUEST).expect("it is read");
+    read_through(&mut kept, "whole");
+    let mut silent = connect(&address);
+    service.stop_listening();
+    assert_eq!(read_all(&mut kept), "");
+    assert_eq!(read_all(&mut silent), "");
+}
+
+#[test]
+fn a_longer_idle_time_holds_for_connections_that_are_idle_already() {
+    let bounds = |idle| Bounds {
+        idle,
+        ..Bounds::default()
+    };
+    let (service, address) = serve(bounds(Duration::from_secs(1)));
+    let mut kept = connect(&address);
+    kept.write_all(REQUEST).expect("it is read");
+    read_through(&mut kept, "whole");
+    service.set_bounds(bounds(PATIENCE));
+    std::thread::sleep(Duration::from_millis(1_500));
+    kept.write_all(LAST_REQUEST).expect("it is open");
+    assert!(read_all(&mut kept).ends_with("whole"));
+}
