Tell the starts of one instance apart in what is said of leaving

A backend server may start again under the name that it had. Other daemons remember the name of the instance that left and tell it again and again, so the daemon beside the new start took it for the one that had left: it served nothing for as long as the daemons ran, and callers were refused. A late notice that an earlier start leaves ended the present one in the same way, and a later start whose first announcement says that it leaves was passed over, though it is the one that runs.

Members, gossip and leaving notices now tell when the start began. Without that the present start of the name is meant, as before; if none is known, the name counts as left for 30 s, then a later start may have it.

Ruled out: forgetting what left as soon as the name announces itself again, since a late announcement of the start that left looks the same.

--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -185,6 +185,7 @@
         connections: 500,
         state: State::Ready,
         instance: "".into(),
+        born: 0,
         leaving: false,
     }
 }
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -459,6 +459,7 @@
         connections: slots * 8,
         state: State::Ready,
         instance: "".into(),
+        born: 0,
         leaving: false,
     }
 }
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
 use indigospur_admission::{Admission, Options};
-use indigospur_members::Heard;
+use indigospur_members::{Heard, Start};
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{Announcement, ServiceName, State};
 use indigospur_publish::{Body, Record};
@@ -111,7 +111,7 @@
         return false;
     }
     let now = Instant::now();
-    let heard = lock(&daemon.starts).hear(announced);
+    let heard = lock(&daemon.starts).hear(now, announced);
     log_announcement(announced, heard);
     if heard == Heard::Stale {
         return false;
@@ -130,6 +130,7 @@
         me.slots = announced.slots;
         me.connections = announced.connections;
         me.instance = announced.instance.clone();
+        me.born = announced.born;
         me.leaving = leaves;
         me.state = if draining {
             State::Draining
@@ -163,14 +164,14 @@
     );
 }
 
-/// An instance of the backend server has left; whether that is news of the present one.
-pub(crate) fn leave(daemon: &Daemon, instance: &str) -> bool {
-    if !lock(&daemon.starts).leave(instance) {
+/// A start of the backend server has left; whether that is news of the present one.
+pub(crate) fn leave(daemon: &Daemon, start: &Start) -> bool {
+    let now = Instant::now();
+    if !lock(&daemon.starts).leave(now, start) {
         return false;
     }
-    log::info!(instance; "backend server leaves");
+    log::info!(instance = &*start.instance, born = start.born; "backend server leaves");
     daemon.drain_slots();
-    let now = Instant::now();
     let changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.state = State::Draining;
         me.leaving = true;
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -157,8 +157,8 @@
         backend::renumbered(daemon);
         daemon.tell_news();
     }
-    if let Some(instance) = &message.departed {
-        backend::leave(daemon, instance);
+    if let Some(start) = &message.departed {
+        backend::leave(daemon, start);
     }
     if message.accepted <= daemon.accepted() {
         return;
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -134,6 +134,7 @@
             connections: 0,
             state: State::Waiting,
             instance: "".into(),
+            born: 0,
             leaving: false,
         };
         let fleet = Fleet {
--- a/crates/indigospur-daemon/src/port.rs
+++ b/crates/indigospur-daemon/src/port.rs
@@ -2,6 +2,7 @@
 
 use crate::daemon::Daemon;
 use crate::{backend, control};
+use indigospur_members::Start;
 use indigospur_protocol::Announcement;
 use std::sync::Arc;
 
@@ -34,9 +35,10 @@
         Ok(())
     }
 
-    /// The backend server says that an instance of it has left; binds in the same way.
-    pub async fn leave(&self, instance: &str) {
-        if backend::leave(&self.daemon, instance) {
+    /// The backend server says that an instance of it has left whose start began at `born`, in
+    /// milliseconds since the Unix epoch; zero if it doesn't say. Binds in the same way.
+    pub async fn leave(&self, instance: &str, born: u64) {
+        if backend::leave(&self.daemon, &Start::new(instance, born)) {
             control::tell_now(&self.daemon).await;
         }
     }
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -1,9 +1,9 @@
 //! What two daemons tell each other in a gossip round, within a bound of bytes.
 
 use crate::members::Members;
+use crate::starts::Start;
 use crate::suspects::Suspects;
 use indigospur_protocol::{Crash, HostId, Member, WireError, wire::peer};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Members told of in one message.
@@ -39,12 +39,13 @@
     pub whole: bool,
     /// `members` is the sender's whole list.
     pub full: bool,
-    /// Instance that left on the receiver's host, as the sender knows.
-    pub departed: Option<Arc<str>>,
+    /// Start of the backend server that left last on the receiver's host, as the sender knows.
+    pub departed: Option<Start>,
 }
 
 impl From<Message> for peer::GossipMessage {
     fn from(message: Message) -> Self {
+        let departed = message.departed.as_ref();
         peer::GossipMessage {
             from: message.from.to_string(),
             accepted: message.accepted,
@@ -53,7 +54,8 @@
             suspects: message.crashes.iter().map(Into::into).collect(),
             whole: message.whole,
             full: message.full,
-            departed: message.departed.as_deref().unwrap_or_default().to_owned(),
+            departed: departed.map_or_else(String::new, |start| start.instance.to_string()),
+            departed_born: departed.map_or(0, |start| start.born),
         }
     }
 }
@@ -72,7 +74,8 @@
             crashes: wire.suspects.into_iter().map(Into::into).collect(),
             whole: wire.whole,
             full: wire.full,
-            departed: (!wire.departed.is_empty()).then(|| wire.departed.into()),
+            departed: (!wire.departed.is_empty())
+                .then(|| Start::new(&wire.departed, wire.departed_born)),
         })
     }
 }
--- a/crates/indigospur-members/src/lib.rs
+++ b/crates/indigospur-members/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use exchange::{Exchange, Message};
 pub use members::Members;
-pub use starts::{Heard, Starts};
+pub use starts::{Heard, Start, Starts};
 pub use suspects::{Suspects, Verdict};
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -1,10 +1,10 @@
 //! The members of the fleet as one daemon knows them.
 
 use crate::rumours::Rumours;
+use crate::starts::Start;
 use indigospur_protocol::{HostId, Member, MemberId, State};
 use rand::Rng;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -42,8 +42,8 @@
     rumours: Rumours,
     /// Exclusive or of the hashes of all entries.
     digest: u64,
-    /// Instance of the backend server that left last, by host; outlives the daemon there.
-    departed: HashMap<HostId, Arc<str>>,
+    /// Start of the backend server that left last, by host; outlives the daemon there.
+    departed: HashMap<HostId, Start>,
 }
 
 impl Members {
@@ -97,8 +97,8 @@
         self.digest
     }
 
-    /// Instance of the backend server that left last on a host.
-    pub fn departed(&self, host: &str) -> Option<&Arc<str>> {
+    /// Start of the backend server that left last on a host.
+    pub fn departed(&self, host: &str) -> Option<&Start> {
         self.departed.get(host)
     }
 
@@ -265,7 +265,8 @@
         self.digest ^= hash(&member);
         let host = member.host.clone();
         if member.leaving && !member.instance.is_empty() {
-            self.departed.insert(host.clone(), member.instance.clone());
+            let start = Start::new(&member.instance, member.born);
+            self.departed.insert(host.clone(), start);
         }
         let before = self.table.insert(
             host.clone(),
--- a/crates/indigospur-members/src/starts.rs
+++ b/crates/indigospur-members/src/starts.rs
@@ -5,12 +5,54 @@
 
 use indigospur_protocol::{Announcement, State};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Starts that have left and are remembered.
 const MOST_LEFT: usize = 32;
+/// Time for which a name counts as left whenever its start began, if that was not told: longer than
+/// any announcement is late.
+const NAME_MEMORY: Duration = Duration::from_secs(30);
 
-/// Names one start: the instance, and when it was born.
-type Start = (Arc<str>, u64);
+/// One start of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Name that it gives itself; a later start may have it again.
+    pub instance: Arc<str>,
+    /// When it began, in milliseconds since the Unix epoch; zero if it doesn't say.
+    pub born: u64,
+}
+
+impl Start {
+    /// The start of an instance.
+    pub fn new(instance: &str, born: u64) -> Start {
+        Start {
+            instance: instance.into(),
+            born,
+        }
+    }
+
+    /// Whether it began before another start, as far as both say when.
+    fn is_older(&self, other: &Start) -> bool {
+        self.born > 0 && other.born > 0 && self.born < other.born
+    }
+}
+
+/// A start that leaves or has left, and when that was heard.
+#[derive(Debug)]
+struct Left {
+    start: Start,
+    at: Instant,
+}
+
+impl Left {
+    /// Whether it may be this start.
+    fn covers(&self, now: Instant, start: &Start) -> bool {
+        let fresh = now.saturating_duration_since(self.at) < NAME_MEMORY;
+        let same = self.start.born == start.born;
+        let untold = start.born == 0 || (self.start.born == 0 && fresh);
+        self.start.instance == start.instance && (same || untold)
+    }
+}
 
 /// What an announcement brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,21 +73,24 @@
     /// The present start and the sequence of its last announcement.
     current: Option<(Start, u64)>,
     /// Starts that leave or have left, the oldest first.
-    left: Vec<Start>,
+    left: Vec<Left>,
 }
 
 impl Starts {
     /// Takes an announcement in.
-    pub fn hear(&mut self, announced: &Announcement) -> Heard {
-        let start = (announced.instance.clone(), announced.born);
+    pub fn hear(&mut self, now: Instant, announced: &Announcement) -> Heard {
+        let start = Start {
+            instance: announced.instance.clone(),
+            born: announced.born,
+        };
         if announced.state == State::Draining {
-            return self.hear_leaving(start, announced.sequence);
+            return self.hear_leaving(now, start, announced.sequence);
         }
-        if self.has_left(&start) {
+        if self.has_left(now, &start) {
             return Heard::Stale;
         }
         let heard = match &self.current {
-            Some((current, _)) if is_older(&start, current) => return Heard::Stale,
+            Some((current, _)) if start.is_older(current) => return Heard::Stale,
             Some((current, last)) if *current == start => {
                 if announced.sequence > 0 && announced.sequence <= *last {
                     return Heard::Stale;
@@ -58,14 +103,14 @@
         heard
     }
 
-    fn hear_leaving(&mut self, start: Start, sequence: u64) -> Heard {
+    fn hear_leaving(&mut self, now: Instant, start: Start, sequence: u64) -> Heard {
         let other = self
             .current
             .as_ref()
-            .is_some_and(|(current, _)| *current != start);
+            .is_some_and(|(current, _)| *current != start && !current.is_older(&start));
         // A backend server without a name may announce that it leaves and then come back.
-        if !start.0.is_empty() {
-            self.remember(start.clone());
+        if !start.instance.is_empty() {
+            self.remember(now, start.clone());
         }
         if other {
             return Heard::Stale;
@@ -74,44 +119,35 @@
         Heard::Leaving
     }
 
-    /// Notes that an instance has left, whenever it was born, up to what is known of it now; whether
-    /// it is the present start and was not known to leave.
-    pub fn leave(&mut self, instance: &str) -> bool {
-        let current = self.current.as_ref().map(|(start, _)| start.clone());
-        match current {
-            Some(start) if &*start.0 == instance => {
-                let known = self.has_left(&start);
-                self.remember(start);
-                !known
-            }
-            Some(_) => false,
-            None => {
-                self.remember((instance.into(), u64::MAX));
-                false
-            }
+    /// Notes that a start has left; whether it is the present one and was not known to leave. If it
+    /// is not told when the start began, it is the present one where that has its name.
+    pub fn leave(&mut self, now: Instant, start: &Start) -> bool {
+        let current = self.current.as_ref().map(|(current, _)| current);
+        let meant =
+            |current: &&Start| current.instance == start.instance && !start.is_older(current);
+        let Some(current) = current.filter(meant).cloned() else {
+            self.remember(now, start.clone());
+            return false;
+        };
+        if start.born > current.born {
+            self.remember(now, start.clone());
         }
+        self.remember(now, current)
     }
 
-    fn remember(&mut self, start: Start) {
-        if self.left.contains(&start) {
-            return;
+    /// Remembers a start as left; false if it was.
+    fn remember(&mut self, now: Instant, start: Start) -> bool {
+        if self.left.iter().any(|left| left.start == start) {
+            return false;
         }
         if self.left.len() >= MOST_LEFT {
             self.left.remove(0);
         }
-        self.left.push(start);
+        self.left.push(Left { start, at: now });
+        true
     }
 
-    /// Whether the start has left. One that is known only by its name counts for each birth until
-    /// a later one is told.
-    fn has_left(&self, start: &Start) -> bool {
-        self.left
-            .iter()
-            .any(|left| left.0 == start.0 && (left.1 == start.1 || left.1 == u64::MAX))
+    fn has_left(&self, now: Instant, start: &Start) -> bool {
+        self.left.iter().any(|left| left.covers(now, start))
     }
 }
-
-/// Whether a start was born before another one that is known.
-fn is_older(start: &Start, known: &Start) -> bool {
-    start.1 > 0 && known.1 > 0 && start.1 < known.1
-}
--- a/crates/indigospur-members/tests/members/gossip.rs
+++ b/crates/indigospur-members/tests/members/gossip.rs
@@ -1,7 +1,7 @@
 //! Gossip, liveness and suspects.
 
 use crate::fleet::{Fleet, Node, ROUND, member, sees};
-use indigospur_members::{Exchange, Heard, Members, Message, Starts, Suspects, Verdict};
+use indigospur_members::{Exchange, Heard, Members, Message, Start, Starts, Suspects, Verdict};
 use indigospur_protocol::{Announcement, Member, State};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -244,9 +244,10 @@
     let answer = fleet.receive(0, &asked);
     let wire = indigospur_protocol::wire::peer::GossipMessage::from(answer);
     let answer = Message::try_from(wire).expect("it is whole");
-    assert_eq!(answer.departed.as_deref(), Some("i-1"));
+    let departed = answer.departed.expect("one has left");
+    assert_eq!(departed, Start::new("i-1", 0));
     let mut starts = Starts::default();
-    assert!(!starts.leave("i-1"));
+    assert!(!starts.leave(now, &departed));
     let late = Announcement {
         service: "quoting".into(),
         address: "127.0.0.1:1".into(),
@@ -258,5 +259,5 @@
         sequence: 9,
         cold_ms: 0,
     };
-    assert_eq!(starts.hear(&late), Heard::Stale);
+    assert_eq!(starts.hear(now, &late), Heard::Stale);
 }
--- a/crates/indigospur-members/tests/members/starts.rs
+++ b/crates/indigospur-members/tests/members/starts.rs
@@ -1,8 +1,32 @@
 //! Starts of daemons and of backend servers that the time of day does not order.
 
 use crate::fleet::{Fleet, member, sees};
-use indigospur_members::Members;
-use indigospur_protocol::{Member, State};
+use indigospur_members::{Heard, Members, Message, Start, Starts};
+use indigospur_protocol::wire::peer::GossipMessage;
+use indigospur_protocol::{Announcement, Member, State};
+use std::time::{Duration, Instant};
+
+fn announced(instance: &str, born: u64, state: State, sequence: u64) -> Announcement {
+    Announcement {
+        service: "quoting".into(),
+        address: "127.0.0.1:1".into(),
+        slots: 1,
+        connections: 1,
+        state,
+        instance: instance.into(),
+        born,
+        sequence,
+        cold_ms: 0,
+    }
+}
+
+fn ready(instance: &str, born: u64, sequence: u64) -> Announcement {
+    announced(instance, born, State::Ready, sequence)
+}
+
+fn draining(instance: &str, born: u64, sequence: u64) -> Announcement {
+    announced(instance, born, State::Draining, sequence)
+}
 
 /// The number of a start comes from the time of day, which may have been set back.
 #[test]
@@ -66,7 +90,7 @@
 
 #[test]
 fn a_daemon_that_hears_of_its_earlier_start_does_not_give_its_number_up() {
-    let now = std::time::Instant::now();
+    let now = Instant::now();
     let me = Member {
         incarnation: 10_000,
         ..member(1)
@@ -81,3 +105,74 @@
     members.merge(now, vec![last.clone()]);
     assert!(members.me().order() >= last.order());
 }
+
+#[test]
+fn a_start_is_not_taken_for_an_earlier_one_of_its_name_that_left() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 8)), Heard::New);
+    assert_eq!(starts.hear(now, &draining("i-1", 100, 9)), Heard::Leaving);
+    assert_eq!(starts.hear(now, &ready("i-1", 200, 1)), Heard::New);
+    // Others tell again and again what has left, and the first start says late that it leaves.
+    assert!(!starts.leave(now, &Start::new("i-1", 100)));
+    assert_eq!(starts.hear(now, &draining("i-1", 100, 10)), Heard::Stale);
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 11)), Heard::Stale);
+    assert_eq!(starts.hear(now, &ready("i-1", 200, 2)), Heard::Known);
+    assert!(starts.leave(now, &Start::new("i-1", 200)));
+    assert!(!starts.leave(now, &Start::new("i-1", 200)));
+    assert_eq!(starts.hear(now, &ready("i-1", 200, 3)), Heard::Stale);
+}
+
+#[test]
+fn a_start_that_leaves_without_saying_when_it_began_is_the_present_one() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 1)), Heard::New);
+    assert!(!starts.leave(now, &Start::new("i-0", 0)));
+    assert!(starts.leave(now, &Start::new("i-1", 0)));
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 2)), Heard::Stale);
+    assert_eq!(starts.hear(now, &ready("i-1", 200, 1)), Heard::New);
+}
+
+#[test]
+fn a_later_start_that_was_never_heard_ready_leaves_in_place_of_the_present_one() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 1)), Heard::New);
+    assert_eq!(starts.hear(now, &draining("i-1", 200, 3)), Heard::Leaving);
+    assert_eq!(starts.hear(now, &ready("i-1", 200, 2)), Heard::Stale);
+    assert_eq!(starts.hear(now, &ready("i-1", 100, 2)), Heard::Stale);
+}
+
+/// As after a restart of the daemon, when it was told that an instance left and nothing else.
+#[test]
+fn a_name_that_left_at_an_unknown_start_is_free_again_for_a_later_one() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert!(!starts.leave(now, &Start::new("i-1", 0)));
+    let soon = now + Duration::from_secs(10);
+    assert_eq!(starts.hear(soon, &ready("i-1", 100, 5)), Heard::Stale);
+    assert!(!starts.leave(soon, &Start::new("i-1", 0)));
+    let later = now + Duration::from_secs(60);
+    assert_eq!(starts.hear(later, &ready("i-1", 0, 6)), Heard::Stale);
+    assert_eq!(starts.hear(later, &ready("i-1", 200, 1)), Heard::New);
+}
+
+#[test]
+fn a_daemon_that_starts_anew_is_told_which_start_of_an_instance_has_left() {
+    let mut fleet = Fleet::new(2, 13);
+    let leaving = Member {
+        revision: 2,
+        state: State::Draining,
+        instance: "i-1".into(),
+        born: 100,
+        leaving: true,
+        ..member(1)
+    };
+    fleet.nodes[0].members.merge(fleet.now, vec![leaving]);
+    let node = &mut fleet.nodes[1];
+    let asked = node.exchange.open(&mut node.members, &mut node.suspects, 0);
+    let wire = GossipMessage::from(fleet.receive(0, &asked));
+    let answer = Message::try_from(wire).expect("it is whole");
+    assert_eq!(answer.departed, Some(Start::new("i-1", 100)));
+}
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -302,6 +302,7 @@
             state: member.state.number(),
             instance: member.instance.to_string(),
             leaving: member.leaving,
+            born: member.born,
         }
     }
 }
@@ -326,6 +327,7 @@
             state: State::from_number(wire.state).ok_or(WireError::Range("state"))?,
             instance: wire.instance.into(),
             leaving: wire.leaving,
+            born: wire.born,
         })
     }
 }
--- a/crates/indigospur-protocol/src/member.rs
+++ b/crates/indigospur-protocol/src/member.rs
@@ -66,6 +66,8 @@
     pub state: State,
     /// Start of the backend server, as it names itself; empty if it does not.
     pub instance: Arc<str>,
+    /// When that start began, in milliseconds since the Unix epoch; zero if it doesn't say.
+    pub born: u64,
     /// The backend server itself leaves, not just its daemon; it never takes new work again.
     pub leaving: bool,
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -157,6 +157,9 @@
     /// The backend server itself leaves, not just its daemon.
     #[prost(bool, tag = "12")]
     pub leaving: bool,
+    /// When that start began, in milliseconds since the Unix epoch; zero if it is not told.
+    #[prost(uint64, tag = "13")]
+    pub born: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Suspect {
@@ -193,6 +196,9 @@
     /// Instance that left on the receiver's host, as the sender knows; empty if it knows none.
     #[prost(string, tag = "8")]
     pub departed: ::prost::alloc::string::String,
+    /// When the start of that instance began that left, as in Member.
+    #[prost(uint64, tag = "9")]
+    pub departed_born: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {
