Take a start for the present one when the one known before has fallen silent

The time at which a backend server says that it started comes from its clock. After that was set back a new start seemed older than the one before, and its announcements were passed over for good: the host served nothing until its daemon started again. Without that time a late announcement of a start that was replaced brought it back until the next announcement of the present one, and a start that counts its announcements anew was passed over until its count had caught up.

A start that seems older than the present one, or was replaced by it, is still passed over while the present one announces itself, and taken once that has been silent for 3 s. A late announcement that arrives then is corrected by the next one of the start that runs.

Three tests in virtual time, each seen to fail first.

--- a/crates/indigospur-members/src/starts.rs
+++ b/crates/indigospur-members/src/starts.rs
@@ -4,11 +4,18 @@
 //! start leaves binds for good.
 
 use indigospur_protocol::{Announcement, State};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Starts that have left and are remembered.
 const MOST_LEFT: usize = 32;
+/// Starts that were replaced and are remembered.
+const MOST_REPLACED: usize = 8;
+/// Time without an announcement of the present start after which one that seems older may be the one
+/// that runs: its birth comes from a clock that may have been set back. Two announcements are missed
+/// by then.
+const SILENCE: Duration = Duration::from_secs(3);
 /// Time for which a name counts as left whenever its start began, if that was not told: longer than
 /// any announcement is late.
 const NAME_MEMORY: Duration = Duration::from_secs(30);
@@ -67,11 +74,27 @@
     Stale,
 }
 
+/// The present start.
+#[derive(Debug)]
+struct Current {
+    start: Start,
+    /// Sequence of its last announcement, and when that was heard.
+    sequence: u64,
+    heard: Instant,
+}
+
+impl Current {
+    fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= SILENCE
+    }
+}
+
 /// The starts of one backend server.
 #[derive(Debug, Default)]
 pub struct Starts {
-    /// The present start and the sequence of its last announcement.
-    current: Option<(Start, u64)>,
+    current: Option<Current>,
+    /// Starts that another one was heard after, the oldest first.
+    replaced: VecDeque<Start>,
     /// Starts that leave or have left, the oldest first.
     left: Vec<Left>,
 }
@@ -90,24 +113,28 @@
             return Heard::Stale;
         }
         let heard = match &self.current {
-            Some((current, _)) if start.is_older(current) => return Heard::Stale,
-            Some((current, last)) if *current == start => {
-                if announced.sequence > 0 && announced.sequence <= *last {
+            Some(current) if current.start == start => {
+                let counted = announced.sequence > current.sequence || announced.sequence == 0;
+                let anew = start.born == 0 && current.is_silent(now);
+                if !counted && !anew {
                     return Heard::Stale;
                 }
                 Heard::Known
             }
+            Some(current) if self.seems_older(&start, current) && !current.is_silent(now) => {
+                return Heard::Stale;
+            }
             _ => Heard::New,
         };
-        self.current = Some((start, announced.sequence));
+        self.set_current(now, start, announced.sequence);
         heard
     }
 
     fn hear_leaving(&mut self, now: Instant, start: Start, sequence: u64) -> Heard {
-        let other = self
-            .current
-            .as_ref()
-            .is_some_and(|(current, _)| *current != start && !current.is_older(&start));
+        let other = self.current.as_ref().is_some_and(|current| {
+            let later = current.start.is_older(&start) || current.is_silent(now);
+            current.start != start && !later
+        });
         // A backend server without a name may announce that it leaves and then come back.
         if !start.instance.is_empty() {
             self.remember(now, start.clone());
@@ -115,14 +142,37 @@
         if other {
             return Heard::Stale;
         }
-        self.current = Some((start, sequence));
+        self.set_current(now, start, sequence);
         Heard::Leaving
     }
 
+    /// Whether a start seems to have begun before the present one.
+    fn seems_older(&self, start: &Start, current: &Current) -> bool {
+        if start.born > 0 && current.start.born > 0 {
+            return start.is_older(&current.start);
+        }
+        self.replaced.contains(start)
+    }
+
+    fn set_current(&mut self, now: Instant, start: Start, sequence: u64) {
+        self.replaced.retain(|replaced| *replaced != start);
+        let current = Current {
+            start: start.clone(),
+            sequence,
+            heard: now,
+        };
+        let before = self.current.replace(current).map(|before| before.start);
+        self.replaced
+            .extend(before.filter(|before| *before != start));
+        while self.replaced.len() > MOST_REPLACED {
+            self.replaced.pop_front();
+        }
+    }
+
     /// Notes that a start has left; whether it is the present one and was not known to leave. If it
     /// is not told when the start began, it is the present one where that has its name.
     pub fn leave(&mut self, now: Instant, start: &Start) -> bool {
-        let current = self.current.as_ref().map(|(current, _)| current);
+        let current = self.current.as_ref().map(|current| &current.start);
         let meant =
             |current: &&Start| current.instance == start.instance && !start.is_older(current);
         let Some(current) = current.filter(meant).cloned() else {
--- a/crates/indigospur-members/tests/members/starts.rs
+++ b/crates/indigospur-members/tests/members/starts.rs
@@ -176,3 +176,54 @@
     let answer = Message::try_from(wire).expect("it is whole");
     assert_eq!(answer.departed, Some(Start::new("i-1", 100)));
 }
+
+/// Announcements every 1.5 s of a backend server whose clock was set back before it started again.
+#[test]
+fn a_start_whose_clock_was_set_back_replaces_one_that_has_fallen_silent() {
+    let now = Instant::now();
+    let beat = Duration::from_millis(1_500);
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 10_000, 1)), Heard::New);
+    assert_eq!(
+        starts.hear(now + beat, &ready("i-1", 10_000, 2)),
+        Heard::Known
+    );
+    let mut heard = Vec::new();
+    for number in 1..6 {
+        heard.push(starts.hear(
+            now + beat * (number + 1),
+            &ready("i-1", 8_000, number.into()),
+        ));
+    }
+    assert_eq!(heard[0], Heard::Stale);
+    assert!(heard.contains(&Heard::New), "{heard:?}");
+    assert_eq!(heard.last(), Some(&Heard::Known));
+    // The later birth is the higher number, whichever is the present one.
+    let later = now + beat * 7;
+    assert_eq!(starts.hear(later, &ready("i-1", 12_000, 1)), Heard::New);
+    assert_eq!(starts.hear(later, &ready("i-1", 8_000, 9)), Heard::Stale);
+}
+
+#[test]
+fn a_late_announcement_of_a_start_that_was_replaced_does_not_bring_it_back() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 0, 7)), Heard::New);
+    assert_eq!(starts.hear(now, &ready("i-2", 0, 1)), Heard::New);
+    assert_eq!(starts.hear(now, &ready("i-1", 0, 8)), Heard::Stale);
+    assert_eq!(starts.hear(now, &ready("i-2", 0, 2)), Heard::Known);
+    // It was the other way round: the one that was late was taken for the new one.
+    let later = now + Duration::from_secs(4);
+    assert_eq!(starts.hear(later, &ready("i-1", 0, 9)), Heard::New);
+}
+
+#[test]
+fn a_start_that_counts_anew_is_heard_once_the_count_before_has_fallen_silent() {
+    let now = Instant::now();
+    let mut starts = Starts::default();
+    assert_eq!(starts.hear(now, &ready("i-1", 0, 50)), Heard::New);
+    assert_eq!(starts.hear(now, &ready("i-1", 0, 1)), Heard::Stale);
+    let later = now + Duration::from_secs(4);
+    assert_eq!(starts.hear(later, &ready("i-1", 0, 3)), Heard::Known);
+    assert_eq!(starts.hear(later, &ready("i-1", 0, 4)), Heard::Known);
+}
