Look for other daemons until one is met, registered or not

A daemon that could not register did not read who had: while the store refused appends and answered reads it knew no other daemon and refused all calls to other services. One that had registered read the others' addresses once; if none of those answered just then, as behind a cut, it stayed alone until another daemon happened to ask it.

--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -157,10 +157,11 @@
     }
 }
 
-/// Registers this daemon and meets some of those registered, until both have succeeded.
+/// Registers this daemon and meets some of those registered, until it is registered and knows
+/// another, or is known to be alone.
 ///
 /// Each daemon registers before it reads, so that of two that start together at least one finds the
-/// other.
+/// other. One that can't register yet reads all the same, and once more after it has registered.
 async fn register(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
     let own = Contact {
         host: daemon.host().clone(),
@@ -169,33 +170,34 @@
     let mut registered = false;
     let mut backoff = Backoff::default();
     loop {
-        match register_and_meet(&daemon, source.as_ref(), &own, &mut registered).await {
-            Ok(()) => return,
+        if !registered {
+            match source.register(own.clone()).await {
+                Ok(()) => registered = true,
+                Err(error) => log::debug!(error:display; "not registered yet"),
+            }
+        }
+        let met = match source.contacts().await {
+            Ok(contacts) => meet_some(&daemon, contacts).await,
             Err(error) => {
-                log::debug!(registered, error:display; "the registered daemons are not known yet");
+                log::debug!(error:display; "the registered daemons are not known yet");
+                false
             }
+        };
+        if registered && met {
+            return;
         }
         backoff.wait(&daemon).await;
     }
 }
 
-async fn register_and_meet(
-    daemon: &Arc<Daemon>,
-    source: &dyn Configuration,
-    own: &Contact,
-    registered: &mut bool,
-) -> Result<(), SourceError> {
-    if !*registered {
-        source.register(own.clone()).await?;
-        *registered = true;
-    }
-    let contacts = source.contacts().await?;
-    let mut others: Vec<Contact> = contacts
-        .into_iter()
-        .filter(|contact| contact.host != own.host)
-        .collect();
+/// Asks registered daemons for the fleet; whether one is known then, or there is no other.
+async fn meet_some(daemon: &Arc<Daemon>, contacts: Vec<Contact>) -> bool {
+    let others = contacts.into_iter();
+    let others = others.filter(|contact| contact.host != *daemon.host());
+    let mut others: Vec<Contact> = others.collect();
     if others.is_empty() {
         backend::fleet_heard(daemon);
+        return true;
     }
     others.shuffle(&mut *lock(&daemon.rng));
     for contacts in others.chunks(MET_AT_ONCE) {
@@ -204,8 +206,8 @@
         }
         runtime::sleep(MEETING_TIME).await;
         if !lock(&daemon.fleet).members.is_empty() {
-            break;
+            return true;
         }
     }
-    Ok(())
+    false
 }
