Let a complete home's hand-over stand for all earlier epochs

Callers saw: after planned stops and starts of two of three hosts, a key never used before was answered 409 key-unknown ("an earlier use of the key may have run").

Cause: a new home asked, for each epoch that is not closed, for the word of that epoch's home or of all its executors. After two replacements they had left before the new home started, so they could never tell it, though all they knew had been handed from home to home. Each had a later start, which counted as proof of a loss: keys that don't tell their age were unknown until the epoch closed (2.5 hours), and by the code UUIDs of version 7 for the skew of clocks after the start.

Change: each member notes the epochs in which it knew all of earlier ones about the keys at home there, and says so when it hands over. A new home asks back no further than to such a home that has told it.

Ruled out: a host declared gone though it had handed over, a hand-over cut off by the bound of the stop (with one host lost the others' word is enough), a hand-over that comes late (it is waited for).

--- a/crates/indigospur-once/src/epochs.rs
+++ b/crates/indigospur-once/src/epochs.rs
@@ -37,6 +37,9 @@
     /// Epochs in which each member has told this daemon what it knew of the keys that were then at
     /// home here.
     told: BTreeMap<MemberId, BTreeSet<Epoch>>,
+    /// Epochs in which each member, this one too, knew all of earlier ones about the keys that were
+    /// then at home there. What such a member tells stands for all that went before.
+    complete: BTreeMap<MemberId, BTreeSet<Epoch>>,
 }
 
 impl Epochs {
@@ -82,6 +85,54 @@
         self.told.entry(member.clone()).or_default().insert(epoch);
     }
 
+    /// Notes epochs in which a member knew all of earlier ones.
+    pub(crate) fn complete(&mut self, member: &MemberId, epochs: impl IntoIterator<Item = Epoch>) {
+        let complete = self.complete.entry(member.clone()).or_default();
+        complete.extend(epochs);
+    }
+
+    /// Notes whether `me` knows all of earlier epochs, for the keys at home here in the current one.
+    pub(crate) fn note_complete(&mut self, me: &MemberId) {
+        let number = self.number();
+        if number > 0 && !self.is_complete(me, number) && self.knows_all(me) {
+            self.complete(me, [number]);
+        }
+    }
+
+    /// Epochs in which the member is known to have known all of earlier ones.
+    pub(crate) fn complete_epochs(&self, member: &MemberId) -> Vec<Epoch> {
+        let complete = self.complete.get(member).into_iter().flatten();
+        complete.copied().collect()
+    }
+
+    fn is_complete(&self, member: &MemberId, epoch: Epoch) -> bool {
+        self.complete
+            .get(member)
+            .is_some_and(|epochs| epochs.contains(&epoch))
+    }
+
+    /// Whether `me`, as a home of the current epoch, has been told all of earlier ones in it.
+    fn knows_all(&self, me: &MemberId) -> bool {
+        let current = self.number();
+        let told = |member: &MemberId| {
+            let epochs = self.told.get(member);
+            member == me || epochs.is_some_and(|epochs| epochs.contains(&current))
+        };
+        for (number, known) in self.known.range(..current).rev() {
+            let members = &known.record.members;
+            let missing = members.iter().filter(|member| !told(member)).count();
+            let all_complete = || members.iter().all(|m| self.is_complete(m, *number));
+            if missing == 0 && all_complete() {
+                return true;
+            }
+            // Of a key whose home alone is missing, all executors have told.
+            if missing > usize::from(members.len() > 1) {
+                return false;
+            }
+        }
+        true
+    }
+
     /// The epoch each member has moved to.
     pub(crate) fn fences(&self) -> impl Iterator<Item = (&MemberId, Epoch)> {
         self.fences.iter().map(|(member, epoch)| (member, *epoch))
@@ -97,12 +148,15 @@
     ) -> Settled {
         let mut lost: Option<SystemTime> = None;
         let current = self.number();
-        for known in self.known.range(..current).map(|(_, known)| known) {
+        for known in self.known.range(..current).rev().map(|(_, known)| known) {
             match self.settled_in(known, now, me, key, lapse) {
                 Settled::Known => {}
                 Settled::LostBefore(time) => lost = lost.max(Some(time)),
                 Settled::Open => return Settled::Open,
             }
+            if self.stands_for_earlier(known, me, key) {
+                break;
+            }
         }
         lost.map_or(Settled::Known, Settled::LostBefore)
     }
@@ -142,6 +196,15 @@
         Settled::Open
     }
 
+    /// Whether the key's home of this epoch knew all of earlier ones, and has told it here.
+    fn stands_for_earlier(&self, known: &Known, me: &MemberId, key: &str) -> bool {
+        let number = known.record.number;
+        home_of(&known.record, key).is_some_and(|home| {
+            let told = home == me || self.has_told(home, number, me, key);
+            told && self.is_complete(home, number)
+        })
+    }
+
     /// Whether the member has told this daemon what it knew of the key when it left `epoch`.
     ///
     /// What it told counts only if the key was at home here then; else it was told to another.
@@ -189,7 +252,11 @@
             return;
         };
         self.fences.retain(|_, epoch| *epoch >= first);
-        self.told
-            .retain(|_, epochs| epochs.last().is_some_and(|last| *last >= first));
+        for epochs in [&mut self.told, &mut self.complete] {
+            epochs.retain(|_, epochs| {
+                epochs.retain(|epoch| *epoch >= first);
+                !epochs.is_empty()
+            });
+        }
     }
 }
--- a/crates/indigospur-once/src/once.rs
+++ b/crates/indigospur-once/src/once.rs
@@ -88,6 +88,8 @@
     pub records: Vec<KeyRecord>,
     /// Epochs that members are known to have moved to.
     pub fences: Vec<(MemberId, Epoch)>,
+    /// Epochs in which the sender knew all of earlier ones about the keys that were at home there.
+    pub complete: Vec<Epoch>,
 }
 
 /// State of a claim at the home.
@@ -162,6 +164,7 @@
         if applied {
             let (me, number) = (self.me.clone(), self.epochs.number());
             self.epochs.fence(&me, number);
+            self.epochs.note_complete(&me);
         }
         applied
     }
@@ -197,6 +200,7 @@
             epoch: current.number,
             records,
             fences,
+            complete: self.epochs.complete_epochs(&self.me),
         })
     }
 
@@ -211,7 +215,9 @@
         for (member, epoch) in &hand_over.fences {
             self.epochs.fence(member, *epoch);
         }
+        self.epochs.complete(&hand_over.from, hand_over.complete);
         self.epochs.told(&hand_over.from, hand_over.epoch);
+        self.epochs.note_complete(&self.me);
         true
     }
 
--- a/crates/indigospur-once/src/wire.rs
+++ b/crates/indigospur-once/src/wire.rs
@@ -59,6 +59,7 @@
             epoch: self.epoch,
             records: self.records.iter().map(Into::into).collect(),
             fences: self.fences.iter().map(fence).collect(),
+            complete: self.complete.clone(),
         }
     }
 }
@@ -89,6 +90,7 @@
             epoch: wire.epoch,
             records: records?,
             fences: wire.fences.into_iter().map(fence).collect(),
+            complete: wire.complete,
         })
     }
 }
--- a/crates/indigospur-once/tests/once/cases.rs
+++ b/crates/indigospur-once/tests/once/cases.rs
@@ -181,6 +181,7 @@
         epoch: 2,
         records: Vec::new(),
         fences: vec![(id(after.other, 1), 2)],
+        complete: Vec::new(),
     };
     assert!(after.parts[after.successor].take(after.now, hand_over));
     assert_eq!(after.claim(after.now), Claim::NotServing);
--- /dev/null
+++ b/crates/indigospur-once/tests/once/replacement.rs
@@ -0,0 +1,150 @@
+//! Planned replacements: every member hands over before it stops.
+
+use crate::support::{OPTIONS, answer, epoch, id, index_of, members};
+use indigospur_once::{Claim, Once, Recorded, executor_candidates, home_of};
+use indigospur_protocol::{EpochRecord, Key, MemberId};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Keys tried after each step.
+const KEYS: usize = 40;
+
+/// A service whose hosts are replaced one after the other.
+struct Service {
+    rng: SmallRng,
+    now: Instant,
+    wall: SystemTime,
+    log: Vec<EpochRecord>,
+    parts: Vec<Once>,
+    ids: Vec<MemberId>,
+}
+
+impl Service {
+    fn new(size: usize, seed: u64) -> Service {
+        let now = Instant::now();
+        let wall = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        let ids: Vec<MemberId> = (0..size).map(|index| id(index, 1)).collect();
+        Service {
+            rng: SmallRng::seed_from_u64(seed),
+            now,
+            wall,
+            log: vec![epoch(1, &ids)],
+            parts: members(size, now, wall),
+            ids,
+        }
+    }
+
+    /// Time passes and the log has another member list, which all read; those that serve and the
+    /// one that leaves hand over.
+    fn change(&mut self, listed: &[MemberId]) {
+        self.now += Duration::from_secs(2);
+        self.wall += Duration::from_secs(2);
+        let record = epoch(self.log.len() as u64 + 1, listed);
+        self.log.push(record.clone());
+        for part in &mut self.parts {
+            part.apply(self.now, self.wall, record.clone());
+        }
+        for from in 0..self.parts.len() {
+            self.tell(from, listed);
+        }
+    }
+
+    fn tell(&mut self, from: usize, listed: &[MemberId]) {
+        for to in (0..self.parts.len()).filter(|to| *to != from) {
+            let told = self.parts[from].hand_over(self.now, &self.ids[to].host);
+            if let Some(told) = told
+                && listed.contains(&self.ids[to])
+            {
+                assert!(self.parts[to].take(self.now, told));
+            }
+        }
+    }
+
+    /// Stops a member as planned: it leaves the list and hands over.
+    fn stop(&mut self, index: usize) {
+        let rest: Vec<MemberId> = (0..self.ids.len())
+            .filter(|other| *other != index)
+            .map(|other| self.ids[other].clone())
+            .collect();
+        self.change(&rest);
+    }
+
+    /// Starts it again: it reads the log from its beginning.
+    fn start(&mut self, index: usize) {
+        self.ids[index].incarnation += 1;
+        let mut fresh = Once::new(Some(self.now), self.ids[index].clone(), OPTIONS);
+        for record in &self.log {
+            fresh.apply(self.now, self.wall, record.clone());
+        }
+        self.parts[index] = fresh;
+        let listed = self.ids.clone();
+        self.change(&listed);
+    }
+
+    fn claim(&mut self, key: &Key) -> Claim {
+        let current = self.log.last().expect("the log has a member list");
+        let home = home_index_of(current, key);
+        self.parts[home].claim(self.now, self.wall, key, 1)
+    }
+
+    /// Claims a key and runs it on an executor.
+    fn run(&mut self, key: &Key) {
+        let current = self.log.last().expect("the log has a member list").clone();
+        let home = home_index_of(&current, key);
+        let number = current.number;
+        assert_eq!(self.claim(key), Claim::Granted(number), "{key}");
+        let candidates = executor_candidates(&current, key);
+        let chosen = candidates[self.rng.random_range(0..candidates.len())];
+        let executor = index_of(&chosen.host);
+        let host = self.ids[home].host.clone();
+        assert_eq!(
+            self.parts[executor].record(self.now, number, &host, key, 1),
+            Recorded::Run
+        );
+        self.parts[executor].finished(key);
+        self.parts[home].ran(key, &answer());
+    }
+
+    fn plain_keys(&mut self) -> Vec<Key> {
+        (0..KEYS)
+            .map(|_| Key::from(format!("plain-{}", self.rng.random::<u64>())))
+            .collect()
+    }
+}
+
+fn home_index_of(current: &EpochRecord, key: &str) -> usize {
+    let home = home_of(current, key).expect("it has members");
+    index_of(&home.host)
+}
+
+#[test]
+fn new_keys_run_at_once_after_each_step_of_a_rolling_replacement() {
+    for size in [2, 3, 5] {
+        let mut service = Service::new(size, 1);
+        for index in (0..size).chain(0..size) {
+            service.stop(index);
+            service.plain_keys().iter().for_each(|key| service.run(key));
+            service.start(index);
+            service.plain_keys().iter().for_each(|key| service.run(key));
+        }
+    }
+}
+
+#[test]
+fn keys_that_ran_are_known_through_a_rolling_replacement() {
+    let mut service = Service::new(3, 2);
+    let mut keys = Vec::new();
+    for index in (0..3).chain(0..3) {
+        for step in [Service::stop, Service::start] {
+            let new = service.plain_keys();
+            new.iter().for_each(|key| service.run(key));
+            keys.extend(new);
+            step(&mut service, index);
+            for key in &keys {
+                let claim = service.claim(key);
+                assert!(matches!(claim, Claim::Ran | Claim::Repeat(_)), "{claim:?}");
+            }
+        }
+    }
+}
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -249,6 +249,9 @@
     pub records: ::prost::alloc::vec::Vec<KeyRecord>,
     #[prost(message, repeated, tag = "6")]
     pub fences: ::prost::alloc::vec::Vec<Fence>,
+    /// Epochs in which the sender knew all of earlier ones about the keys that were at home there.
+    #[prost(uint64, repeated, tag = "7")]
+    pub complete: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandOverReply {
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Sends the call until the key's home is there and knows what earlier ones did; its last answer.
+fn request_once_served(entry: &str, call: &Call<'_>) -> Answered {
+    let last = std::cell::RefCell::new(None);
+    wait_until("the key's home knows", || {
+        let answered = request(entry, call);
+        let served = !["home-unavailable", "link-lost"].contains(&answered.kind.as_str());
+        last.replace(Some(answered));
+        served
+    });
+    last.into_inner().expect("it was sent")
+}
+
 fn runs(site: &Site, key: &str) -> usize {
     site.runs_of(key)
 }
@@ -144,15 +156,7 @@
         assert_eq!(first.ran, "unknown", "{first:?}");
     });
     site.nodes[0].daemon.kill();
-    let settled = |kind: &str| kind != "home-unavailable" && kind != "link-lost";
-    let last = std::cell::RefCell::new(None);
-    wait_until("a new home knows", || {
-        let again = request(&site.nodes[2].calls(), &sign("/sign?work=800", &key));
-        let done = settled(&again.kind);
-        last.replace(Some(again));
-        done
-    });
-    let again = last.into_inner().expect("it was sent");
+    let again = request_once_served(&site.nodes[2].calls(), &sign("/sign?work=800", &key));
     assert_eq!(again.kind, "key-unknown", "{again:?}");
     assert_eq!(runs(&site, &key), 1);
 }
@@ -265,6 +269,25 @@
     }
 }
 
+#[test]
+fn new_keys_that_do_not_tell_their_age_run_at_once_after_each_host_was_replaced() {
+    let mut site = contracts(3);
+    for index in 0..3 {
+        site.nodes[index].daemon.signal("TERM");
+        assert_eq!(site.nodes[index].daemon.wait(), Some(0));
+        site.nodes[index].restart().expect("the host starts");
+        site.settle();
+        wait_for_epoch(&site);
+        for number in 0..12 {
+            let key = format!("replaced-{index}-{number}");
+            let entry = site.nodes[number % 3].calls();
+            let served = request_once_served(&entry, &sign("/sign", &key));
+            assert_eq!(served.status, 200, "{key}: {served:?}");
+            assert_eq!(runs(&site, &key), 1);
+        }
+    }
+}
+
 #[test]
 fn a_cut_between_home_and_executor_runs_each_key_at_most_once() {
     let wire = Wire::start();
