Trust no idle time that a backend server does not state, and any that it does

What callers saw: with `Keep-Alive: timeout=` in an answer, a closed connection for each request, though it had run: the moment until which the connection is kept overflowed, and the task panicked. Where a backend server states no idle time, its connections were used again for 29 s; the platform's pages say that it is stated in whole seconds, if there are any, so such a backend server may close after less than a second, and a request that crosses this may have run and is lost.

At most an hour is believed, and a connection without a stated time is used again for 250 ms.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -9,8 +9,11 @@
 /// Time by which an idle connection is dropped before the backend server would close it, so that
 /// no request crosses that close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Idle time of a connection whose backend server states none.
-const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// Time for which a connection is used again whose backend server states no idle time: it may have
+/// one below a second, which can't be stated.
+const UNSTATED_IDLE: Duration = Duration::from_millis(250);
+/// Longest idle time that is believed.
+const LONGEST_IDLE: Duration = Duration::from_secs(3_600);
 /// Answers of earlier calls that are skipped on one connection.
 const MOST_STALE: u32 = 2;
 
@@ -122,7 +125,7 @@
                 Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
             }
             if answered.keep_alive {
-                lease.give_back(answered.keep_for.unwrap_or(DEFAULT_IDLE));
+                lease.give_back(answered.keep_for);
             }
             return Ok(answered.answer);
         }
@@ -195,13 +198,16 @@
         self.connection.as_mut().ok_or(BackendError::NotSent)
     }
 
-    fn give_back(mut self, keep_for: Duration) {
+    fn give_back(mut self, stated: Option<Duration>) {
         let Some(mut connection) = self.connection.take_if(|connection| connection.is_idle())
         else {
             return;
         };
         connection.shrink();
-        let until = Instant::now() + keep_for.saturating_sub(IDLE_MARGIN);
+        let idle = stated.map_or(UNSTATED_IDLE, |stated| {
+            stated.min(LONGEST_IDLE).saturating_sub(IDLE_MARGIN)
+        });
+        let until = Instant::now() + idle;
         self.pool.lock().idle.push(Idle { connection, until });
     }
 }
--- /dev/null
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -0,0 +1,123 @@
+//! Backend servers that use HTTP in every way it allows, and some that it does not.
+
+use indigospur_protocol::Answer;
+use indigospur_relay::{BackendError, BackendPool, HttpRequest, Judge, Owner, runtime};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Longest wait for an answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+
+/// A backend server that treats each connection by `script`, and how many it had.
+struct Raw {
+    pool: BackendPool,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Raw {
+    fn start(script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Raw {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it listens").to_string();
+        let connections: Arc<AtomicUsize> = Arc::default();
+        let (counted, script) = (connections.clone(), Arc::new(script));
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                counted.fetch_add(1, Ordering::Relaxed);
+                let script = script.clone();
+                std::thread::spawn(move || script(&mut stream));
+            }
+        });
+        Raw {
+            pool: BackendPool::new(&address, 8),
+            connections,
+        }
+    }
+
+    /// A backend server that gives the same bytes to each request.
+    fn answering(bytes: String) -> Raw {
+        Raw::start(
+            move |stream| {
+                while read_head(stream) && stream.write_all(bytes.as_bytes()).is_ok() {}
+            },
+        )
+    }
+
+    fn call(&self, body: &[u8]) -> Result<Answer, BackendError> {
+        let request = HttpRequest {
+            method: if body.is_empty() { "GET" } else { "POST" },
+            host: "a",
+            path: "/x",
+            headers: &[],
+            body,
+        };
+        let judge = Judge {
+            owner: &|_| Owner::Own,
+            unframed: false,
+        };
+        let answered = runtime::within(PATIENCE, self.pool.call(&request, judge));
+        runtime::block_on(answered).expect("it ends in time")
+    }
+
+    fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+fn with_header(header: &str) -> String {
+    WHOLE.replacen("\r\n", &format!("\r\n{header}\r\n"), 1)
+}
+
+fn is_whole(answered: Result<Answer, BackendError>) -> bool {
+    answered.is_ok_and(|answer| &*answer.body == b"whole")
+}
+
+#[test]
+fn any_idle_time_that_a_backend_server_states_is_taken() {
+    for seconds in [
+        "0",
+        "1",
+        "18446744073709551615",
+        "99999999999999999999999",
+        "-1",
+        "x",
+    ] {
+        let raw = Raw::answering(with_header(&format!("keep-alive: timeout={seconds}")));
+        assert!(is_whole(raw.call(b"")), "{seconds}");
+        assert!(is_whole(raw.call(b"")), "{seconds}");
+    }
+}
+
+#[test]
+fn a_connection_that_its_backend_server_ends_is_not_used_again() {
+    for (header, connections) in [("connection: close", 2), ("keep-alive: timeout=30", 1)] {
+        let raw = Raw::answering(with_header(header));
+        assert!(is_whole(raw.call(b"")), "{header}");
+        assert!(is_whole(raw.call(b"")), "{header}");
+        assert_eq!(raw.connections(), connections, "{header}");
+    }
+}
+
+#[test]
+fn a_connection_whose_idle_time_is_not_stated_is_used_again_only_at_once() {
+    let raw = Raw::answering(WHOLE.to_owned());
+    assert!(is_whole(raw.call(b"")));
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(is_whole(raw.call(b"")));
+    assert_eq!(raw.connections(), 2);
+}
