Wait behind any number of interim answers, and take none for a final one

What callers saw: - 502 for a call whose backend server said more than eight times that it is at work (102), though the final answer followed in time; - for a status below 100, a 502 of the daemon's own that bore the backend server's headers, the proof among them.

Interim answers are passed over until the call's deadline. A status below 100 is not HTTP, so the answer is none. Both tests were seen to fail first; they pass now.

--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -6,6 +6,8 @@
 
 /// Most header lines of a message.
 const MOST_HEADERS: usize = 100;
+/// Least status of an answer.
+const LEAST_STATUS: u16 = 100;
 /// Headers that concern one connection only, and those that frame a body.
 const OF_ONE_CONNECTION: [&str; 9] = [
     "connection",
@@ -193,10 +195,12 @@
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
+        let status = parsed.code.filter(|status| *status >= LEAST_STATUS);
+        let status = status.ok_or(HeadError::Malformed)?;
         let fields = Fields::new(parsed.headers);
         let closes = parsed.version != Some(1) || fields.lists("connection", "close");
         let head = AnswerHead {
-            status: parsed.code.unwrap_or_default(),
+            status,
             fields,
             closes,
         };
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -14,8 +14,6 @@
 const LARGEST_HEAD: usize = 64 * 1024;
 /// Largest body of an answer, in bytes.
 const LARGEST_ANSWER: u64 = 4 * 1024 * 1024;
-/// Interim answers that may come before the final one.
-const MOST_INTERIM: u32 = 8;
 /// Time in which a connection must be open.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -118,8 +116,10 @@
     })
 }
 
+/// The head of the final answer; those of interim answers, of which there may be any number, are
+/// passed over.
 async fn read_head(connection: &mut Connection) -> Result<AnswerHead, HttpError> {
-    for _ in 0..=MOST_INTERIM {
+    loop {
         let head = connection.read_answer_head(LARGEST_HEAD).await;
         let head = head.map_err(|error| match error {
             HeadError::Ended | HeadError::Malformed => HttpError::Broken,
@@ -129,7 +129,6 @@
             return Ok(head);
         }
     }
-    Err(HttpError::BadAnswer)
 }
 
 /// The idle time that a `Keep-Alive: timeout=N` header states.
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -103,6 +103,21 @@
     }
 }
 
+#[test]
+fn a_backend_server_that_says_often_that_it_is_at_work_is_waited_for() {
+    let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(50);
+    let raw = Raw::answering(format!("{interim}{WHOLE}"));
+    assert!(is_whole(raw.call(b"")));
+}
+
+#[test]
+fn a_status_outside_of_http_is_no_answer() {
+    for status in ["000", "099"] {
+        let raw = Raw::answering(WHOLE.replacen("200", status, 1));
+        assert!(raw.call(b"").is_err(), "{status}");
+    }
+}
+
 #[test]
 fn a_connection_that_its_backend_server_ends_is_not_used_again() {
     for (header, connections) in [("connection: close", 2), ("keep-alive: timeout=30", 1)] {
