Read a backend server's answer while the request is still sent

What callers saw: 504 at the deadline, "may have run", for a request with a long body whose backend server had answered at once (as with "not run") and left the body unread. Where the backend server closed after its early answer, the reset could take the answer with it.

Cause: the whole request was written before anything was read.

The answer is read meanwhile. If it is whole first, the connection is not used again, so that nothing but the rest of that body can follow on it.

The test of the early answer was seen to fail first, with 64 MiB (4 MiB fit into the socket's buffers on this machine): no answer within 10 s. It passes now, as does the test of the rest, before and after.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -1,7 +1,8 @@
 //! Connections to the backend server beside the daemon.
 
 use crate::connection::Connection;
-use crate::http::{HttpError, HttpRequest, connect, receive, send};
+use crate::http::{HttpAnswer, HttpError, HttpRequest, connect, encode, receive};
+use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -102,7 +103,8 @@
 
     /// Sends a call and reads its answer.
     ///
-    /// A connection whose exchange did not end cleanly is closed. Dropping the future closes it
+    /// A connection whose exchange did not end cleanly is closed, as is one whose answer came before
+    /// the whole request was sent. Dropping the future closes it
     /// too, by which the backend server learns that the call is cancelled.
     ///
     /// # Errors
@@ -112,24 +114,26 @@
         request: &HttpRequest<'_>,
         judge: Judge<'_>,
     ) -> Result<Answer, BackendError> {
+        let bytes = encode(request).ok_or(BackendError::NotSent)?;
         let mut lease = self.lease().await?;
-        send(lease.connection()?, request).await?;
-        for _ in 0..=MOST_STALE {
-            let answered = receive(lease.connection()?, request.method).await?;
-            if answered.unframed && !judge.unframed {
-                return Err(BackendError::BadAnswer);
+        let connection = lease.connection()?;
+        let mut writer = connection.writer();
+        let mut sent = false;
+        let sending = async {
+            match writer.write_all(&bytes).await {
+                Ok(()) => sent = true,
+                // The backend server may have answered before it closed.
+                Err(error) => log::debug!(error:display; "a request was not written whole"),
             }
-            match (judge.owner)(&answered.answer) {
-                Owner::Own => {}
-                Owner::Earlier if answered.keep_alive => continue,
-                Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
-            }
-            if answered.keep_alive {
-                lease.give_back(answered.keep_for);
-            }
-            return Ok(answered.answer);
+            std::future::pending().await
+        };
+        // The answer may come before the whole request is sent, and the rest may never be read.
+        let answering = read_own(connection, request.method, judge);
+        let answered = futures_lite::future::or(sending, answering).await?;
+        if answered.keep_alive && sent {
+            lease.give_back(answered.keep_for);
         }
-        Err(BackendError::BadAnswer)
+        Ok(answered.answer)
     }
 
     async fn lease(&self) -> Result<Lease<'_>, BackendError> {
@@ -175,6 +179,26 @@
     }
 }
 
+/// Reads answers until that of the call.
+async fn read_own(
+    connection: &mut Connection,
+    method: &str,
+    judge: Judge<'_>,
+) -> Result<HttpAnswer, BackendError> {
+    for _ in 0..=MOST_STALE {
+        let answered = receive(connection, method).await?;
+        if answered.unframed && !judge.unframed {
+            return Err(BackendError::BadAnswer);
+        }
+        match (judge.owner)(&answered.answer) {
+            Owner::Own => return Ok(answered),
+            Owner::Earlier if answered.keep_alive => {}
+            Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
+        }
+    }
+    Err(BackendError::BadAnswer)
+}
+
 /// A place for a connection that is being opened.
 struct Place<'a> {
     pool: &'a BackendPool,
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Another handle to write by, while this one reads.
+    pub(crate) fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
     /// Writes a whole message, so that the other side is woken once.
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await?;
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -142,7 +142,7 @@
 }
 
 /// The bytes of a request; `None` if a part of it would break the framing.
-fn encode(request: &HttpRequest<'_>) -> Option<Vec<u8>> {
+pub(crate) fn encode(request: &HttpRequest<'_>) -> Option<Vec<u8>> {
     let plain = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
     if !plain(request.method) || !plain(request.host) || request.path.is_empty() {
         return None;
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -110,6 +110,41 @@
     assert!(is_whole(raw.call(b"")));
 }
 
+#[test]
+fn an_answer_counts_though_the_body_of_its_request_is_not_read() {
+    let long = vec![b'x'; 64 * 1024 * 1024];
+    let raw = Raw::start(|stream| {
+        read_head(stream);
+        let _ = stream.write_all(WHOLE.as_bytes());
+        // Reads on only when the caller is done with the connection.
+        std::thread::sleep(PATIENCE * 2);
+    });
+    assert!(is_whole(raw.call(&long)));
+}
+
+#[test]
+fn the_rest_of_a_body_is_the_rest_of_that_body() {
+    let long: Vec<u8> = (0..64 * 1024 * 1024_u32)
+        .map(|at| (at % 251) as u8)
+        .collect();
+    let expected = long.clone();
+    let (sender, outcome) = std::sync::mpsc::channel();
+    let sender = std::sync::Mutex::new(sender);
+    let raw = Raw::start(move |stream| {
+        read_head(stream);
+        let _ = stream.write_all(WHOLE.as_bytes());
+        std::thread::sleep(Duration::from_millis(300));
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        let sender = sender.lock().expect("no panic");
+        let _ = sender.send(expected.starts_with(&rest));
+    });
+    assert!(is_whole(raw.call(&long)));
+    assert!(raw.connections() == 1);
+    drop(raw);
+    assert!(outcome.recv().expect("the backend server ends"));
+}
+
 #[test]
 fn a_status_outside_of_http_is_no_answer() {
     for status in ["000", "099"] {
