Refuse a request that can't be passed on, and blame no upstream for it

What callers saw: 503 for a request with a host such as "shop.example:80 80", after it was tried at up to three upstreams. Each took 43 ms and a connection to its backend server, to ask whether that had gone, and counted as a failure of the upstream: three in a row put a sound upstream aside for half a second, so one such caller could close a service to all.

Cause: the host's name was routed by what stands before the last colon, and what could not be put into HTTP on the way to the backend server counted as "no connection". `Connection: host` had the same end, as it took the host out.

A host that is not plain ASCII is refused at the entry, 400; the host is passed on though `Connection` lists it; what can't be sent is a bad request and ends the call.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -21,17 +21,12 @@
 /// Runs a call at the backend server, or refuses it.
 pub(crate) async fn serve(daemon: &Arc<Daemon>, message: RelayMessage) -> Reply {
     let retries = message.context.retries;
+    let not_ready = |detail| Reply::refused(Refusal::new(Kind::NotReady, detail), retries);
     let Some(backend) = daemon.backend() else {
-        return Reply::refused(
-            Refusal::new(Kind::NotReady, "no backend server has announced itself"),
-            retries,
-        );
+        return not_ready("no backend server has announced itself");
     };
     if backend.service != message.call.service {
-        return Reply::refused(
-            Refusal::new(Kind::NotReady, "the backend server serves another service"),
-            retries,
-        );
+        return not_ready("the backend server serves another service");
     }
     let known = learn_crashes(daemon, &message);
     let digest = message.context.digest;
@@ -236,20 +231,23 @@
         Ended::Failed(BackendError::NotSent) => {
             not_run(daemon, context);
             find_gone(daemon, backend, Some(context.digest)).await;
-            Outcome::Refused(Refusal::new(
-                Kind::ConnectFailed,
-                "the backend server takes no connection",
-            ))
+            let detail = "the backend server takes no connection";
+            refused(Kind::ConnectFailed, detail)
+        }
+        Ended::Failed(BackendError::Unsendable) => {
+            not_run(daemon, context);
+            let detail = "the request can't be passed on in HTTP/1.1";
+            refused(Kind::BadRequest, detail)
         }
         Ended::Failed(BackendError::BadAnswer) => {
             let detail = "the backend server's answer is not whole or not its own";
-            Outcome::Refused(Refusal::new(Kind::BadAnswer, detail))
+            refused(Kind::BadAnswer, detail)
         }
         Ended::Failed(BackendError::Broken) => Outcome::Refused(broken(daemon, backend).await),
-        Ended::Late => Outcome::Refused(Refusal::new(
-            Kind::DeadlineRunning,
-            "the deadline passed while the call ran",
-        )),
+        Ended::Late => {
+            let detail = "the deadline passed while the call ran";
+            refused(Kind::DeadlineRunning, detail)
+        }
         Ended::Preempted(refused) => {
             daemon.metrics.preempted();
             Outcome::Refused(Refusal {
@@ -260,6 +258,10 @@
     }
 }
 
+fn refused(kind: Kind, detail: &str) -> Outcome {
+    Outcome::Refused(Refusal::new(kind, detail))
+}
+
 fn conclude_whole(
     daemon: &Daemon,
     backend: &Arc<Backend>,
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -23,6 +23,8 @@
 pub enum BackendError {
     /// No connection could be opened, or all allowed ones are in use: nothing was sent.
     NotSent,
+    /// The request can't be put into HTTP/1.1: nothing was sent.
+    Unsendable,
     /// The connection broke while the call ran.
     Broken,
     /// The answer is truncated, mis-framed, too large or that of another call.
@@ -32,7 +34,8 @@
 impl From<HttpError> for BackendError {
     fn from(error: HttpError) -> Self {
         match error {
-            HttpError::Connect | HttpError::Request => BackendError::NotSent,
+            HttpError::Connect => BackendError::NotSent,
+            HttpError::Request => BackendError::Unsendable,
             HttpError::Broken | HttpError::Timeout => BackendError::Broken,
             HttpError::BadAnswer => BackendError::BadAnswer,
         }
@@ -114,7 +117,7 @@
         request: &HttpRequest<'_>,
         judge: Judge<'_>,
     ) -> Result<Answer, BackendError> {
-        let bytes = encode(request).ok_or(BackendError::NotSent)?;
+        let bytes = encode(request).ok_or(BackendError::Unsendable)?;
         let mut lease = self.lease().await?;
         let connection = lease.connection()?;
         let mut writer = connection.writer();
--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -52,6 +52,10 @@
     Close,
 }
 
+/// A header that may stand once stands several times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Several;
+
 /// The header lines of a message.
 #[derive(Clone, Debug)]
 pub(crate) struct Fields(Vec<Header>);
@@ -71,6 +75,15 @@
         named.filter_map(|header| std::str::from_utf8(&header.value).ok())
     }
 
+    /// The value of a header that may stand once.
+    pub(crate) fn only(&self, name: &str) -> Result<Option<&[u8]>, Several> {
+        let mut named = self.0.iter().filter(|header| &*header.name == name);
+        match (named.next(), named.next()) {
+            (_, Some(_)) => Err(Several),
+            (first, None) => Ok(first.map(|header| &*header.value)),
+        }
+    }
+
     /// Whether a comma-separated header holds a word.
     pub(crate) fn lists(&self, name: &str, word: &str) -> bool {
         self.values(name)
@@ -120,7 +133,8 @@
         }
     }
 
-    /// The headers that are passed on.
+    /// The headers that are passed on. The host is meant for the last receiver, whatever a sender
+    /// says of it.
     pub(crate) fn pass_on(self) -> Vec<Header> {
         let named: Vec<String> = self
             .values("connection")
@@ -129,7 +143,8 @@
             .collect();
         let kept = |header: &Header| {
             let name = &*header.name;
-            !OF_ONE_CONNECTION.contains(&name) && !named.iter().any(|other| other == name)
+            let listed = name != "host" && named.iter().any(|other| other == name);
+            !OF_ONE_CONNECTION.contains(&name) && !listed
         };
         self.0.into_iter().filter(kept).collect()
     }
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{BodyError, Connection};
 use crate::encode::encode_answer;
-use crate::head::{Framing, HeadError, RequestHead};
+use crate::head::{Framing, HeadError, RequestHead, Several};
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, Received};
 use async_std::net::{TcpListener, TcpStream};
@@ -256,12 +256,14 @@
 }
 
 fn receive(head: RequestHead, body: Vec<u8>) -> Result<Request, Refusal> {
-    let hosts: Vec<&str> = head.fields.values("host").collect();
-    if hosts.len() > 1 {
-        let detail = "the request names two hosts";
-        return Err(Refusal::new(Kind::BadRequest, detail));
-    }
-    let host = hosts.first().copied().unwrap_or_default();
+    let bad = |detail| Refusal::new(Kind::BadRequest, detail);
+    let host = match head.fields.only("host") {
+        Ok(host) => host.unwrap_or_default(),
+        Err(Several) => return Err(bad("the request names two hosts")),
+    };
+    let plain = host.iter().all(u8::is_ascii_graphic);
+    let host = std::str::from_utf8(host).ok().filter(|_| plain);
+    let host = host.ok_or_else(|| bad("the name of the host is not plain ASCII"))?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let name = name.to_ascii_lowercase();
     let received = Received {
