Count a deadline from the first byte of its request

What callers saw: a request whose body took a second to arrive was passed on with the whole deadline, so that its backend server worked a second longer than its caller waited, and the route's timeout began a second late.

Cause: the time left was taken once the request was whole.

What a listener hands over tells when the request began to arrive, past empty lines, which belong to no request. A request whose time is over before it is whole is refused as not run.

--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -13,7 +13,7 @@
 use indigospur_rules::{RuleSet, Subject, Treatment};
 use rand::Rng;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Calls above one another at most.
 const DEEPEST: u32 = 32;
@@ -68,6 +68,7 @@
     let asker = identify(daemon, &head, above)?;
     *known = asker.request.clone();
     let (rule, treatment) = decide(&rules, received, &head, &asker)?;
+    let remaining = remaining(&head, &treatment, received.begun.elapsed())?;
     if !asker.inside {
         enter(daemon, &asker.request, rule.as_ref(), &treatment)?;
     }
@@ -81,7 +82,7 @@
         headers: std::mem::take(&mut received.headers),
         body: received.body.clone(),
     };
-    let context = context(daemon, &head, &asker, &treatment, key, &call);
+    let context = context(daemon, &asker, &treatment, remaining, key, &call);
     Ok(Prepared {
         message: RelayMessage { call, context },
         above: asker.above,
@@ -147,16 +148,30 @@
     Ok((rule, decided.treatment))
 }
 
+/// Time left of the caller's deadline and of the treatment's.
+fn remaining(
+    head: &CallHead,
+    treatment: &Treatment,
+    passed: Duration,
+) -> Result<Duration, Refusal> {
+    let asked = head.deadline.unwrap_or(treatment.deadline);
+    let left = asked.min(treatment.deadline).saturating_sub(passed);
+    if left.is_zero() {
+        let detail = "the deadline passed before the request was whole";
+        return Err(Refusal::new(Kind::DeadlineWaiting, detail));
+    }
+    Ok(left)
+}
+
 /// The context of a call that will be sent: from here on it has its share of the retry credit.
 fn context(
     daemon: &Daemon,
-    head: &CallHead,
     asker: &Asker,
     treatment: &Treatment,
+    remaining: Duration,
     key: Option<Key>,
     call: &Call,
 ) -> Context {
-    let asked = head.deadline.unwrap_or(treatment.deadline);
     let fresh = if asker.attempt == 0 {
         treatment.retries
     } else {
@@ -170,7 +185,7 @@
         share: treatment.share,
         retries: fresh,
         depth: 0,
-        remaining: asked.min(treatment.deadline),
+        remaining,
         idempotent: treatment.idempotent,
         waits: treatment.waits,
         key,
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -53,9 +53,20 @@
         }
     }
 
-    /// Waits for the first byte of a message; false if the other side closes instead.
+    /// Waits for the first byte of a message, past empty lines; false if the other side closes
+    /// instead.
     pub(crate) async fn begins(&mut self) -> bool {
-        !self.buffer.is_empty() || matches!(self.fill().await, Ok(count) if count > 0)
+        loop {
+            let empty = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+            let skipped = self.buffer.iter().take_while(empty).count();
+            self.buffer.drain(..skipped);
+            if !self.buffer.is_empty() {
+                return true;
+            }
+            if !matches!(self.fill().await, Ok(count) if count > 0) {
+                return false;
+            }
+        }
     }
 
     /// Reads the head of a request of at most `most` bytes.
@@ -243,11 +254,6 @@
         self.stream.flush().await
     }
 
-    /// Whether what was read of the next message is but the empty lines that may come before it.
-    pub(crate) fn is_blank(&self) -> bool {
-        !self.buffer.is_empty() && self.buffer.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
-    }
-
     /// Tells the other side that nothing more comes, and reads what it still sends, for a time:
     /// bytes left unread would reset the connection, and the last answer might be lost with it.
     pub(crate) async fn linger(mut self, time: Duration) {
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -192,7 +192,7 @@
 
 /// Why a request was not read.
 enum Unread {
-    /// The connection ended, or nothing but empty lines came.
+    /// The connection ended.
     Gone,
     /// It is turned away, with its method as far as that is known.
     Refused(Refusal, Arc<str>),
@@ -213,7 +213,6 @@
             let detail = format!("at most {} bytes of head are accepted", bounds.head);
             return Err(refused(Refusal::new(Kind::HeadTooLarge, detail)));
         }
-        None if connection.is_blank() => return Err(Unread::Gone),
         None => return Err(refused(too_slow(bounds))),
     };
     let refused = |refusal| Unread::Refused(refusal, head.method.clone());
@@ -222,7 +221,7 @@
     let body = body.unwrap_or_else(|| Err(too_slow(bounds)));
     let body = body.map_err(refused)?;
     let method = head.method.clone();
-    receive(head, body).map_err(|refusal| Unread::Refused(refusal, method))
+    receive(head, body, begun).map_err(|refusal| Unread::Refused(refusal, method))
 }
 
 async fn read_body(
@@ -255,7 +254,7 @@
     Refusal::new(Kind::BodyTooLarge, detail)
 }
 
-fn receive(head: RequestHead, body: Vec<u8>) -> Result<Request, Refusal> {
+fn receive(head: RequestHead, body: Vec<u8>, begun: Instant) -> Result<Request, Refusal> {
     let bad = |detail| Refusal::new(Kind::BadRequest, detail);
     let host = match head.fields.only("host") {
         Ok(host) => host.unwrap_or_default(),
@@ -272,6 +271,7 @@
         path: head.target,
         headers: head.fields.pass_on(),
         body: body.into(),
+        begun,
     };
     Ok(Request {
         received,
--- a/crates/indigospur-relay/src/service.rs
+++ b/crates/indigospur-relay/src/service.rs
@@ -5,7 +5,7 @@
 use indigospur_protocol::{Answer, Header, Refusal};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bounds of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     pub headers: Vec<Header>,
     /// Whole body.
     pub body: Arc<[u8]>,
+    /// When it began to arrive.
+    pub begun: Instant,
 }
 
 impl Received {
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -130,6 +130,7 @@
 fn a_request_that_stops_half_way_is_told_that_it_has_not_run() {
     let (_service, address) = serve(Bounds {
         message: Duration::from_millis(50),
+        idle: Duration::from_secs(1),
         ..Bounds::default()
     });
     for begun in [
