--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -21,13 +21,16 @@
     }
 }
 
-/// Serves "whole" to each request, except that `/panic` panics; the service and its address.
+/// Serves each request its body, or "whole" if it has none; the service and its address.
 fn serve(bounds: Bounds) -> (HttpService, String) {
     let handler: Handler = Arc::new(|received: Received| {
         assert_ne!(&*received.path, "/early", "a handler that panics at once");
         Box::pin(async move {
             assert_ne!(&*received.path, "/late", "a handler that panics as it runs");
-            answer(200, "whole")
+            let status = received.path.strip_prefix("/status/");
+            let status = status.and_then(|text| text.parse().ok()).unwrap_or(200);
+            let body = String::from_utf8_lossy(&received.body).into_owned();
+            answer(status, if body.is_empty() { "whole" } else { &body })
         })
     });
     let refuse: Refuse =
@@ -170,3 +173,63 @@
     kept.write_all(LAST_REQUEST).expect("it is open");
     assert!(read_all(&mut kept).ends_with("whole"));
 }
+
+#[test]
+fn answers_without_a_body_and_bodies_in_chunks_leave_a_connection_in_step() {
+    let (_service, address) = serve(Bounds::default());
+    let mut stream = connect(&address);
+    for (request, answered) in [
+        ("HEAD /x HTTP/1.1\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"),
+        (
+            "GET /status/204 HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\n\r\n",
+        ),
+        (
+            "GET /status/304 HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 304 Not Modified\r\n\r\n",
+        ),
+        (
+            "\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+        ),
+        (
+            "PUT /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2;x=y\r\nin\r\n7\r\n pieces\r\n0\r\nt: u\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nin pieces",
+        ),
+        (
+            "POST /x HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\nyes",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nyes",
+        ),
+    ] {
+        stream.write_all(request.as_bytes()).expect("it is open");
+        let mut text = vec![0; answered.len()];
+        stream.read_exact(&mut text).expect("the answer goes on");
+        assert_eq!(String::from_utf8_lossy(&text), answered, "{request}");
+    }
+}
+
+#[test]
+fn a_body_framed_in_two_ways_or_more_is_no_request() {
+    let (_service, address) = serve(Bounds::default());
+    for framing in [
+        "content-length: 3\r\ntransfer-encoding: chunked",
+        "content-length: 3\r\ncontent-length: 4",
+        "content-length: +3",
+        "transfer-encoding: gzip, chunked",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        " content-length: 3",
+    ] {
+        let text =
+            format!("POST /x HTTP/1.1\r\nhost: a\r\n{framing}\r\n\r\nGET /y HTTP/1.1\r\n\r\n");
+        let answered = send(&address, text.as_bytes());
+        assert!(
+            answered.starts_with("HTTP/1.1 400 "),
+            "{framing}: {answered}"
+        );
+        assert_eq!(
+            answered.matches("HTTP/1.1").count(),
+            1,
+            "{framing}: {answered}"
+        );
+    }
+}
