Bound a head by its length alone

What callers saw: 431 for a request with more than 100 header lines, however short, though the operator's bound is one on bytes.

The lines of a head are counted before it is parsed, and room is made for more than the usual hundred.

The test was seen to fail first (431 for 1,000 lines in 6 KB); it passes now.

--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -4,8 +4,8 @@
 use indigospur_protocol::Header;
 use std::sync::Arc;
 
-/// Most header lines of a message.
-const MOST_HEADERS: usize = 100;
+/// Header lines of a message that need no memory of their own while it is parsed.
+const USUAL_LINES: usize = 100;
 /// Least status of an answer.
 const LEAST_STATUS: u16 = 100;
 /// Headers that concern one connection only, and those that frame a body.
@@ -150,6 +150,20 @@
     }
 }
 
+/// Room for all header lines in `bytes`: a head is bounded by its length alone.
+fn room<'a, 'b>(
+    bytes: &[u8],
+    usual: &'a mut [httparse::Header<'b>],
+    many: &'a mut Vec<httparse::Header<'b>>,
+) -> &'a mut [httparse::Header<'b>] {
+    let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+    if lines <= usual.len() {
+        return usual;
+    }
+    many.resize(lines, httparse::EMPTY_HEADER);
+    many
+}
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestHead {
@@ -168,8 +182,8 @@
 impl RequestHead {
     /// The head at the start of `bytes` and its length; `None` while it is not whole.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HeadError> {
-        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut parsed = httparse::Request::new(&mut lines);
+        let (mut usual, mut many) = ([httparse::EMPTY_HEADER; USUAL_LINES], Vec::new());
+        let mut parsed = httparse::Request::new(room(bytes, &mut usual, &mut many));
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
@@ -205,8 +219,8 @@
 impl AnswerHead {
     /// The head at the start of `bytes` and its length; `None` while it is not whole.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, HeadError> {
-        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut parsed = httparse::Response::new(&mut lines);
+        let (mut usual, mut many) = ([httparse::EMPTY_HEADER; USUAL_LINES], Vec::new());
+        let mut parsed = httparse::Response::new(room(bytes, &mut usual, &mut many));
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -233,3 +233,13 @@
         );
     }
 }
+
+#[test]
+fn a_head_within_its_bound_may_have_any_number_of_lines() {
+    let (_service, address) = serve(Bounds::default());
+    let lines = "a: b\r\n".repeat(1_000);
+    let head = format!("GET /x HTTP/1.1\r\n{lines}connection: close\r\n\r\n");
+    assert!(send(&address, head.as_bytes()).starts_with("HTTP/1.1 200 "));
+    let beyond = format!("GET /x HTTP/1.1\r\n{}", "a: b\r\n".repeat(3_000));
+    assert!(send(&address, beyond.as_bytes()).starts_with("HTTP/1.1 431 "));
+}
