--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::{BodyError, Connection};
 use crate::encode::encode_answer;
-use crate::head::{Framing, HeadError, RequestHead};
+use crate::head::{Framing, HeadError, RequestHead, Several};
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, Received};
 use async_std::net::{TcpListener, TcpStream};
@@ -192,7 +192,7 @@
 
 /// Why a request was not read.
 enum Unread {
-    /// The connection ended, or nothing but empty lines came.
+    /// The connection ended.
     Gone,
     /// It is turned away, with its method as far as that is known.
     Refused(Refusal, Arc<str>),
@@ -213,7 +213,6 @@
             let detail = format!("at most {} bytes of head are accepted", bounds.head);
             return Err(refused(Refusal::new(Kind::HeadTooLarge, detail)));
         }
-        None if connection.is_blank() => return Err(Unread::Gone),
         None => return Err(refused(too_slow(bounds))),
     };
     let refused = |refusal| Unread::Refused(refusal, head.method.clone());
@@ -222,7 +221,7 @@
     let body = body.unwrap_or_else(|| Err(too_slow(bounds)));
     let body = body.map_err(refused)?;
     let method = head.method.clone();
-    receive(head, body).map_err(|refusal| Unread::Refused(refusal, method))
+    receive(head, body, begun).map_err(|refusal| Unread::Refused(refusal, method))
 }
 
 async fn read_body(
@@ -255,13 +254,15 @@
     Refusal::new(Kind::BodyTooLarge, detail)
 }
 
-fn receive(head: RequestHead, body: Vec<u8>) -> Result<Request, Refusal> {
-    let hosts: Vec<&str> = head.fields.values("host").collect();
-    if hosts.len() > 1 {
-        let detail = "the request names two hosts";
-        return Err(Refusal::new(Kind::BadRequest, detail));
-    }
-    let host = hosts.first().copied().unwrap_or_default();
+fn receive(head: RequestHead, body: Vec<u8>, begun: Instant) -> Result<Request, Refusal> {
+    let bad = |detail| Refusal::new(Kind::BadRequest, detail);
+    let host = match head.fields.only("host") {
+        Ok(host) => host.unwrap_or_default(),
+        Err(Several) => return Err(bad("the request names two hosts")),
+    };
+    let plain = host.iter().all(u8::is_ascii_graphic);
+    let host = std::str::from_utf8(host).ok().filter(|_| plain);
+    let host = host.ok_or_else(|| bad("the name of the host is not plain ASCII"))?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let name = name.to_ascii_lowercase();
     let received = Received {
@@ -270,6 +271,7 @@
         path: head.target,
         headers: head.fields.pass_on(),
         body: body.into(),
+        begun,
     };
     Ok(Request {
         received,
