Take answers of a slow configuration source that come late

Each call of the source was dropped after 0.8 s and asked again. While every answer took longer than that, no daemon that started got a configuration or learnt of the others: all refused all calls for as long as the source was slow, though it answered.

The pause until the next call is as before, so that a source that was silent is asked again as soon as it was.

Ruled out: a longer time-out, which delays the next configuration by as much after the source fell silent.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// A source of rule sets.
+/// A source of rule sets. Each call ends within seconds beyond its wait, with an answer or without.
 pub trait Configuration: Debug + Send + Sync {
     /// The newest configuration, if there is one.
     fn newest(&self) -> BoxFuture<Result<Found, SourceError>>;
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -5,10 +5,11 @@
 use crate::daemon::{Daemon, lock};
 use crate::{backend, peers};
 use indigospur_protocol::State;
-use indigospur_relay::runtime;
+use indigospur_relay::LogError;
+use indigospur_relay::runtime::{self, BoxFuture};
 use rand::Rng;
 use rand::seq::SliceRandom;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Longest wait for a change in one read of a daemon that watches the source for the others: a
@@ -22,43 +23,99 @@
 const MET_AT_ONCE: usize = 4;
 /// Time after which others are asked, if none of them has answered.
 const MEETING_TIME: Duration = Duration::from_millis(400);
+/// Time in which the source should answer, beyond the time for which it was asked to wait; then it
+/// is asked again, and an answer that still comes is taken.
+const ANSWER_TIME: Duration = Duration::from_millis(800);
 /// First pause after a failed read; each further failure doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after a failed read: an outage's end is noticed within it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// How far the source was read.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Where to read on; `None` before the newest configuration was read.
+    position: Option<Position>,
+    /// The last call was answered.
+    answers: bool,
+}
+
+/// Reads the source.
+#[derive(Debug)]
+struct Reader {
+    daemon: Arc<Daemon>,
+    source: Arc<dyn Configuration>,
+    progress: Mutex<Progress>,
+}
+
 /// Reads the source for as long as the daemon runs.
 pub(crate) async fn run(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
     runtime::spawn(register(daemon.clone(), source.clone()));
-    let mut position: Option<Position> = None;
+    let reader = Arc::new(Reader {
+        daemon: daemon.clone(),
+        source,
+        progress: Mutex::default(),
+    });
     let mut backoff = Backoff::default();
-    let mut answers = false;
     loop {
-        let begun = Instant::now();
-        let read = match position {
-            Some(from) => source.changes(from, wait(&daemon)).await,
-            None => source.newest().await,
-        };
-        match read {
-            Ok(found) => {
-                position = Some(found.next);
-                regained(&daemon, begun, answers);
-                answers = true;
-                take(&daemon, source.as_ref(), found);
-                backoff = Backoff::default();
-            }
+        match reader.read().await {
+            Ok(()) => backoff = Backoff::default(),
             Err(error) => {
-                lost(&daemon, error, answers);
-                answers = false;
-                if error == SourceError::Forgotten {
-                    position = None;
-                }
+                reader.lost(error);
                 backoff.wait(&daemon).await;
             }
         }
     }
 }
 
+impl Reader {
+    async fn read(self: &Arc<Self>) -> Result<(), SourceError> {
+        let begun = Instant::now();
+        let position = lock(&self.progress).position;
+        let wait = position.map_or(Duration::ZERO, |_| wait(&self.daemon));
+        let call = match position {
+            Some(from) => self.source.changes(from, wait),
+            None => self.source.newest(),
+        };
+        let reader = self.clone();
+        in_time(wait, call, move |found| reader.take(begun, found)).await
+    }
+
+    fn take(&self, begun: Instant, found: Found) {
+        let mut progress = lock(&self.progress);
+        progress.position = progress.position.max(Some(found.next));
+        let answered = std::mem::replace(&mut progress.answers, true);
+        drop(progress);
+        regained(&self.daemon, begun, answered);
+        for body in found.bodies {
+            self.daemon.metrics.control_bytes(body.len());
+            offer(&self.daemon, self.source.as_ref(), &body, "source");
+        }
+    }
+
+    fn lost(&self, error: SourceError) {
+        let mut progress = lock(&self.progress);
+        let answered = std::mem::replace(&mut progress.answers, false);
+        if error == SourceError::Forgotten {
+            progress.position = None;
+        }
+        drop(progress);
+        lost(&self.daemon, error, answered);
+    }
+}
+
+/// Hands the outcome of a call that may wait for `wait` to `take`, also if it comes late: a source
+/// that is slow is read though none of its answers is in time.
+async fn in_time<T: Send + 'static>(
+    wait: Duration,
+    call: BoxFuture<Result<T, SourceError>>,
+    take: impl FnOnce(T) + Send + 'static,
+) -> Result<(), SourceError> {
+    let mut called = runtime::spawn(async move { call.await.map(take) });
+    let done = runtime::within(wait + ANSWER_TIME, &mut called).await;
+    done.unwrap_or(Err(SourceError::Failed(LogError::Unanswered)))
+}
+
 /// Pauses between tries that fail, longer each time and spread.
 struct Backoff {
     pause: Duration,
@@ -111,13 +168,6 @@
     }
 }
 
-fn take(daemon: &Arc<Daemon>, source: &dyn Configuration, found: Found) {
-    for body in found.bodies {
-        daemon.metrics.control_bytes(body.len());
-        offer(daemon, source, &body, "source");
-    }
-}
-
 /// Puts a configuration in force if it is newer than the one that is.
 fn offer(daemon: &Arc<Daemon>, source: &dyn Configuration, body: &Arc<[u8]>, from: &str) {
     let published = match source.decode(body) {
@@ -157,6 +207,14 @@
     }
 }
 
+/// What came of registering and of asking who has registered.
+#[derive(Debug, Default)]
+struct Meeting {
+    registered: bool,
+    /// The last answer that was not used yet, and whether it was asked for after registering.
+    contacts: Option<(bool, Vec<Contact>)>,
+}
+
 /// Registers this daemon and meets some of those registered, until it is registered and knows
 /// another, or is known to be alone.
 ///
@@ -167,23 +225,33 @@
         host: daemon.host().clone(),
         address: lock(&daemon.fleet).members.me().address.clone(),
     };
-    let mut registered = false;
+    let progress = Arc::new(Mutex::new(Meeting::default()));
     let mut backoff = Backoff::default();
     loop {
+        let registered = lock(&progress).registered;
         if !registered {
-            match source.register(own.clone()).await {
-                Ok(()) => registered = true,
-                Err(error) => log::debug!(error:display; "not registered yet"),
+            let noted = progress.clone();
+            let call = source.register(own.clone());
+            let registers = in_time(Duration::ZERO, call, move |()| {
+                lock(&noted).registered = true;
+            });
+            if let Err(error) = registers.await {
+                log::debug!(error:display; "not registered yet");
             }
         }
-        let met = match source.contacts().await {
-            Ok(contacts) => meet_some(&daemon, contacts).await,
-            Err(error) => {
-                log::debug!(error:display; "the registered daemons are not known yet");
-                false
-            }
-        };
-        if registered && met {
+        let registered = lock(&progress).registered;
+        let noted = progress.clone();
+        let reads = in_time(Duration::ZERO, source.contacts(), move |contacts| {
+            lock(&noted).contacts = Some((registered, contacts));
+        });
+        if let Err(error) = reads.await {
+            log::debug!(error:display; "the registered daemons are not known yet");
+        }
+        let contacts = lock(&progress).contacts.take();
+        if let Some((registered, contacts)) = contacts
+            && meet_some(&daemon, contacts).await
+            && registered
+        {
             return;
         }
         backoff.wait(&daemon).await;
