--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -46,6 +46,8 @@
     Failed(LogError),
     /// what was to be read is no longer kept
     Forgotten,
+    /// its answer can't be read
+    Unreadable,
 }
 
 impl std::error::Error for SourceError {}
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -96,7 +96,8 @@
     fn lost(&self, error: SourceError) {
         let mut progress = lock(&self.progress);
         let answered = std::mem::replace(&mut progress.answers, false);
-        if error == SourceError::Forgotten {
+        // What can't be read on from here may be found by starting over.
+        if matches!(error, SourceError::Forgotten | SourceError::Unreadable) {
             progress.position = None;
         }
         drop(progress);
