Ask hosts that are down in every round when no other is known

Of the gossip rounds one in eight goes to a host that is down; the others went nowhere when all known hosts were down. Two daemons that lost each other met again only by those rounds, and until then neither used the other's backend server.

--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -188,9 +188,7 @@
             .filter(|member| (member.state == State::Down) == down_round)
             .collect();
         if wanted.is_empty() {
-            wanted = others()
-                .filter(|member| member.state != State::Down)
-                .collect();
+            wanted = others().collect();
         }
         let last = wanted.len().checked_sub(1)?;
         Some(wanted[rng.random_range(0..=last)].clone())
--- a/crates/indigospur-members/tests/members/gossip.rs
+++ b/crates/indigospur-members/tests/members/gossip.rs
@@ -261,3 +261,18 @@
     };
     assert_eq!(starts.hear(now, &late), Heard::Stale);
 }
+
+/// Each knows no other that is up.
+#[test]
+fn daemons_that_all_lost_each_other_meet_again_within_seconds_of_the_cuts_end() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(2, seed);
+        fleet.rounds_until(60, |node| node.members.len() == 2);
+        fleet.cut = Some(1);
+        let alone = |node: &Node| node.members.all().any(|member| member.state == State::Down);
+        fleet.rounds_until(60, alone);
+        fleet.cut = None;
+        let rounds = fleet.rounds_until(60, |node| !alone(node));
+        assert!(rounds <= 3, "{rounds} s with seed {seed}");
+    }
+}
