Count as new only keys made after the end of the lost was learnt

What could happen: home and executor of a key are cut off from the log and from the others, but not from callers, and go on under their lease. They run a key that was made after another member had seen the next epoch. Then both are lost: by a later start, after the lease, or stopped after they moved. The key sent again ran again. Found by reading the epochs for the rolling replacement; seen on no site.

Cause: a key counted as newer than what was lost if it was made after its new home saw the next epoch (plus the skew of clocks). That is when the new home moved, not when the lost executor ended.

Change: epochs note by the wall clock when the end of each lost executor was learnt: a later start, an operator's word, its move, or the end of the lease. A key must be made after the last of them. The cost: a key refused in between as home-unavailable and sent again after that is key-unknown, no longer run.

--- a/crates/indigospur-daemon/src/control/epochs.rs
+++ b/crates/indigospur-daemon/src/control/epochs.rs
@@ -195,5 +195,5 @@
     let own = part
         .current()
         .is_some_and(|epoch| &*epoch.service == service);
-    own && part.take(Instant::now(), hand_over)
+    own && part.take(Instant::now(), SystemTime::now(), hand_over)
 }
--- a/crates/indigospur-once/src/epochs.rs
+++ b/crates/indigospur-once/src/epochs.rs
@@ -3,7 +3,7 @@
 
 use crate::placement::{executor_candidates, home_of};
 use indigospur_protocol::{Epoch, EpochRecord, MemberId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant, SystemTime};
 
 /// One epoch.
@@ -19,8 +19,8 @@
 pub(crate) enum Settled {
     /// Nothing: all that was known of the key has been told here.
     Known,
-    /// No one can run the key for an old home any more, but someone who may have run it before
-    /// this time has not told here what it knew.
+    /// No one can run the key for an old home any more, but someone who may have run it until this
+    /// time has not told here what it knew.
     LostBefore(SystemTime),
     /// An old home or its executors may still run it.
     Open,
@@ -30,10 +30,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Epochs {
     known: BTreeMap<Epoch, Known>,
-    /// Starts of daemons that an operator has declared gone.
-    gone: BTreeSet<MemberId>,
-    /// Epoch each member has moved to; it acts in no earlier one any more.
-    fences: BTreeMap<MemberId, Epoch>,
+    /// Starts of daemons that are proven to have ended, by a later start of the host or an
+    /// operator's word, and when that was learnt.
+    gone: BTreeMap<MemberId, SystemTime>,
+    /// Epoch each member has moved to, and when that was learnt; it acts in no earlier one any more.
+    fences: BTreeMap<MemberId, (Epoch, SystemTime)>,
     /// Epochs in which each member has told this daemon what it knew of the keys that were then at
     /// home here.
     told: BTreeMap<MemberId, BTreeSet<Epoch>>,
@@ -61,8 +62,7 @@
         if let Some(known) = self.known.values_mut().next_back() {
             known.replaced = Some((now, wall));
         }
-        self.gone.extend(record.gone.iter().cloned());
-        let number = record.number;
+        let (number, declared) = (record.number, record.gone.clone());
         self.known.insert(
             number,
             Known {
@@ -70,18 +70,39 @@
                 replaced: None,
             },
         );
+        for member in declared.into_iter().chain(self.started_again()) {
+            self.gone.entry(member).or_insert(wall);
+        }
         true
     }
 
+    /// Starts of daemons that a later start of the same host has ended.
+    fn started_again(&self) -> Vec<MemberId> {
+        let mut latest = HashMap::new();
+        for member in self.members() {
+            let incarnation = latest.entry(&member.host).or_insert(0);
+            *incarnation = member.incarnation.max(*incarnation);
+        }
+        let ended = |member: &&MemberId| member.incarnation < latest[&member.host];
+        self.members().filter(ended).cloned().collect()
+    }
+
+    /// The members of all epochs that are not closed.
+    fn members(&self) -> impl Iterator<Item = &MemberId> {
+        self.known.values().flat_map(|known| &known.record.members)
+    }
+
     /// Notes that a member has moved to an epoch.
-    pub(crate) fn fence(&mut self, member: &MemberId, epoch: Epoch) {
-        let fence = self.fences.entry(member.clone()).or_default();
-        *fence = epoch.max(*fence);
+    pub(crate) fn fence(&mut self, wall: SystemTime, member: &MemberId, epoch: Epoch) {
+        let fence = self.fences.entry(member.clone()).or_insert((0, wall));
+        if epoch > fence.0 {
+            *fence = (epoch, wall);
+        }
     }
 
     /// Notes that a member has told this daemon what it knew, in an epoch it has moved to.
-    pub(crate) fn told(&mut self, member: &MemberId, epoch: Epoch) {
-        self.fence(member, epoch);
+    pub(crate) fn told(&mut self, wall: SystemTime, member: &MemberId, epoch: Epoch) {
+        self.fence(wall, member, epoch);
         self.told.entry(member.clone()).or_default().insert(epoch);
     }
 
@@ -135,7 +156,9 @@
 
     /// The epoch each member has moved to.
     pub(crate) fn fences(&self) -> impl Iterator<Item = (&MemberId, Epoch)> {
-        self.fences.iter().map(|(member, epoch)| (member, *epoch))
+        self.fences
+            .iter()
+            .map(|(member, (epoch, _))| (member, *epoch))
     }
 
     /// What stands between `me`, the current home, and a key.
@@ -186,14 +209,22 @@
             return Settled::Known;
         }
         let lapsed = now.saturating_duration_since(seen) > lapse;
-        let ended = |member: &MemberId| {
-            let has_left = self.is_fenced(member, number) && !self.is_current(member);
-            told(member) || has_left || self.is_gone(member)
-        };
-        if lapsed || executors.iter().all(|member| ended(member)) {
-            return Settled::LostBefore(wall);
-        }
-        Settled::Open
+        let lapsed = lapsed.then_some(wall + lapse);
+        let missing = executors.into_iter().filter(|member| !told(member));
+        let ends =
+            missing.map(|member| lapsed.into_iter().chain(self.end_of(member, number)).min());
+        let last = ends
+            .into_iter()
+            .try_fold(wall, |last, end| Some(last.max(end?)));
+        last.map_or(Settled::Open, Settled::LostBefore)
+    }
+
+    /// When it was learnt that the member runs nothing of `epoch` any more and tells nothing either.
+    fn end_of(&self, member: &MemberId, epoch: Epoch) -> Option<SystemTime> {
+        let fence = self.fences.get(member).filter(|(fence, _)| *fence > epoch);
+        let left = fence.filter(|_| !self.is_current(member));
+        let left = left.map(|(_, learnt)| *learnt);
+        left.into_iter().chain(self.gone.get(member).copied()).min()
     }
 
     /// Whether the key's home of this epoch knew all of earlier ones, and has told it here.
@@ -225,21 +256,6 @@
             .is_some_and(|record| record.members.contains(member))
     }
 
-    fn is_fenced(&self, member: &MemberId, epoch: Epoch) -> bool {
-        self.fences.get(member).is_some_and(|fence| *fence > epoch)
-    }
-
-    /// Whether this start of the daemon is proven to have ended.
-    fn is_gone(&self, member: &MemberId) -> bool {
-        let later =
-            |other: &MemberId| other.host == member.host && other.incarnation > member.incarnation;
-        self.gone.contains(member)
-            || self
-                .known
-                .values()
-                .any(|known| known.record.members.iter().any(later))
-    }
-
     /// Closes epochs replaced longer ago than `age`.
     pub(crate) fn close(&mut self, now: Instant, age: Duration) {
         let live = |known: &Known| {
@@ -247,11 +263,17 @@
                 .replaced
                 .is_none_or(|(seen, _)| now.saturating_duration_since(seen) <= age)
         };
+        let count = self.known.len();
         self.known.retain(|_, known| live(known));
+        if self.known.len() == count {
+            return;
+        }
         let Some(first) = self.known.keys().next().copied() else {
             return;
         };
-        self.fences.retain(|_, epoch| *epoch >= first);
+        let listed: HashSet<MemberId> = self.members().cloned().collect();
+        self.gone.retain(|member, _| listed.contains(member));
+        self.fences.retain(|_, (epoch, _)| *epoch >= first);
         for epochs in [&mut self.told, &mut self.complete] {
             epochs.retain(|_, epochs| {
                 epochs.retain(|epoch| *epoch >= first);
--- a/crates/indigospur-once/src/once.rs
+++ b/crates/indigospur-once/src/once.rs
@@ -163,7 +163,7 @@
         let applied = self.epochs.apply(now, wall, record);
         if applied {
             let (me, number) = (self.me.clone(), self.epochs.number());
-            self.epochs.fence(&me, number);
+            self.epochs.fence(wall, &me, number);
             self.epochs.note_complete(&me);
         }
         applied
@@ -205,7 +205,7 @@
     }
 
     /// Takes what another member hands over; false if its epoch is not known here yet.
-    pub fn take(&mut self, now: Instant, hand_over: HandOver) -> bool {
+    pub fn take(&mut self, now: Instant, wall: SystemTime, hand_over: HandOver) -> bool {
         if hand_over.epoch > self.epochs.number() {
             return false;
         }
@@ -213,10 +213,10 @@
             self.take_record(now, record);
         }
         for (member, epoch) in &hand_over.fences {
-            self.epochs.fence(member, *epoch);
+            self.epochs.fence(wall, member, *epoch);
         }
         self.epochs.complete(&hand_over.from, hand_over.complete);
-        self.epochs.told(&hand_over.from, hand_over.epoch);
+        self.epochs.told(wall, &hand_over.from, hand_over.epoch);
         self.epochs.note_complete(&self.me);
         true
     }
--- a/crates/indigospur-once/tests/once/cases.rs
+++ b/crates/indigospur-once/tests/once/cases.rs
@@ -138,7 +138,7 @@
         let hand_over = self.parts[self.other]
             .hand_over(self.now, &to)
             .expect("an epoch is known");
-        assert!(self.parts[self.successor].take(self.now, hand_over));
+        assert!(self.parts[self.successor].take(self.now, self.wall, hand_over));
     }
 }
 
@@ -183,7 +183,7 @@
         fences: vec![(id(after.other, 1), 2)],
         complete: Vec::new(),
     };
-    assert!(after.parts[after.successor].take(after.now, hand_over));
+    assert!(after.parts[after.successor].take(after.now, after.wall, hand_over));
     assert_eq!(after.claim(after.now), Claim::NotServing);
     after.hand_over();
     assert_eq!(after.claim(after.now), Claim::Ran);
@@ -213,7 +213,7 @@
             .into_iter()
             .filter(|told| number < 3 || told.from.host != ids[0].host)
         {
-            parts[1].take(now, hand_over);
+            parts[1].take(now, wall, hand_over);
         }
     }
     let mut rng = SmallRng::seed_from_u64(1);
@@ -290,7 +290,7 @@
     let hand_over = parts[1]
         .hand_over(now, &zero.host)
         .expect("an epoch is known");
-    assert!(parts[0].take(now, hand_over));
+    assert!(parts[0].take(now, wall, hand_over));
     parts[0].apply(now, wall, epoch(3, std::slice::from_ref(&zero)));
     assert_eq!(parts[0].claim(now, wall, &key, 1), Claim::Uncertain);
 }
@@ -320,7 +320,7 @@
                 let told = parts[0]
                     .hand_over(now, &id(home, 2).host)
                     .expect("an epoch is known");
-                parts[home].take(now, told);
+                parts[home].take(now, later, told);
                 parts[home].claim(now, wall, key, 1)
             })
             .collect()
--- a/crates/indigospur-once/tests/once/replacement.rs
+++ b/crates/indigospur-once/tests/once/replacement.rs
@@ -56,7 +56,7 @@
             if let Some(told) = told
                 && listed.contains(&self.ids[to])
             {
-                assert!(self.parts[to].take(self.now, told));
+                assert!(self.parts[to].take(self.now, self.wall, told));
             }
         }
     }
--- a/crates/indigospur-once/tests/once/walk.rs
+++ b/crates/indigospur-once/tests/once/walk.rs
@@ -227,13 +227,13 @@
             return;
         }
         let (to, message) = self.wire.swap_remove(at);
-        let now = self.now;
+        let (now, wall) = (self.now, self.wall);
         let Some(once) = self.parts[to].as_mut() else {
             return;
         };
         match message {
             Message::HandOver(hand_over) => {
-                once.take(now, hand_over);
+                once.take(now, wall, hand_over);
             }
             Message::Dispatch { from, epoch, key } => {
                 let home = id(from, 1).host;
