--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -70,7 +70,7 @@
 /// Asks the seeds of the settings and of the log for the fleet while no other member is known.
 async fn ask_seeds(daemon: &Arc<Daemon>) {
     let own = lock(&daemon.fleet).members.me().address.clone();
-    let mut seeds = daemon.settings.seeds.clone();
+    let mut seeds = daemon.settings().seeds.clone();
     seeds.extend(lock(&daemon.follower).seeds().cloned());
     for seed in seeds.iter().filter(|seed| **seed != own) {
         if lock(&daemon.fleet).members.is_empty() {
@@ -153,8 +153,12 @@
 fn take(daemon: &Arc<Daemon>, message: &Message, address: &Arc<str>) {
     let changed = lock(&daemon.fleet).take(message);
     route(daemon, &changed);
-    if let Some(instance) = &message.departed {
-        backend::leave(daemon, instance);
+    if changed.iter().any(|member| member.host == *daemon.host()) {
+        backend::renumbered(daemon);
+        daemon.tell_news();
+    }
+    if let Some(start) = &message.departed {
+        backend::leave(daemon, start);
     }
     if message.accepted <= daemon.accepted() {
         return;
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -35,9 +35,16 @@
     let mut answers = false;
     loop {
         let begun = Instant::now();
-        let read = match position {
-            Some(from) => source.changes(from, wait(&daemon)).await,
-            None => source.newest().await,
+        let read = async {
+            Some(match position {
+                Some(from) => source.changes(from, wait(&daemon)).await,
+                None => source.newest().await,
+            })
+        };
+        // Positions in one source say nothing of another.
+        let Some(read) = futures_lite::future::or(read, moved(&daemon)).await else {
+            position = None;
+            continue;
         };
         match read {
             Ok(found) => {
@@ -59,6 +66,12 @@
     }
 }
 
+/// Ends when the source has moved.
+async fn moved<T>(daemon: &Daemon) -> Option<T> {
+    let _ = daemon.moved.1.recv().await;
+    None
+}
+
 /// Pauses between tries that fail, longer each time and spread.
 struct Backoff {
     pause: Duration,
@@ -157,10 +170,11 @@
     }
 }
 
-/// Registers this daemon and meets some of those registered, until both have succeeded.
+/// Registers this daemon and meets some of those registered, until it is registered and knows
+/// another, or is known to be alone.
 ///
 /// Each daemon registers before it reads, so that of two that start together at least one finds the
-/// other.
+/// other. One that can't register yet reads all the same, and once more after it has registered.
 async fn register(daemon: Arc<Daemon>, source: Arc<dyn Configuration>) {
     let own = Contact {
         host: daemon.host().clone(),
@@ -169,33 +183,34 @@
     let mut registered = false;
     let mut backoff = Backoff::default();
     loop {
-        match register_and_meet(&daemon, source.as_ref(), &own, &mut registered).await {
-            Ok(()) => return,
+        if !registered {
+            match source.register(own.clone()).await {
+                Ok(()) => registered = true,
+                Err(error) => log::debug!(error:display; "not registered yet"),
+            }
+        }
+        let met = match source.contacts().await {
+            Ok(contacts) => meet_some(&daemon, contacts).await,
             Err(error) => {
-                log::debug!(registered, error:display; "the registered daemons are not known yet");
+                log::debug!(error:display; "the registered daemons are not known yet");
+                false
             }
+        };
+        if registered && met {
+            return;
         }
         backoff.wait(&daemon).await;
     }
 }
 
-async fn register_and_meet(
-    daemon: &Arc<Daemon>,
-    source: &dyn Configuration,
-    own: &Contact,
-    registered: &mut bool,
-) -> Result<(), SourceError> {
-    if !*registered {
-        source.register(own.clone()).await?;
-        *registered = true;
-    }
-    let contacts = source.contacts().await?;
-    let mut others: Vec<Contact> = contacts
-        .into_iter()
-        .filter(|contact| contact.host != own.host)
-        .collect();
+/// Asks registered daemons for the fleet; whether one is known then, or there is no other.
+async fn meet_some(daemon: &Arc<Daemon>, contacts: Vec<Contact>) -> bool {
+    let others = contacts.into_iter();
+    let others = others.filter(|contact| contact.host != *daemon.host());
+    let mut others: Vec<Contact> = others.collect();
     if others.is_empty() {
         backend::fleet_heard(daemon);
+        return true;
     }
     others.shuffle(&mut *lock(&daemon.rng));
     for contacts in others.chunks(MET_AT_ONCE) {
@@ -204,8 +219,8 @@
         }
         runtime::sleep(MEETING_TIME).await;
         if !lock(&daemon.fleet).members.is_empty() {
-            break;
+            return true;
         }
     }
-    Ok(())
+    false
 }
--- a/crates/indigospur-members/src/starts.rs
+++ b/crates/indigospur-members/src/starts.rs
@@ -4,13 +4,62 @@
 //! start leaves binds for good.
 
 use indigospur_protocol::{Announcement, State};
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Starts that have left and are remembered.
 const MOST_LEFT: usize = 32;
+/// Starts that were replaced and are remembered.
+const MOST_REPLACED: usize = 8;
+/// Time without an announcement of the present start after which one that seems older may be the one
+/// that runs: its birth comes from a clock that may have been set back. Two announcements are missed
+/// by then.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Time for which a name counts as left whenever its start began, if that was not told: longer than
+/// any announcement is late.
+const NAME_MEMORY: Duration = Duration::from_secs(30);
 
-/// Names one start: the instance, and when it was born.
-type Start = (Arc<str>, u64);
+/// One start of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Name that it gives itself; a later start may have it again.
+    pub instance: Arc<str>,
+    /// When it began, in milliseconds since the Unix epoch; zero if it doesn't say.
+    pub born: u64,
+}
+
+impl Start {
+    /// The start of an instance.
+    pub fn new(instance: &str, born: u64) -> Start {
+        Start {
+            instance: instance.into(),
+            born,
+        }
+    }
+
+    /// Whether it began before another start, as far as both say when.
+    fn is_older(&self, other: &Start) -> bool {
+        self.born > 0 && other.born > 0 && self.born < other.born
+    }
+}
+
+/// A start that leaves or has left, and when that was heard.
+#[derive(Debug)]
+struct Left {
+    start: Start,
+    at: Instant,
+}
+
+impl Left {
+    /// Whether it may be this start.
+    fn covers(&self, now: Instant, start: &Start) -> bool {
+        let fresh = now.saturating_duration_since(self.at) < NAME_MEMORY;
+        let same = self.start.born == start.born;
+        let untold = start.born == 0 || (self.start.born == 0 && fresh);
+        self.start.instance == start.instance && (same || untold)
+    }
+}
 
 /// What an announcement brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,93 +74,130 @@
     Stale,
 }
 
+/// The present start.
+#[derive(Debug)]
+struct Current {
+    start: Start,
+    /// Sequence of its last announcement, and when that was heard.
+    sequence: u64,
+    heard: Instant,
+}
+
+impl Current {
+    fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= SILENCE
+    }
+}
+
 /// The starts of one backend server.
 #[derive(Debug, Default)]
 pub struct Starts {
-    /// The present start and the sequence of its last announcement.
-    current: Option<(Start, u64)>,
+    current: Option<Current>,
+    /// Starts that another one was heard after, the oldest first.
+    replaced: VecDeque<Start>,
     /// Starts that leave or have left, the oldest first.
-    left: Vec<Start>,
+    left: Vec<Left>,
 }
 
 impl Starts {
     /// Takes an announcement in.
-    pub fn hear(&mut self, announced: &Announcement) -> Heard {
-        let start = (announced.instance.clone(), announced.born);
+    pub fn hear(&mut self, now: Instant, announced: &Announcement) -> Heard {
+        let start = Start {
+            instance: announced.instance.clone(),
+            born: announced.born,
+        };
         if announced.state == State::Draining {
-            return self.hear_leaving(start, announced.sequence);
+            return self.hear_leaving(now, start, announced.sequence);
         }
-        if self.has_left(&start) {
+        if self.has_left(now, &start) {
             return Heard::Stale;
         }
         let heard = match &self.current {
-            Some((current, _)) if is_older(&start, current) => return Heard::Stale,
-            Some((current, last)) if *current == start => {
-                if announced.sequence > 0 && announced.sequence <= *last {
+            Some(current) if current.start == start => {
+                let counted = announced.sequence > current.sequence || announced.sequence == 0;
+                let anew = start.born == 0 && current.is_silent(now);
+                if !counted && !anew {
                     return Heard::Stale;
                 }
                 Heard::Known
             }
+            Some(current) if self.seems_older(&start, current) && !current.is_silent(now) => {
+                return Heard::Stale;
+            }
             _ => Heard::New,
         };
-        self.current = Some((start, announced.sequence));
+        self.set_current(now, start, announced.sequence);
         heard
     }
 
-    fn hear_leaving(&mut self, start: Start, sequence: u64) -> Heard {
-        let other = self
-            .current
-            .as_ref()
-            .is_some_and(|(current, _)| *current != start);
+    fn hear_leaving(&mut self, now: Instant, start: Start, sequence: u64) -> Heard {
+        let other = self.current.as_ref().is_some_and(|current| {
+            let later = current.start.is_older(&start) || current.is_silent(now);
+            current.start != start && !later
+        });
         // A backend server without a name may announce that it leaves and then come back.
-        if !start.0.is_empty() {
-            self.remember(start.clone());
+        if !start.instance.is_empty() {
+            self.remember(now, start.clone());
         }
         if other {
             return Heard::Stale;
         }
-        self.current = Some((start, sequence));
+        self.set_current(now, start, sequence);
         Heard::Leaving
     }
 
-    /// Notes that an instance has left, whenever it was born, up to what is known of it now; whether
-    /// it is the present start and was not known to leave.
-    pub fn leave(&mut self, instance: &str) -> bool {
-        let current = self.current.as_ref().map(|(start, _)| start.clone());
-        match current {
-            Some(start) if &*start.0 == instance => {
-                let known = self.has_left(&start);
-                self.remember(start);
-                !known
-            }
-            Some(_) => false,
-            None => {
-                self.remember((instance.into(), u64::MAX));
-                false
-            }
+    /// Whether a start seems to have begun before the present one.
+    fn seems_older(&self, start: &Start, current: &Current) -> bool {
+        if start.born > 0 && current.start.born > 0 {
+            return start.is_older(&current.start);
         }
+        self.replaced.contains(start)
     }
 
-    fn remember(&mut self, start: Start) {
-        if self.left.contains(&start) {
-            return;
+    fn set_current(&mut self, now: Instant, start: Start, sequence: u64) {
+        self.replaced.retain(|replaced| *replaced != start);
+        let current = Current {
+            start: start.clone(),
+            sequence,
+            heard: now,
+        };
+        let before = self.current.replace(current).map(|before| before.start);
+        self.replaced
+            .extend(before.filter(|before| *before != start));
+        while self.replaced.len() > MOST_REPLACED {
+            self.replaced.pop_front();
+        }
+    }
+
+    /// Notes that a start has left; whether it is the present one and was not known to leave. If it
+    /// is not told when the start began, it is the present one where that has its name.
+    pub fn leave(&mut self, now: Instant, start: &Start) -> bool {
+        let current = self.current.as_ref().map(|current| &current.start);
+        let meant =
+            |current: &&Start| current.instance == start.instance && !start.is_older(current);
+        let Some(current) = current.filter(meant).cloned() else {
+            self.remember(now, start.clone());
+            return false;
+        };
+        if start.born > current.born {
+            self.remember(now, start.clone());
+        }
+        self.remember(now, current)
+    }
+
+    /// Remembers a start as left; false if it was.
+    fn remember(&mut self, now: Instant, start: Start) -> bool {
+        if self.left.iter().any(|left| left.start == start) {
+            return false;
         }
         if self.left.len() >= MOST_LEFT {
             self.left.remove(0);
         }
-        self.left.push(start);
+        self.left.push(Left { start, at: now });
+        true
     }
 
-    /// Whether the start has left. One that is known only by its name counts for each birth until
-    /// a later one is told.
-    fn has_left(&self, start: &Start) -> bool {
-        self.left
-            .iter()
-            .any(|left| left.0 == start.0 && (left.1 == start.1 || left.1 == u64::MAX))
+    fn has_left(&self, now: Instant, start: &Start) -> bool {
+        self.left.iter().any(|left| left.covers(now, start))
     }
 }
-
-/// Whether a start was born before another one that is known.
-fn is_older(start: &Start, known: &Start) -> bool {
-    start.1 > 0 && known.1 > 0 && start.1 < known.1
-}
