--- a/crates/indigospur-bench/src/bin/added-latency.rs
+++ b/crates/indigospur-bench/src/bin/added-latency.rs
@@ -73,7 +73,7 @@
             },
         ],
         rules: RULES.to_owned(),
-        settings: String::new(),
+        ..SitePlan::default()
     };
     let site = Site::start(&plan)?;
     let idle = site.nodes[0].daemon.usage().0;
--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -1,10 +1,11 @@
 //! Callers that go on whatever fails.
 
 use crate::checks::DEADLINE;
-use crate::observed::{Asked, Observed};
-use indigospur_test_support::{Call, request};
+use crate::observed::{Asked, Observed, Use};
+use indigospur_test_support::{Answered, Call, Connection, Manner, request};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
@@ -57,62 +58,130 @@
     }
 }
 
+/// What a caller does with its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    /// Opens one for each request.
+    Fresh,
+    /// Keeps one to each host and uses it until the other end closes.
+    Keeps,
+    /// Leaves early, reads slowly, sends in pieces or breaks off.
+    Odd,
+}
+
+/// Habits of the callers, in turn.
+const HABITS: [Habit; 6] = [
+    Habit::Fresh,
+    Habit::Keeps,
+    Habit::Keeps,
+    Habit::Fresh,
+    Habit::Keeps,
+    Habit::Odd,
+];
+/// Ways in which odd callers ask.
+const ODD: [Manner; 4] = [Manner::Pieces, Manner::Slow, Manner::Leaves, Manner::Breaks];
+
 /// Starts callers; they end when the soak does.
-pub(crate) fn start(shared: &Arc<Shared>, count: u64, seed: u64) -> Vec<JoinHandle<()>> {
+pub(crate) fn start(shared: &Arc<Shared>, count: usize, seed: u64) -> Vec<JoinHandle<()>> {
     (0..count)
         .map(|index| {
             let shared = shared.clone();
-            let rng = SmallRng::seed_from_u64(seed.wrapping_add(index));
-            std::thread::spawn(move || call_on(&shared, rng))
+            let caller = Caller {
+                rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
+                habit: HABITS[index % HABITS.len()],
+                kept: HashMap::new(),
+            };
+            std::thread::spawn(move || caller.call_on(&shared))
         })
         .collect()
 }
 
-fn call_on(shared: &Shared, mut rng: SmallRng) {
-    while !shared.ended.load(Ordering::Relaxed) {
-        let host = {
-            let hosts = lock(&shared.hosts);
-            hosts[rng.random_range(0..hosts.len())].clone()
+struct Caller {
+    rng: SmallRng,
+    habit: Habit,
+    /// Connections by the name of the host.
+    kept: HashMap<String, Connection>,
+}
+
+impl Caller {
+    fn call_on(mut self, shared: &Shared) {
+        while !shared.ended.load(Ordering::Relaxed) {
+            let host = {
+                let hosts = lock(&shared.hosts);
+                hosts[self.rng.random_range(0..hosts.len())].clone()
+            };
+            let asked = self.ask(shared, &host);
+            lock(&shared.observed).asked.push(asked);
+            let pause = Duration::from_millis(self.rng.random_range(PAUSE_MILLIS));
+            std::thread::sleep(pause);
+        }
+    }
+
+    fn ask(&mut self, shared: &Shared, host: &HostEntry) -> Asked {
+        let keyed = self.rng.random_bool(KEYED_SHARE);
+        let number = shared.next.fetch_add(1, Ordering::Relaxed);
+        // The key tells its age, as keys should.
+        let key = if keyed {
+            Uuid::now_v7().to_string()
+        } else {
+            String::new()
+        };
+        let (service, path) = if keyed {
+            ("contracts", format!("/sign?n={number}"))
+        } else {
+            ("quoting", format!("/quote?n={number}"))
         };
-        let keyed = rng.random_bool(KEYED_SHARE);
-        let asked = ask(shared, &host, keyed);
-        lock(&shared.observed).asked.push(asked);
-        let pause = Duration::from_millis(rng.random_range(PAUSE_MILLIS));
-        std::thread::sleep(pause);
+        let call = Call {
+            service,
+            path: &path,
+            key: &key,
+            deadline_ms: DEADLINE.as_millis() as u64,
+            ..Call::default()
+        };
+        let sent = shared.now();
+        let (answered, connection) = self.send(host, &call);
+        Asked {
+            number,
+            keyed,
+            host: host.name.clone(),
+            connection,
+            sent,
+            answered: shared.now(),
+            status: answered.status,
+            kind: answered.kind,
+            ran: answered.ran,
+            body: answered.body,
+        }
     }
-}
 
-fn ask(shared: &Shared, host: &HostEntry, keyed: bool) -> Asked {
-    let number = shared.next.fetch_add(1, Ordering::Relaxed);
-    // The key tells its age, as keys should.
-    let key = if keyed {
-        Uuid::now_v7().to_string()
-    } else {
-        String::new()
-    };
-    let (service, path) = if keyed {
-        ("contracts", format!("/sign?n={number}"))
-    } else {
-        ("quoting", format!("/quote?n={number}"))
-    };
-    let call = Call {
-        service,
-        path: &path,
-        key: &key,
-        deadline_ms: DEADLINE.as_millis() as u64,
-        ..Call::default()
-    };
-    let sent = shared.now();
-    let answered = request(&host.calls, &call);
-    Asked {
-        number,
-        keyed,
-        host: host.name.clone(),
-        sent,
-        answered: shared.now(),
-        status: answered.status,
-        kind: answered.kind,
-        ran: answered.ran,
-        body: answered.body,
+    fn send(&mut self, host: &HostEntry, call: &Call<'_>) -> (Answered, Use) {
+        match self.habit {
+            Habit::Fresh => (request(&host.calls, call), Use::Fresh),
+            Habit::Odd => {
+                let manner = ODD[self.rng.random_range(0..ODD.len())];
+                let answered = Connection::new(&host.calls).request(call, manner);
+                let connection = match manner {
+                    Manner::Leaves => Use::Left,
+                    Manner::Breaks => Use::Part,
+                    Manner::Plain | Manner::Pieces | Manner::Slow => Use::Fresh,
+                };
+                (answered, connection)
+            }
+            Habit::Keeps => {
+                let name = host.name.clone();
+                let kept = self.kept.entry(name);
+                let kept = kept.or_insert_with(|| Connection::new(&host.calls));
+                // A daemon that started again elsewhere: the old connection serves while it can.
+                if !kept.is_open() {
+                    *kept = Connection::new(&host.calls);
+                }
+                let connection = if kept.is_open() {
+                    Use::Kept
+                } else {
+                    Use::Fresh
+                };
+                (kept.request(call, Manner::Plain), connection)
+            }
+        }
     }
 }
--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -1,6 +1,6 @@
 //! What must hold, whatever fails.
 
-use crate::observed::{Asked, Observed, Seen};
+use crate::observed::{Asked, Ended, Observed, Seen, Use};
 use displaydoc::Display;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 const MOST_RUNS: usize = 4;
 /// Time beyond its deadline within which a request is answered while only planned work is done.
 const LATE: Duration = Duration::from_millis(1_000);
+/// Time in which the end of a process meets a request that it has not begun.
+const MET_END: Duration = Duration::from_millis(200);
 /// Deadline that the callers give.
 pub(crate) const DEADLINE: Duration = Duration::from_millis(2_000);
 
@@ -27,6 +29,10 @@
     Cut(u64, String, Duration, usize, String),
     /// request {0} was answered {1:?} after it was sent, with a deadline of 2 s and planned work only
     Late(u64, Duration),
+    /// a part of request {0} was sent, and it ran {1} times
+    Part(u64, usize),
+    /// {0} ended by itself, {1}; its log ends with: {2}
+    Ended(String, String, String),
     /// {0} went back from version {1} to {2}
     WentBack(String, u64, u64),
     /// the backend server at {0} had left and began {1} more runs
@@ -43,6 +49,7 @@
         .flat_map(|asked| check_request(observed, asked, &runs))
         .collect();
     breaches.extend(check_versions(&observed.seen));
+    breaches.extend(observed.ended.iter().map(check_ended));
     let leaves = observed.leaves.iter();
     let after = leaves.filter(|leave| leave.later > leave.noticed);
     breaches.extend(
@@ -68,11 +75,14 @@
     if asked.status == 200 && asked.body != expected_body(number, asked.keyed) {
         breaches.push(Breach::Foreign(number, asked.body.clone()));
     }
+    if asked.connection == Use::Part && count > 0 {
+        breaches.push(Breach::Part(number, count));
+    }
+    let stays = !matches!(asked.connection, Use::Left | Use::Part);
     let calm = |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
-    if observed.planned.iter().any(calm) {
+    if stays && observed.planned.iter().any(calm) {
         let took = asked.answered.saturating_sub(asked.sent);
-        // A daemon that has stopped takes no connection; that cuts nothing.
-        if asked.status == 0 && !asked.body.contains("refused") {
+        if asked.status == 0 && !meets_end(observed, asked, count) {
             let (host, body) = (asked.host.clone(), asked.body.clone());
             breaches.push(Breach::Cut(number, host, took, count, body));
         }
@@ -83,6 +93,26 @@
     breaches
 }
 
+/// Whether a lost request is what a daemon that has stopped leaves behind: it takes no connection
+/// any more, or a kept one ends while a request is on its way that it has not begun.
+fn meets_end(observed: &Observed, asked: &Asked, count: usize) -> bool {
+    let took = asked.answered.saturating_sub(asked.sent);
+    let stops = observed.stopped.iter().any(|stopped| {
+        stopped.host == asked.host && stopped.from <= asked.answered && asked.sent <= stopped.to
+    });
+    asked.body.contains("refused")
+        || (asked.connection == Use::Kept && stops && count == 0 && took <= MET_END)
+}
+
+fn check_ended(ended: &Ended) -> Breach {
+    let Ended {
+        process,
+        status,
+        log,
+    } = ended.clone();
+    Breach::Ended(process, status, log)
+}
+
 /// What the backend servers of the site answer to a request.
 pub(crate) fn expected_body(number: u64, keyed: bool) -> String {
     if keyed {
--- a/crates/indigospur-soak/src/observed.rs
+++ b/crates/indigospur-soak/src/observed.rs
@@ -3,6 +3,20 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// How a caller uses its connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Use {
+    /// One request on a connection of its own.
+    #[default]
+    Fresh,
+    /// A request on a connection that had others before.
+    Kept,
+    /// The caller left before the answer.
+    Left,
+    /// The caller sent just a part of the request and left.
+    Part,
+}
+
 /// A request and what became of it. Times count from the start of the soak.
 #[derive(Clone, Debug, Default)]
 pub struct Asked {
@@ -12,6 +26,8 @@
     pub keyed: bool,
     /// Host whose daemon was asked.
     pub host: String,
+    /// How it was sent.
+    pub connection: Use,
     /// When it was sent.
     pub sent: Duration,
     /// When it was answered or lost.
@@ -48,6 +64,28 @@
     pub later: usize,
 }
 
+/// A process that ended though nobody had told it to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Host and program.
+    pub process: String,
+    /// Exit status.
+    pub status: String,
+    /// Last lines of its log.
+    pub log: String,
+}
+
+/// A daemon that was told to stop.
+#[derive(Clone, Debug)]
+pub struct Stopped {
+    /// Host.
+    pub host: String,
+    /// When it was told.
+    pub from: Duration,
+    /// When its host had a daemon again.
+    pub to: Duration,
+}
+
 /// All that was seen since the start.
 #[derive(Clone, Debug, Default)]
 pub struct Observed {
@@ -59,6 +97,10 @@
     pub seen: Vec<Seen>,
     /// Leaves.
     pub leaves: Vec<Leave>,
+    /// Processes that ended by themselves.
+    pub ended: Vec<Ended>,
+    /// Daemons that were told to stop.
+    pub stopped: Vec<Stopped>,
     /// Spans in which only planned work was done on a site that was calm before.
     pub planned: Vec<(Duration, Duration)>,
     /// What else was found, such as a site that does not calm down.
--- a/crates/indigospur-soak/src/options.rs
+++ b/crates/indigospur-soak/src/options.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use bpaf::Bpaf;
+use std::path::PathBuf;
 
 /// Rounds of random faults on a site of real processes. Exit status: 0 nothing found, 1 a check
 /// failed, 2 not started.
@@ -16,6 +17,9 @@
     /// Processes of the site: a daemon and a backend server a host
     #[bpaf(argument("N"), fallback(16), display_fallback)]
     pub processes: usize,
+    /// Folder for the daemons' logs; without it they are kept only if a check fails
+    #[bpaf(argument("DIR"))]
+    pub logs: Option<PathBuf>,
 }
 
 /// Reads the command line of the program.
--- a/crates/indigospur-soak/src/report.rs
+++ b/crates/indigospur-soak/src/report.rs
@@ -1,9 +1,10 @@
 //! What a soak has found, and what led to it.
 
 use crate::checks::Breach;
-use crate::observed::Asked;
+use crate::observed::{Asked, Use};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::path::PathBuf;
 
 /// Outcomes that the report sums up.
 const LAST: usize = 300;
@@ -21,6 +22,8 @@
     pub rounds: usize,
     /// The last outcomes, by what they were, with their number.
     pub last: Vec<(String, usize)>,
+    /// Folder with the daemons' logs, if they were kept.
+    pub logs: Option<PathBuf>,
 }
 
 impl fmt::Display for Report {
@@ -37,6 +40,9 @@
         for (what, count) in &self.last {
             writeln!(f, "of the last {LAST}: {count} {what}")?;
         }
+        if let Some(logs) = &self.logs {
+            writeln!(f, "logs in {}", logs.display())?;
+        }
         for breach in &self.breaches {
             writeln!(f, "BREACH {breach}")?;
         }
@@ -50,7 +56,10 @@
 /// The last outcomes, by status, kind and whether they ran.
 pub(crate) fn summarize(asked: &[Asked]) -> Vec<(String, usize)> {
     let mut counts = BTreeMap::new();
-    for asked in asked.iter().rev().take(LAST) {
+    let stayed = asked
+        .iter()
+        .filter(|asked| !matches!(asked.connection, Use::Left | Use::Part));
+    for asked in stayed.rev().take(LAST) {
         let service = if asked.keyed { "contracts" } else { "quoting" };
         let detail = if asked.status == 200 { "" } else { &asked.body };
         let what = format!("{service} {} {detail}", asked.status);
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -2,22 +2,22 @@
 
 use crate::callers::{self, HostEntry, Shared, lock};
 use crate::checks::check;
-use crate::faults::{Fault, Scheduled, draw};
-use crate::observed::{Leave, Seen};
+use crate::faults::{Fault, LogTrouble, Scheduled, draw};
+use crate::hosts::HostState;
+use crate::observed::{Leave, Seen, Use};
 use crate::options::SoakOptions;
 use crate::report::{Report, summarize};
-use indigospur_test_support::{
-    Node, ServicePlan, Site, SitePlan, Wire, post, ready_members, status_of,
-};
+use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wires, ready_members, status_of};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::io;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const CALLERS: u64 = 12;
+const CALLERS: usize = 12;
 /// Time that a call takes at a backend server, so that faults meet calls that run.
 const WORK_MILLIS: u64 = 25;
 /// Rule sets differ in the name of the last rule.
@@ -37,23 +37,32 @@
 /// A running soak.
 #[derive(Debug)]
 pub struct Soak {
-    site: Site,
-    /// The wire through which the others reach each host, by its place.
-    wires: Vec<Wire>,
-    shared: Arc<Shared>,
+    pub(crate) site: Site,
+    /// The wires of each host, by its place.
+    pub(crate) wires: Vec<Wires>,
+    /// What was done to each host, by its place.
+    pub(crate) hosts: Vec<HostState>,
+    pub(crate) log_troubles: Vec<LogTrouble>,
+    /// Only planned work is done in this round.
+    pub(crate) planned_only: bool,
+    pub(crate) shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
     rng: SmallRng,
     seconds: u64,
     published: u32,
-    events: Vec<String>,
+    pub(crate) events: Vec<String>,
+    /// Folder of the daemons' logs, and whether it stays whatever is found.
+    logs: (PathBuf, bool),
 }
 
 /// A step of a round.
-enum Step {
+pub(crate) enum Step {
     Begin(Scheduled),
-    /// A leave that everyone should have noticed by now.
-    Noticed(Scheduled),
+    /// Everyone should have noticed by now that the backend server of a host leaves.
+    Noticed(usize),
     End(Scheduled),
+    /// The daemon of a host starts again, once it can.
+    Return(usize),
 }
 
 impl Soak {
@@ -62,8 +71,14 @@
     /// # Errors
     /// A process can't be started.
     pub fn start(options: &SoakOptions) -> io::Result<Soak> {
+        let logs = options.logs.clone().unwrap_or_else(|| {
+            let name = format!("indigospur-soak-{}-{}", options.seed, std::process::id());
+            std::env::temp_dir().join(name)
+        });
+        std::fs::create_dir_all(&logs)?;
         let mut site = Site::start(&SitePlan {
             rules: RULES.to_owned(),
+            logs: Some(logs.clone()),
             ..SitePlan::default()
         })?;
         let hosts = (options.processes / 2).max(8);
@@ -78,10 +93,10 @@
         ];
         let mut wires = Vec::new();
         for index in 0..hosts {
-            let wire = Wire::start();
+            let behind = Wires::start();
             let plan = &plans[index % plans.len()];
-            site.add_behind(&wire, &format!("{}-{index}", plan.name), plan)?;
-            wires.push(wire);
+            site.add_behind(&behind, &format!("{}-{index}", plan.name), plan)?;
+            wires.push(behind);
         }
         site.settle();
         let entries = site.nodes.iter().map(|node| entry(node, 0)).collect();
@@ -94,12 +109,16 @@
         Ok(Soak {
             site,
             wires,
+            hosts: (0..hosts).map(|_| HostState::default()).collect(),
+            log_troubles: Vec::new(),
+            planned_only: false,
             shared,
             threads,
             rng: SmallRng::seed_from_u64(options.seed),
             seconds: options.seconds,
             published: 0,
             events: vec![format!("seed {}, {hosts} hosts", options.seed)],
+            logs: (logs, options.logs.is_some()),
         })
     }
 
@@ -119,6 +138,11 @@
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
+        let (logs, stay) = self.logs.clone();
+        let stay = stay || !breaches.is_empty();
+        if !stay {
+            let _ = std::fs::remove_dir_all(&logs);
+        }
         let observed = lock(&self.shared.observed);
         let served = observed.asked.iter().filter(|asked| asked.status == 200);
         Report {
@@ -127,10 +151,15 @@
             asked: (observed.asked.len(), served.count()),
             rounds,
             last: summarize(&observed.asked),
+            logs: stay.then_some(logs),
         }
     }
 
     fn play(&mut self, faults: &[Scheduled]) {
+        self.planned_only = faults.iter().all(|scheduled| scheduled.fault.is_planned());
+        for host in &mut self.hosts {
+            host.disturbed = false;
+        }
         let begun = Instant::now();
         let from = self.shared.now();
         let begins = faults
@@ -145,101 +174,36 @@
                     // A step before this one may have taken long: what follows counts from now.
                     steps.extend(follow(scheduled, begun.elapsed()));
                 }
-                Step::Noticed(scheduled) => self.count_leaver(scheduled, true),
-                Step::End(scheduled) => self.end(scheduled),
+                Step::Noticed(place) => {
+                    self.count_leaver(place, true);
+                }
+                Step::End(scheduled) => {
+                    let next = self.end(scheduled);
+                    steps.extend(next.map(|next| (begun.elapsed(), next)));
+                }
+                Step::Return(place) => {
+                    if !self.bring_back(place) {
+                        steps.push((begun.elapsed() + LOOK, Step::Return(place)));
+                    }
+                }
             }
+            self.find_ended();
         }
-        if faults.iter().all(|scheduled| scheduled.fault.is_planned()) {
+        if self.planned_only {
             let span = (from, self.shared.now());
             lock(&self.shared.observed).planned.push(span);
         }
     }
 
-    fn note(&mut self, what: &str, scheduled: Scheduled) {
+    pub(crate) fn note(&mut self, what: &str, scheduled: Scheduled) {
         let name = &self.site.nodes[scheduled.host].name;
         let at = self.shared.now().as_secs_f64();
         let line = format!("{at:8.3} {what} {:?} at {name}", scheduled.fault);
         self.events.push(line);
     }
 
-    fn begin(&mut self, scheduled: Scheduled) {
-        self.note("begin", scheduled);
-        let wire = &self.wires[scheduled.host];
-        match scheduled.fault {
-            Fault::KillDaemon => self.site.nodes[scheduled.host].daemon.kill(),
-            Fault::FreezeDaemon => self.site.nodes[scheduled.host].daemon.signal("STOP"),
-            Fault::StopDaemon => self.site.nodes[scheduled.host].daemon.signal("TERM"),
-            Fault::KillBackend => {
-                self.collect(scheduled.host);
-                self.site.nodes[scheduled.host].backend.kill();
-            }
-            Fault::FreezeBackend => self.site.nodes[scheduled.host].backend.signal("STOP"),
-            Fault::Leave => {
-                let address = self.site.nodes[scheduled.host].backend.address("address");
-                post(&address, "/stand-in/drain", "");
-            }
-            Fault::Silence => {
-                wire.silence();
-            }
-            Fault::Cut => wire.cut(),
-            Fault::Reset => wire.reset(),
-            Fault::LogDown => self.site.set_log_mode("{\"down\":true}"),
-            Fault::LogSlow => self.site.set_log_mode("{\"delay-ms\":700}"),
-            Fault::LogLosesAnswers => self.site.set_log_mode("{\"lose-answers\":true}"),
-            Fault::Publish => self.publish(),
-        }
-    }
-
-    fn end(&mut self, scheduled: Scheduled) {
-        self.note("end", scheduled);
-        match scheduled.fault {
-            Fault::KillDaemon => self.restart(scheduled.host),
-            Fault::StopDaemon => {
-                self.site.nodes[scheduled.host].daemon.wait();
-                self.restart(scheduled.host);
-            }
-            Fault::FreezeDaemon => self.site.nodes[scheduled.host].daemon.signal("CONT"),
-            Fault::FreezeBackend => self.site.nodes[scheduled.host].backend.signal("CONT"),
-            Fault::KillBackend => self.restart_backend(scheduled.host),
-            Fault::Leave => {
-                self.count_leaver(scheduled, false);
-                self.restart_backend(scheduled.host);
-            }
-            Fault::Cut => self.wires[scheduled.host].heal(),
-            Fault::LogDown | Fault::LogSlow | Fault::LogLosesAnswers => {
-                self.site.set_log_mode("{}");
-            }
-            Fault::Silence | Fault::Reset | Fault::Publish => {}
-        }
-    }
-
-    /// Starts daemon and backend server of a host anew.
-    fn restart(&mut self, place: usize) {
-        self.collect(place);
-        let node = &mut self.site.nodes[place];
-        if let Err(error) = node.restart() {
-            return self.found_dead(place, &error);
-        }
-        self.wires[place].set_target(&node.daemon.address("peers"));
-        let mut hosts = lock(&self.shared.hosts);
-        hosts[place] = entry(node, hosts[place].start + 1);
-    }
-
-    fn restart_backend(&mut self, place: usize) {
-        self.collect(place);
-        if let Err(error) = self.site.nodes[place].restart_backend() {
-            self.found_dead(place, &error);
-        }
-    }
-
-    fn found_dead(&self, place: usize, error: &io::Error) {
-        let name = &self.site.nodes[place].name;
-        let finding = format!("{name} does not start again: {error}");
-        lock(&self.shared.observed).findings.push(finding);
-    }
-
     /// Publishes a rule set. While the log fails the outcome may be unknown, which is no finding.
-    fn publish(&mut self) {
+    pub(crate) fn publish(&mut self) {
         self.published += 1;
         let rules = format!("{RULES}[[rule]]\nname = \"rule set {}\"\n", self.published);
         let outcome = self.site.publish(&rules);
@@ -250,8 +214,12 @@
     }
 
     /// Takes over what a backend server has run so far.
-    fn collect(&self, place: usize) -> usize {
+    pub(crate) fn collect(&mut self, place: usize) -> usize {
+        self.thaw_backend(place);
         let node = &self.site.nodes[place];
+        if self.hosts[place].backend_down {
+            return 0;
+        }
         let journal = node.journal();
         let count = journal.len();
         let runs = journal.iter().filter_map(read_number).collect();
@@ -263,11 +231,20 @@
         count
     }
 
-    fn count_leaver(&mut self, scheduled: Scheduled, noticed: bool) {
-        let runs = self.collect(scheduled.host);
-        let host = self.site.nodes[scheduled.host].name.clone();
+    /// Counts the runs at a backend server that has announced that it leaves; whether it is the same
+    /// still. Not watched are those whose host an unplanned fault has hit in this round.
+    pub(crate) fn count_leaver(&mut self, place: usize, noticed: bool) -> bool {
+        let leaving = self.hosts[place].leaving;
+        let same = leaving == Some(self.site.nodes[place].backend.id());
+        if !same || self.hosts[place].backend_down {
+            return false;
+        }
+        let runs = self.collect(place);
+        let host = self.site.nodes[place].name.clone();
         let mut observed = lock(&self.shared.observed);
-        if noticed {
+        if self.hosts[place].disturbed {
+            observed.leaves.retain(|leave| leave.host != host);
+        } else if noticed {
             observed.leaves.push(Leave {
                 host,
                 noticed: runs,
@@ -276,6 +253,16 @@
         } else if let Some(leave) = observed.leaves.iter_mut().rfind(|leave| leave.host == host) {
             leave.later = runs;
         }
+        true
+    }
+
+    /// Finds processes that ended by themselves; whether there are any so far.
+    fn find_ended(&mut self) -> bool {
+        let pairs = self.hosts.iter_mut().zip(&mut self.site.nodes);
+        let ended: Vec<_> = pairs.flat_map(|(host, node)| host.ended(node)).collect();
+        let mut observed = lock(&self.shared.observed);
+        observed.ended.extend(ended);
+        !observed.ended.is_empty()
     }
 
     /// Waits until all know each other and the newest rule set, and callers are served again.
@@ -285,6 +272,10 @@
             if self.has_settled() && self.is_serving() {
                 break true;
             }
+            if self.find_ended() {
+                // Whether the others calm down without it shows nothing.
+                break true;
+            }
             if Instant::now() > end {
                 break false;
             }
@@ -316,7 +307,12 @@
 
     fn is_serving(&self) -> bool {
         let observed = lock(&self.shared.observed);
-        let last = observed.asked.iter().rev().take(STREAK);
+        let stayed = observed
+            .asked
+            .iter()
+            .rev()
+            .filter(|asked| !matches!(asked.connection, Use::Left | Use::Part));
+        let last = stayed.take(STREAK);
         last.filter(|asked| asked.status == 200).count() == STREAK
     }
 }
@@ -339,7 +335,7 @@
     if scheduled.fault == Fault::Leave {
         let noticed = begun + NOTICE;
         vec![
-            (noticed, Step::Noticed(scheduled)),
+            (noticed, Step::Noticed(scheduled.host)),
             (noticed + WATCH, Step::End(scheduled)),
         ]
     } else {
@@ -347,7 +343,7 @@
     }
 }
 
-fn entry(node: &Node, start: u32) -> HostEntry {
+pub(crate) fn entry(node: &Node, start: u32) -> HostEntry {
     HostEntry {
         name: node.name.clone(),
         calls: node.calls(),
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -1,9 +1,10 @@
 //! Each check fires on the fault that it is there for, and on nothing else.
 
-use indigospur_soak::{Asked, Breach, Fault, Leave, Observed, Seen, check, draw};
+use indigospur_soak::{
+    Asked, Breach, Ended, Fault, Leave, Observed, Scheduled, Seen, Stopped, Use, check, draw,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::collections::HashSet;
 use std::time::Duration;
 
 const MILLI: Duration = Duration::from_millis(1);
@@ -161,6 +162,99 @@
     assert_eq!(check(&observed), [breach]);
 }
 
+fn lost(connection: Use, body: &str) -> Asked {
+    Asked {
+        status: 0,
+        connection,
+        body: body.into(),
+        ..served(1, false)
+    }
+}
+
+fn stopped(from: u32, to: u32) -> Stopped {
+    Stopped {
+        host: "quoting-0".into(),
+        from: from * MILLI,
+        to: to * MILLI,
+    }
+}
+
+#[test]
+fn a_request_on_a_kept_connection_that_planned_work_cuts_is_found() {
+    let cut = lost(Use::Kept, "connection closed");
+    let breach = |runs| {
+        Breach::Cut(
+            1,
+            "quoting-0".into(),
+            30 * MILLI,
+            runs,
+            "connection closed".into(),
+        )
+    };
+    // Nobody told this daemon to stop.
+    assert_eq!(check(&seen(vec![cut.clone()], &[])), [breach(0)]);
+    // It was told, and the request ran.
+    let mut observed = seen(vec![cut.clone()], &[1]);
+    observed.stopped.push(stopped(50, 3_000));
+    assert_eq!(check(&observed), [breach(1)]);
+    // It was told, and had the request for longer than its end takes.
+    let long = Asked {
+        answered: 301 * MILLI,
+        ..cut.clone()
+    };
+    let mut observed = seen(vec![long], &[]);
+    observed.stopped.push(stopped(50, 3_000));
+    assert_eq!(check(&observed).len(), 1);
+    // It was told only afterwards.
+    let mut observed = seen(vec![cut], &[]);
+    observed.stopped.push(stopped(131, 3_000));
+    assert_eq!(check(&observed), [breach(0)]);
+}
+
+#[test]
+fn a_request_that_meets_the_end_of_a_daemon_told_to_stop_is_no_breach() {
+    let mut observed = seen(vec![lost(Use::Kept, "connection closed")], &[]);
+    observed.stopped.push(stopped(50, 3_000));
+    assert_eq!(check(&observed), []);
+    // A connection of its own is not taken by a daemon that can't answer.
+    observed.asked = vec![lost(Use::Fresh, "connection closed")];
+    assert_eq!(check(&observed).len(), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_by_itself_was_not_cut_and_its_key_still_runs_at_most_once() {
+    let left = lost(Use::Left, "left by the caller");
+    assert_eq!(check(&seen(vec![left.clone()], &[1])), []);
+    let keyed = Asked {
+        keyed: true,
+        ..left
+    };
+    assert_eq!(check(&seen(vec![keyed], &[1, 1])), [Breach::Twice(1, 2)]);
+}
+
+#[test]
+fn a_part_of_a_request_that_runs_is_found() {
+    let part = lost(Use::Part, "left by the caller");
+    assert_eq!(check(&seen(vec![part.clone()], &[])), []);
+    assert_eq!(check(&seen(vec![part], &[1])), [Breach::Part(1, 1)]);
+}
+
+#[test]
+fn a_process_that_ends_by_itself_is_found_with_its_status_and_last_lines() {
+    let mut observed = seen(Vec::new(), &[]);
+    observed.ended.push(Ended {
+        process: "daemon of quoting-0".into(),
+        status: "signal: 1 (SIGHUP)".into(),
+        log: "serving".into(),
+    });
+    let breaches = check(&observed);
+    assert_eq!(
+        breaches[0].to_string(),
+        "daemon of quoting-0 ended by itself, signal: 1 (SIGHUP); its log ends with: serving"
+    );
+    assert_eq!(breaches.len(), 1);
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_again_and_seeds_draw_all_kinds() {
     let of = |seed| {
@@ -169,11 +263,32 @@
     };
     assert_eq!(of(3), of(3));
     let drawn: Vec<_> = (0..300).flat_map(of).collect();
-    let kinds: HashSet<String> = drawn.iter().map(|p| format!("{:?}", p.fault)).collect();
-    assert_eq!(kinds.len(), 13);
-    for seed in 0..300 {
-        let hosts: HashSet<usize> = of(seed).iter().map(|planned| planned.host).collect();
-        assert_eq!(hosts.len(), of(seed).len(), "seed {seed}");
+    for fault in Fault::all() {
+        assert!(drawn.iter().any(|p| p.fault == fault), "{fault:?}");
     }
-    assert!(drawn.iter().any(|p| p.fault == Fault::Cut));
+    assert!(drawn.iter().all(|scheduled| scheduled.host < 8));
+}
+
+#[test]
+fn the_faults_of_a_round_overlap_on_a_host_repeat_and_mix_planned_work_with_others() {
+    let rounds: Vec<_> = (0..300)
+        .map(|seed| draw(&mut SmallRng::seed_from_u64(seed), 8))
+        .collect();
+    let some = |holds: fn(&Scheduled, &Scheduled) -> bool| {
+        let pairs = |round: &Vec<Scheduled>| {
+            let mut pairs = round.windows(2);
+            pairs.any(|pair| holds(&pair[0], &pair[1]))
+        };
+        rounds.iter().filter(|round| pairs(round)).count()
+    };
+    let overlap = some(|one, other| one.host == other.host && other.at < one.at + one.length);
+    let repeat = some(|one, other| one.host == other.host && one.fault == other.fault);
+    let mixed = some(|one, other| !one.fault.is_planned() && other.fault.is_planned());
+    assert!(overlap > 50, "{overlap}");
+    assert!(repeat > 50, "{repeat}");
+    assert!(mixed > 50, "{mixed}");
+    let all_planned = |round: &&Vec<Scheduled>| round.iter().all(|s| s.fault.is_planned());
+    assert!(rounds.iter().filter(all_planned).count() > 50);
+    let in_order = |round: &Vec<Scheduled>| round.is_sorted_by_key(|scheduled| scheduled.at);
+    assert!(rounds.iter().all(in_order));
 }
--- a/crates/indigospur-soak/tests/run.rs
+++ b/crates/indigospur-soak/tests/run.rs
@@ -8,6 +8,7 @@
         seed: 1,
         seconds: 12,
         processes: 16,
+        logs: None,
     };
     let report = Soak::start(&options).expect("the site starts").run();
     assert!(report.rounds >= 2, "{report}");
--- a/crates/indigospur-stand-ins/src/backend_server.rs
+++ b/crates/indigospur-stand-ins/src/backend_server.rs
@@ -47,6 +47,8 @@
     pub daemon_admin: Option<String>,
     /// Address of its daemon for calls.
     pub daemon_calls: Option<String>,
+    /// Address to announce instead of the one it listens on.
+    pub advertise: Option<String>,
 }
 
 /// A call that was run.
@@ -120,7 +122,9 @@
     /// Serves and announces itself until the listener fails.
     pub async fn serve(self, listener: TcpListener) {
         if let Ok(address) = listener.local_addr() {
-            runtime::spawn(self.clone().announce(address.to_string()));
+            let told = self.options.advertise.clone();
+            let told = told.unwrap_or_else(|| address.to_string());
+            runtime::spawn(self.clone().announce(told));
         }
         let handler: Handler = Arc::new(move |request| {
             let server = self.clone();
--- a/crates/indigospur-stand-ins/src/bin/stand-in-backend.rs
+++ b/crates/indigospur-stand-ins/src/bin/stand-in-backend.rs
@@ -35,6 +35,9 @@
     /// Address of its daemon for calls
     #[bpaf(argument("IP:PORT"))]
     daemon_calls: Option<String>,
+    /// Address to announce instead of the one it listens on
+    #[bpaf(argument("IP:PORT"))]
+    advertise: Option<String>,
 }
 
 fn main() -> io::Result<()> {
@@ -59,6 +62,7 @@
         calls: options.call.iter().map(|call| parse_call(call)).collect(),
         daemon_admin: options.daemon_admin,
         daemon_calls: options.daemon_calls,
+        advertise: options.advertise,
     }
 }
 
--- a/crates/indigospur-stand-ins/src/platform_log.rs
+++ b/crates/indigospur-stand-ins/src/platform_log.rs
@@ -26,6 +26,8 @@
     pub delay_ms: u64,
     /// Appends take effect but are not answered.
     pub lose_answers: bool,
+    /// Appends take effect so many milliseconds later, and are not answered.
+    pub late_ms: u64,
     /// Time for which records are kept, in milliseconds.
     pub retention_ms: u64,
     /// Most appends a second.
@@ -38,6 +40,7 @@
             down: false,
             delay_ms: 0,
             lose_answers: false,
+            late_ms: 0,
             retention_ms: 24 * 3_600 * 1_000,
             appends_per_second: 500,
         }
@@ -206,6 +209,15 @@
         let Ok(body) = String::from_utf8(body.to_vec()) else {
             return text(400, "not UTF-8");
         };
+        let late = self.lock().mode.late_ms;
+        if late > 0 {
+            let (log, stream) = (self.clone(), stream.to_owned());
+            runtime::spawn(async move {
+                runtime::sleep(Duration::from_millis(late)).await;
+                log.append_now(&stream, body);
+            });
+            return std::future::pending().await;
+        }
         let appended = self.append_now(stream, body);
         let Some(offset) = appended else {
             return text(429, "too many appends");
--- a/crates/indigospur-test-support/src/bin/small-site.rs
+++ b/crates/indigospur-test-support/src/bin/small-site.rs
@@ -26,7 +26,7 @@
             ServicePlan::new("accounts", 2, &[]),
         ],
         rules: RULES.to_owned(),
-        settings: String::new(),
+        ..SitePlan::default()
     };
     let mut site = Site::start(&plan)?;
     println!(
--- a/crates/indigospur-test-support/src/client.rs
+++ b/crates/indigospur-test-support/src/client.rs
@@ -44,16 +44,39 @@
         .into()
 }
 
-/// Makes a call through the daemon at `address`.
+impl Answered {
+    pub(crate) fn failed(error: impl std::fmt::Display) -> Answered {
+        Answered {
+            status: 0,
+            kind: String::new(),
+            ran: String::new(),
+            retry_after: String::new(),
+            body: error.to_string(),
+        }
+    }
+}
+
+/// The headers of a call.
+pub(crate) fn header_lines(call: &Call<'_>) -> Vec<(&'static str, String)> {
+    let deadline = match call.deadline_ms {
+        0 => String::new(),
+        millis => millis.to_string(),
+    };
+    let all = [
+        ("indigospur-service", call.service.to_owned()),
+        ("indigospur-customer", call.customer.to_owned()),
+        ("indigospur-deadline-ms", deadline),
+        ("idempotency-key", call.key.to_owned()),
+    ];
+    all.into_iter()
+        .filter(|(_, value)| !value.is_empty())
+        .collect()
+}
+
+/// Makes a call through the daemon at `address`, on a connection of its own.
 pub fn request(address: &str, call: &Call<'_>) -> Answered {
     let url = format!("http://{address}{}", call.path);
-    let mut headers = vec![("indigospur-service", call.service.to_owned())];
-    if !call.customer.is_empty() {
-        headers.push(("indigospur-customer", call.customer.to_owned()));
-    }
-    if call.deadline_ms > 0 {
-        headers.push(("indigospur-deadline-ms", call.deadline_ms.to_string()));
-    }
+    let headers = header_lines(call);
     if call.key.is_empty() {
         let request = agent().get(url);
         return settle(
@@ -63,7 +86,6 @@
                 .call(),
         );
     }
-    headers.push(("idempotency-key", call.key.to_owned()));
     let request = agent().post(url);
     settle(
         headers
@@ -84,16 +106,9 @@
 }
 
 fn settle(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Answered {
-    let failed = |error: ureq::Error| Answered {
-        status: 0,
-        kind: String::new(),
-        ran: String::new(),
-        retry_after: String::new(),
-        body: error.to_string(),
-    };
     let mut response = match result {
         Ok(response) => response,
-        Err(error) => return failed(error),
+        Err(error) => return Answered::failed(error),
     };
     let header = |name: &str| {
         let value = response
@@ -116,6 +131,6 @@
             retry_after,
             body,
         },
-        Err(error) => failed(error),
+        Err(error) => Answered::failed(error),
     }
 }
--- a/crates/indigospur-test-support/src/lib.rs
+++ b/crates/indigospur-test-support/src/lib.rs
@@ -1,11 +1,17 @@
 //! A site of real processes for tests, benchmarks and a first look.
 
 mod client;
+mod connection;
+mod node;
 mod process;
 mod raw;
 mod site;
+mod wire;
 
 pub use client::{Answered, Call, get, post, request};
-pub use process::{Process, program};
-pub use raw::{RawBackend, Script, Wire};
-pub use site::{Node, ServicePlan, Site, SitePlan, ready_members, status_of, wait_until};
+pub use connection::{Connection, Manner};
+pub use node::{Node, ServicePlan, ready_members, status_of};
+pub use process::{Process, Starting, program, signal, wait_begun};
+pub use raw::{RawBackend, Script};
+pub use site::{Site, SitePlan, Wires, wait_until};
+pub use wire::{Way, Wire};
--- a/crates/indigospur-test-support/src/raw.rs
+++ b/crates/indigospur-test-support/src/raw.rs
@@ -1,9 +1,9 @@
-//! Fakes at the edge of TCP: a backend server that answers any bytes, and a wire that goes silent.
+//! A backend server that answers any bytes.
 
 use crate::client::post;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
@@ -101,116 +101,3 @@
     }
     true
 }
-
-/// A wire between daemons whose open connections can go silent for good while new ones work.
-#[derive(Debug)]
-pub struct Wire {
-    /// Address to reach the other end through.
-    pub address: String,
-    target: Arc<Mutex<String>>,
-    /// One flag for each connection opened so far.
-    silent: Arc<Mutex<Vec<Arc<AtomicBool>>>>,
-    /// New connections are silent from the start.
-    cut: Arc<AtomicBool>,
-    /// Both ends of each connection opened so far.
-    open: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Wire {
-    /// A wire whose other end is not known yet.
-    ///
-    /// # Panics
-    /// No port is free.
-    pub fn start() -> Wire {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let wire = Wire {
-            address: listener.local_addr().expect("it listens").to_string(),
-            target: Arc::default(),
-            silent: Arc::default(),
-            cut: Arc::default(),
-            open: Arc::default(),
-        };
-        let (target, silent, cut) = (wire.target.clone(), wire.silent.clone(), wire.cut.clone());
-        let open = wire.open.clone();
-        thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let address = target
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .clone();
-                let Ok(far) = TcpStream::connect(&address) else {
-                    continue;
-                };
-                let flag = Arc::new(AtomicBool::new(cut.load(Ordering::Relaxed)));
-                silent
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .push(flag.clone());
-                join(&near, &far, &flag);
-                let mut open = open.lock().unwrap_or_else(PoisonError::into_inner);
-                open.extend([near, far]);
-            }
-        });
-        wire
-    }
-
-    /// Sets the other end.
-    pub fn set_target(&self, address: &str) {
-        *self.target.lock().unwrap_or_else(PoisonError::into_inner) = address.to_owned();
-    }
-
-    /// Cuts the wire: nothing passes any more, and nobody is told.
-    pub fn cut(&self) {
-        self.cut.store(true, Ordering::Relaxed);
-        self.silence();
-    }
-
-    /// Ends a cut: new connections pass again.
-    pub fn heal(&self) {
-        self.cut.store(false, Ordering::Relaxed);
-    }
-
-    /// Resets the connections that are open now.
-    pub fn reset(&self) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in open.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
-    /// Silences the connections that are open now; their number.
-    pub fn silence(&self) -> usize {
-        let flags = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
-        flags
-            .iter()
-            .for_each(|flag| flag.store(true, Ordering::Relaxed));
-        flags.len()
-    }
-}
-
-fn join(near: &TcpStream, far: &TcpStream, silent: &Arc<AtomicBool>) {
-    for (from, to) in [(near, far), (far, near)] {
-        let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
-            return;
-        };
-        let silent = silent.clone();
-        thread::spawn(move || carry(from, to, &silent));
-    }
-}
-
-/// Carries bytes one way; in silence it reads on and drops them.
-fn carry(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool) {
-    let mut bytes = [0; 8_192];
-    loop {
-        let count = match from.read(&mut bytes) {
-            Ok(0) | Err(_) => break,
-            Ok(count) => count,
-        };
-        if !silent.load(Ordering::Relaxed) && to.write_all(&bytes[..count]).is_err() {
-            break;
-        }
-    }
-    if !silent.load(Ordering::Relaxed) {
-        let _ = to.shutdown(Shutdown::Both);
-    }
-}
--- a/crates/indigospur-test-support/src/site.rs
+++ b/crates/indigospur-test-support/src/site.rs
@@ -1,9 +1,9 @@
 //! A site: the platform's log, daemons, backend servers, and a published rule set.
 
-use crate::client::{get, post};
+use crate::client::post;
+use crate::node::{Node, ServicePlan, ready_members, spawn_daemon, start_backend};
 use crate::process::{Process, program};
-use crate::raw::Wire;
-use serde_json::Value;
+use crate::wire::Wire;
 use std::collections::HashSet;
 use std::io;
 use std::path::PathBuf;
@@ -18,35 +18,6 @@
 
 static SITES: AtomicU32 = AtomicU32::new(0);
 
-/// A service of a site.
-#[derive(Clone, Debug)]
-pub struct ServicePlan {
-    /// Name.
-    pub name: String,
-    /// Upstreams.
-    pub upstreams: usize,
-    /// Slots of each.
-    pub slots: u32,
-    /// Time a call takes, in milliseconds.
-    pub work_ms: u64,
-    /// Calls it makes, as `service/path`.
-    pub calls: Vec<String>,
-}
-
-impl ServicePlan {
-    /// A service whose calls take 2 ms.
-    pub fn new(name: &str, upstreams: usize, calls: &[&str]) -> ServicePlan {
-        let calls = calls.iter().map(|call| (*call).to_owned()).collect();
-        ServicePlan {
-            name: name.to_owned(),
-            upstreams,
-            slots: 32,
-            work_ms: 2,
-            calls,
-        }
-    }
-}
-
 /// What a site consists of.
 #[derive(Clone, Debug, Default)]
 pub struct SitePlan {
@@ -56,66 +27,29 @@
     pub rules: String,
     /// Lines added to the settings of each daemon.
     pub settings: String,
+    /// Folder for the log of each process that is added later; none is kept without it.
+    pub logs: Option<PathBuf>,
 }
 
-/// A daemon and the backend server beside it.
+/// The wires of a host.
 #[derive(Debug)]
-pub struct Node {
-    /// Host name.
-    pub name: String,
-    /// Service.
-    pub service: String,
-    /// The daemon.
-    pub daemon: Process,
-    /// The backend server.
-    pub backend: Process,
-    plan: ServicePlan,
-    settings: String,
+pub struct Wires {
+    /// From the other daemons to the host's daemon.
+    pub peers: Wire,
+    /// From the daemon to the platform's log.
+    pub log: Wire,
+    /// From the daemon to the backend server.
+    pub backend: Wire,
 }
 
-impl Node {
-    /// Address for callers.
-    pub fn calls(&self) -> String {
-        self.daemon.address("calls")
-    }
-
-    /// Admin address.
-    pub fn admin(&self) -> String {
-        self.daemon.address("admin")
-    }
-
-    /// The daemon's status.
-    pub fn status(&self) -> Value {
-        status_of(&self.admin())
-    }
-
-    /// What the backend server ran.
-    pub fn journal(&self) -> Vec<Value> {
-        serde_json::from_str(&get(&self.backend.address("address"), "/stand-in/journal").body)
-            .unwrap_or_default()
-    }
-
-    /// Starts the backend server anew, after it has ended.
-    ///
-    /// # Errors
-    /// It can't be started.
-    pub fn restart_backend(&mut self) -> io::Result<()> {
-        self.backend.kill();
-        self.backend = start_backend(&self.plan, &self.daemon)?;
-        Ok(())
-    }
-
-    /// Starts daemon and backend server anew on the same host.
-    ///
-    /// # Errors
-    /// One of them can't be started.
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.daemon.kill();
-        self.daemon = Process::start(
-            "indigospurd",
-            &["--settings".to_owned(), self.settings.clone()],
-        )?;
-        self.restart_backend()
+impl Wires {
+    /// Wires that lead nowhere yet.
+    pub fn start() -> Wires {
+        Wires {
+            peers: Wire::start(),
+            log: Wire::start(),
+            backend: Wire::start(),
+        }
     }
 }
 
@@ -129,6 +63,7 @@
     folder: PathBuf,
     settings: String,
     retention: String,
+    logs: Option<PathBuf>,
 }
 
 impl Site {
@@ -156,6 +91,7 @@
             folder,
             settings: plan.settings.clone(),
             retention: retention.to_owned(),
+            logs: plan.logs.clone(),
         };
         for service in &plan.services {
             for index in 0..service.upstreams {
@@ -174,37 +110,53 @@
     /// # Errors
     /// A process can't be started.
     pub fn add(&mut self, name: &str, plan: &ServicePlan) -> io::Result<()> {
-        self.add_host(name, plan, "")
+        self.add_host(name, plan, None)
     }
 
-    /// Starts a host of a service that others reach through a wire.
+    /// Starts a host of a service whose connections lead through wires.
     ///
     /// # Errors
     /// A process can't be started.
-    pub fn add_behind(&mut self, wire: &Wire, name: &str, plan: &ServicePlan) -> io::Result<()> {
-        self.add_host(name, plan, &format!("advertise = \"{}\"\n", wire.address))?;
-        if let Some(node) = self.nodes.last() {
-            wire.set_target(&node.daemon.address("peers"));
-        }
-        Ok(())
+    pub fn add_behind(&mut self, wires: &Wires, name: &str, plan: &ServicePlan) -> io::Result<()> {
+        self.add_host(name, plan, Some(wires))
     }
 
-    fn add_host(&mut self, name: &str, plan: &ServicePlan, listen: &str) -> io::Result<()> {
+    fn add_host(
+        &mut self,
+        name: &str,
+        plan: &ServicePlan,
+        wires: Option<&Wires>,
+    ) -> io::Result<()> {
         let seed = self.nodes.first().map(|node| node.daemon.address("peers"));
         let zone = ["a", "b", "c"][self.nodes.len() % 3];
+        let mut log = self.log.address("address");
+        let mut listen = String::new();
+        if let Some(wires) = wires {
+            wires.log.set_target(&log);
+            log.clone_from(&wires.log.address);
+            listen = format!("advertise = \"{}\"\n", wires.peers.address);
+        }
         let place = Place {
             name,
             zone,
-            log: &self.log.address("address"),
+            log: &log,
             retention: &self.retention,
-            listen,
+            listen: &listen,
         };
         let settings = settings(&place, seed.as_deref(), &self.settings);
         let path = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&path, settings)?;
-        let settings = path.to_string_lossy().into_owned();
-        let daemon = Process::start("indigospurd", &["--settings".to_owned(), settings.clone()])?;
-        let backend = start_backend(plan, &daemon)?;
+        std::fs::write(&path, &settings)?;
+        let logs = self.logs.clone();
+        let log = logs
+            .as_ref()
+            .map(|folder| folder.join(format!("{name}.log")));
+        let daemon = spawn_daemon(&path, log.as_deref())?.finish()?;
+        let advertise = wires.map(|wires| wires.backend.address.clone());
+        let backend = start_backend(plan, &daemon, advertise.as_deref())?;
+        if let Some(wires) = wires {
+            wires.peers.set_target(&daemon.address("peers"));
+            wires.backend.set_target(&backend.address("address"));
+        }
         let (name, service, plan) = (name.to_owned(), plan.name.clone(), plan.clone());
         self.nodes.push(Node {
             name,
@@ -212,7 +164,9 @@
             daemon,
             backend,
             plan,
-            settings,
+            settings: (path, settings),
+            logs,
+            advertise,
         });
         Ok(())
     }
@@ -303,17 +257,6 @@
     }
 }
 
-/// The status of the daemon with an admin address; null without an answer.
-pub fn status_of(admin: &str) -> Value {
-    serde_json::from_str(&get(admin, "/status").body).unwrap_or(Value::Null)
-}
-
-/// Members that a daemon counts as ready, by its status.
-pub fn ready_members(status: &Value) -> usize {
-    let members = status["members"].as_array().into_iter().flatten();
-    members.filter(|member| member["state"] == "ready").count()
-}
-
 /// Waits until a condition holds.
 ///
 /// # Panics
@@ -341,25 +284,6 @@
         && status["epoch"].as_u64().is_some_and(|epoch| epoch > 0)
 }
 
-fn start_backend(plan: &ServicePlan, daemon: &Process) -> io::Result<Process> {
-    let mut arguments = vec![
-        "--service".to_owned(),
-        plan.name.clone(),
-        "--slots".to_owned(),
-        plan.slots.to_string(),
-        "--work-ms".to_owned(),
-        plan.work_ms.to_string(),
-        "--daemon-admin".to_owned(),
-        daemon.address("admin"),
-        "--daemon-calls".to_owned(),
-        daemon.address("calls"),
-    ];
-    for call in &plan.calls {
-        arguments.extend(["--call".to_owned(), call.clone()]);
-    }
-    Process::start("stand-in-backend", &arguments)
-}
-
 /// What is particular to the settings of one host.
 struct Place<'a> {
     name: &'a str,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Requests that crash backend servers, and connections that go silent.
 
-use indigospur_test_support::{Call, ServicePlan, Site, SitePlan, Wire, request, wait_until};
+use indigospur_test_support::{Call, ServicePlan, Site, SitePlan, Wires, request, wait_until};
 
 fn site(upstreams: usize) -> Site {
     let plan = SitePlan {
@@ -52,14 +52,14 @@
 
 #[test]
 fn a_connection_that_goes_silent_is_replaced_and_its_host_is_not_condemned() {
-    let wire = Wire::start();
+    let wires = Wires::start();
     let plan = SitePlan {
         services: vec![ServicePlan::new("quoting", 1, &[])],
         ..SitePlan::default()
     };
     let mut site = Site::start(&plan).expect("the site starts");
     let accounts = ServicePlan::new("accounts", 1, &[]);
-    site.add_behind(&wire, "accounts-0", &accounts)
+    site.add_behind(&wires, "accounts-0", &accounts)
         .expect("the host starts");
     site.settle();
     let entry = site.nodes[0].calls();
@@ -70,7 +70,7 @@
     };
     for _ in 0..3 {
         assert_eq!(request(&entry, &call).status, 200);
-        assert!(wire.silence() > 0);
+        assert!(wires.peers.silence() > 0);
         let noticed = request(&entry, &call);
         assert!(
             noticed.status == 200 || noticed.kind == "link-lost",
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -3,7 +3,7 @@
 use indigospur_once::home_of;
 use indigospur_protocol::{EpochRecord, MemberId};
 use indigospur_test_support::{
-    Answered, Call, ServicePlan, Site, SitePlan, Wire, request, wait_until,
+    Answered, Call, ServicePlan, Site, SitePlan, Wires, request, wait_until,
 };
 use std::thread;
 use uuid::Uuid;
@@ -267,10 +267,10 @@
 
 #[test]
 fn a_cut_between_home_and_executor_runs_each_key_at_most_once() {
-    let wire = Wire::start();
+    let wires = Wires::start();
     let mut site = contracts(2);
     let late = ServicePlan::new("contracts", 1, &[]);
-    site.add_behind(&wire, "contracts-cut", &late)
+    site.add_behind(&wires, "contracts-cut", &late)
         .expect("the host starts");
     wait_for_epoch(&site);
     let keys: Vec<String> = (0..12).map(|number| format!("cut-{number}")).collect();
@@ -284,7 +284,7 @@
         wait_until("some run behind the wire", || {
             !site.nodes[2].journal().is_empty()
         });
-        wire.cut();
+        wires.peers.cut();
         sent.into_iter()
             .for_each(|thread| assert_ne!(thread.join().expect("no panic").status, 0));
     });
