Look from outside whether settings are in force, and replay rounds that failed

A rewritten settings file bounds bodies or bounds them no longer, which a request that is refused either way shows: the site is calm only once each daemon goes by its file as it is, and where only planned work is done a daemon must go on with its settings while the file is spoiled.

--- a/crates/indigospur-soak/src/around.rs
+++ b/crates/indigospur-soak/src/around.rs
@@ -1,13 +1,18 @@
 //! Faults around the processes: wires, the log, settings files.
 
+use crate::callers::lock;
 use crate::faults::{Link, LogTrouble, Spoil, Trouble};
 use crate::soak::Soak;
-use indigospur_test_support::{Way, Wire};
+use indigospur_test_support::{Node, Way, Wire, post};
 use std::path::Path;
 use std::time::Duration;
 
 /// Delay of a wire, of each piece of bytes each way.
 const DELAY: Duration = Duration::from_millis(150);
+/// Lines that a settings file gets and loses.
+const BOUND: &str = "[limits]\nbody = 2048\n";
+/// Size of a body beyond that bound and within the one that holds without it, in bytes.
+const LARGE: usize = 3_000;
 
 impl Soak {
     pub(crate) fn wire(&self, place: usize, link: Link) -> &Wire {
@@ -33,13 +38,15 @@
         self.site.set_log_mode(&format!("{{{}}}", modes.join(",")));
     }
 
+    /// Changes the bound on bodies in the settings file of a host.
     pub(crate) fn rewrite(&mut self, place: usize, signalled: bool) {
-        if self.hosts[place].spoiled == 0 {
+        let host = &mut self.hosts[place];
+        if host.spoiled == 0 {
+            host.bounded = !host.bounded;
+            host.unsure = true;
             let node = &self.site.nodes[place];
-            let poll = 200 + 50 * (self.events.len() % 4);
-            let text = node.settings();
-            let text = text.replace("poll = \"200ms\"", &format!("poll = \"{poll}ms\""));
-            write_settings(node.settings_path(), &text);
+            let more = if host.bounded { BOUND } else { "" };
+            write_settings(node.settings_path(), &format!("{}{more}", node.settings()));
         }
         if signalled {
             self.send(place, "HUP");
@@ -48,6 +55,7 @@
 
     pub(crate) fn spoil(&mut self, place: usize, spoil: Spoil) {
         self.hosts[place].spoiled += 1;
+        self.hosts[place].unsure = true;
         let node = &self.site.nodes[place];
         let (path, text) = (node.settings_path(), node.settings());
         match spoil {
@@ -64,10 +72,51 @@
     pub(crate) fn mend(&mut self, place: usize) {
         self.hosts[place].spoiled -= 1;
         if self.hosts[place].spoiled == 0 {
+            self.hosts[place].bounded = false;
             let node = &self.site.nodes[place];
             write_settings(node.settings_path(), node.settings());
         }
     }
+
+    /// What a daemon goes by while its settings file is spoiled; asked where only planned work is
+    /// done, since an answer may take long otherwise.
+    pub(crate) fn watch_settings(&mut self, place: usize) {
+        let node = &self.site.nodes[place];
+        self.hosts[place].watched = self
+            .planned_only
+            .then(|| (node.daemon.id(), is_bounded(node)));
+    }
+
+    /// Finds a daemon that did not go on with its settings while the file was spoiled.
+    pub(crate) fn check_settings(&mut self, place: usize) {
+        let node = &self.site.nodes[place];
+        let Some((id, Some(before))) = self.hosts[place].watched.take() else {
+            return;
+        };
+        let now = is_bounded(node);
+        if node.daemon.id() == id && now.is_some_and(|now| now != before) {
+            let finding = format!("{} left its settings for a spoiled file", node.name);
+            lock(&self.shared.observed).findings.push(finding);
+        }
+    }
+
+    /// Whether all daemons go by their settings files as they are now.
+    pub(crate) fn settings_in_force(&mut self) -> bool {
+        let pairs = self.hosts.iter_mut().zip(&self.site.nodes);
+        let late = pairs
+            .filter(|(host, _)| host.unsure)
+            .filter_map(|(host, node)| {
+                host.unsure = is_bounded(node) != Some(host.bounded);
+                host.unsure.then_some(())
+            });
+        late.count() == 0
+    }
+}
+
+/// Whether a daemon bounds bodies as a rewritten settings file says; `None` without an answer.
+fn is_bounded(node: &Node) -> Option<bool> {
+    let answered = post(&node.calls(), "/probe", &"x".repeat(LARGE));
+    (answered.status != 0).then(|| answered.kind == "body-too-large")
 }
 
 pub(crate) fn trouble_wire(wire: &Wire, trouble: Trouble) {
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -230,6 +230,18 @@
     pub length: Duration,
 }
 
+impl Scheduled {
+    /// A fault at a time and of a length in milliseconds.
+    pub fn new(fault: Fault, host: usize, at: u64, length: u64) -> Scheduled {
+        Scheduled {
+            fault,
+            host,
+            at: Duration::from_millis(at),
+            length: Duration::from_millis(length),
+        }
+    }
+}
+
 /// Draws the faults of a round on a site of some hosts, in the order in which they begin.
 pub fn draw(rng: &mut SmallRng, hosts: usize) -> Vec<Scheduled> {
     let planned_only = rng.random_bool(PLANNED_SHARE);
@@ -254,12 +266,12 @@
     let near = last.filter(|_| rng.random_bool(SAME_HOST_SHARE));
     let fault = draw_fault(rng, planned_only);
     let host = rng.random_range(0..hosts);
-    Scheduled {
-        fault: repeats.map_or(fault, |last| last.fault),
-        host: repeats.or(near).map_or(host, |last| last.host),
-        at: Duration::from_millis(rng.random_range(BEGIN_MILLIS)),
-        length: Duration::from_millis(rng.random_range(LENGTH_MILLIS)),
-    }
+    Scheduled::new(
+        repeats.map_or(fault, |last| last.fault),
+        repeats.or(near).map_or(host, |last| last.host),
+        rng.random_range(BEGIN_MILLIS),
+        rng.random_range(LENGTH_MILLIS),
+    )
 }
 
 fn draw_fault(rng: &mut SmallRng, planned_only: bool) -> Fault {
--- a/crates/indigospur-soak/src/hosts.rs
+++ b/crates/indigospur-soak/src/hosts.rs
@@ -34,6 +34,12 @@
     pub(crate) starting: Option<Starting>,
     /// Faults that keep the settings file spoiled.
     pub(crate) spoiled: usize,
+    /// The settings file bounds bodies.
+    pub(crate) bounded: bool,
+    /// The daemon may not have the settings of its file yet.
+    pub(crate) unsure: bool,
+    /// Process number of a daemon whose file is spoiled, and whether it bounds bodies.
+    pub(crate) watched: Option<(u32, Option<bool>)>,
     /// Signal for the next daemon while it starts.
     pub(crate) greeting: Option<&'static str>,
     /// Soft limit on descriptors before it was lowered.
--- a/crates/indigospur-soak/src/inject.rs
+++ b/crates/indigospur-soak/src/inject.rs
@@ -50,6 +50,7 @@
                 if signalled {
                     self.send(place, "HUP");
                 }
+                self.watch_settings(place);
             }
             Fault::StartSpoiled(spoil) => {
                 self.kill_daemon(place);
@@ -94,6 +95,7 @@
             }
             Fault::FreezeDaemon => self.send(place, "CONT"),
             Fault::SpoilSettings(_, signalled) => {
+                self.check_settings(place);
                 self.mend(place);
                 if signalled {
                     self.send(place, "HUP");
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -1,7 +1,7 @@
 //! The site, its rounds and the report.
 
 use crate::callers::{self, HostEntry, Shared, lock};
-use crate::checks::check;
+use crate::checks::{Breach, check};
 use crate::faults::{Fault, LogTrouble, Scheduled, draw};
 use crate::hosts::HostState;
 use crate::observed::{Leave, Seen, Use};
@@ -47,7 +47,7 @@
     pub(crate) planned_only: bool,
     pub(crate) shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
-    rng: SmallRng,
+    seed: u64,
     seconds: u64,
     published: u32,
     pub(crate) events: Vec<String>,
@@ -114,7 +114,7 @@
             planned_only: false,
             shared,
             threads,
-            rng: SmallRng::seed_from_u64(options.seed),
+            seed: options.seed,
             seconds: options.seconds,
             published: 0,
             events: vec![format!("seed {}, {hosts} hosts", options.seed)],
@@ -125,15 +125,33 @@
     /// Plays rounds until the time is over or a check fails.
     pub fn run(mut self) -> Report {
         let end = Instant::now() + Duration::from_secs(self.seconds);
+        let hosts = self.site.nodes.len();
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let drawn = std::iter::from_fn(|| (Instant::now() < end).then(|| draw(&mut rng, hosts)));
+        self.play_rounds(drawn)
+    }
+
+    /// Plays rounds that are given, or those up to the first in which a check fails.
+    pub fn replay(mut self, rounds: &[Vec<Scheduled>]) -> Report {
+        self.play_rounds(rounds.iter().cloned())
+    }
+
+    fn play_rounds(&mut self, all: impl Iterator<Item = Vec<Scheduled>>) -> Report {
         let mut rounds = 0;
         let mut breaches = Vec::new();
-        while breaches.is_empty() && Instant::now() < end {
+        for faults in all {
             rounds += 1;
-            let faults = draw(&mut self.rng, self.site.nodes.len());
             self.play(&faults);
             self.calm_down();
             breaches = check(&lock(&self.shared.observed));
+            if !breaches.is_empty() {
+                break;
+            }
         }
+        self.report(rounds, breaches)
+    }
+
+    fn report(&mut self, rounds: usize, breaches: Vec<Breach>) -> Report {
         self.shared.ended.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
             let _ = thread.join();
@@ -269,7 +287,7 @@
     fn calm_down(&mut self) {
         let end = Instant::now() + RECOVERY;
         let calm = loop {
-            if self.has_settled() && self.is_serving() {
+            if self.has_settled() && self.is_serving() && self.settings_in_force() {
                 break true;
             }
             if self.find_ended() {
@@ -284,7 +302,13 @@
         if !calm {
             let known = self.site.nodes.iter().map(|node| node.status().to_string());
             let known: Vec<String> = known.collect();
-            let finding = format!("not calm in {RECOVERY:?}:\n{}", known.join("\n"));
+            let late = self.hosts.iter().zip(&self.site.nodes);
+            let late = late.filter(|(host, _)| host.unsure);
+            let late: Vec<&str> = late.map(|(_, node)| node.name.as_str()).collect();
+            let finding = format!(
+                "not calm in {RECOVERY:?}, settings not in force at {late:?}:\n{}",
+                known.join("\n")
+            );
             lock(&self.shared.observed).findings.push(finding);
         }
         for place in 0..self.site.nodes.len() {
