Ask another daemon for what the log forgot unread

Cause: a daemon asked others for what lies beyond the highest record that it had accepted. The member lists that were appended after the log forgot were such records, so that the older rule set was never asked for; and a rule set published later builds on one that this daemon does not know.

Change: a follower that finds that the log has dropped records which it did not read asks for all from the start, until a daemon with a rule set has answered or the log has told a newer rule set.

Left: for the moment until another daemon has answered it takes requests without rules, as it does with a log that never held any. A daemon that asks one which missed the same rule set and has an older one is told the older one only.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -156,14 +156,22 @@
     if let Some(instance) = &message.departed {
         backend::leave(daemon, instance);
     }
-    if message.accepted <= daemon.accepted() {
-        return;
+    fetch(daemon, message.accepted, address);
+}
+
+/// Fetches what a daemon that has accepted records up to `told` may have and this one lacks.
+fn fetch(daemon: &Arc<Daemon>, told: u64, address: &Arc<str>) {
+    let address = address.clone();
+    if daemon.source.is_some() {
+        if told > daemon.accepted() {
+            runtime::spawn(source_reader::fetch_from(daemon.clone(), address));
+        }
+    } else {
+        let from = lock(&daemon.follower).wanted(told);
+        if let Some(from) = from {
+            runtime::spawn(log_reader::fetch_from(daemon.clone(), address, from));
+        }
     }
-    let (daemon, address) = (daemon.clone(), address.clone());
-    match daemon.source {
-        Some(_) => runtime::spawn(source_reader::fetch_from(daemon, address)),
-        None => runtime::spawn(log_reader::fetch_from(daemon, address)),
-    };
 }
 
 /// Answers the gossip of another daemon.
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -72,9 +72,8 @@
     }
 }
 
-/// Fetches what the daemon at `address` has accepted beyond what is known here.
-pub(crate) async fn fetch_from(daemon: Arc<Daemon>, address: Arc<str>) {
-    let from = lock(&daemon.follower).accepted();
+/// Fetches what the daemon at `address` has accepted from offset `from` on.
+pub(crate) async fn fetch_from(daemon: Arc<Daemon>, address: Arc<str>, from: u64) {
     let now = Instant::now();
     let Ok(reply) = peers::fetch(&daemon, &address, from).await else {
         return;
--- a/crates/indigospur-publish/src/follower.rs
+++ b/crates/indigospur-publish/src/follower.rs
@@ -78,6 +78,8 @@
     seeds: VecDeque<(Instant, Arc<str>)>,
     /// Offset from which to read on.
     next: u64,
+    /// The log forgot a part unread, and nobody who has a rule set has told what that part held.
+    gap: bool,
     skipped: u64,
 }
 
@@ -96,6 +98,14 @@
             .map_or(0, |offset| offset + 1)
     }
 
+    /// Offset from which to ask a daemon that has accepted records up to `told`, if it may have some
+    /// that are missing here. After a part of the log was missed that is the start, since records
+    /// accepted beyond that part say nothing of it.
+    pub fn wanted(&self, told: u64) -> Option<u64> {
+        let from = if self.gap { 0 } else { self.accepted() };
+        (told > from).then_some(from)
+    }
+
     /// The rule set in force.
     pub fn in_force(&self) -> Option<&InForce> {
         self.in_force.as_ref()
@@ -128,9 +138,9 @@
 
     /// Takes in records read from the log, the `first` retained offset among them.
     pub fn read(&mut self, first: u64, records: &[Fetched]) -> Vec<News> {
-        let source = Source::Log {
-            truncated: first > self.next,
-        };
+        let truncated = first > self.next;
+        self.gap |= truncated;
+        let source = Source::Log { truncated };
         let news = records
             .iter()
             .filter_map(|fetched| self.take(fetched, source))
@@ -142,10 +152,12 @@
 
     /// Takes in records that another daemon has accepted.
     pub fn adopt(&mut self, records: &[Fetched]) -> Vec<News> {
-        records
+        let news = records
             .iter()
             .filter_map(|fetched| self.take(fetched, Source::Daemon))
-            .collect()
+            .collect();
+        self.gap &= self.in_force.is_none();
+        news
     }
 
     /// The accepted records from offset `from` on that are still in force.
@@ -220,6 +232,8 @@
             rules: Arc::new(rules),
             text,
         };
+        // Newer than all that was missed.
+        self.gap &= matches!(source, Source::Daemon);
         self.rules_record = Some(fetched.clone());
         self.in_force = Some(in_force.clone());
         Some(News::Rules(in_force))
--- a/crates/indigospur-publish/tests/publish.rs
+++ b/crates/indigospur-publish/tests/publish.rs
@@ -1,5 +1,6 @@
 //! Publishing and following under conflicts, lost answers, outages and retention.
 
+use indigospur_protocol::EpochRecord;
 use indigospur_publish::{Attempt, Body, Chain, Fetched, Follower, Judgement, Record};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -164,6 +165,59 @@
     assert_eq!(version(&frozen), version(&live));
 }
 
+/// A member list, as a record that follows none.
+fn members() -> Vec<u8> {
+    let epoch = EpochRecord {
+        service: "contracts".into(),
+        number: 1,
+        members: Vec::new(),
+        gone: Vec::new(),
+    };
+    let record = Record {
+        id: "members".into(),
+        link: Chain::default().next(),
+        body: Body::Epoch(epoch),
+    };
+    record.encode()
+}
+
+#[test]
+fn a_daemon_that_missed_records_the_log_forgot_takes_them_from_another() {
+    let mut log = Log::new();
+    let mut live = Follower::default();
+    let mut frozen = Follower::default();
+    log.read(&mut frozen);
+    log.append(attempt(Chain::default(), 1).bytes());
+    log.read(&mut live);
+    log.now += RETENTION * 2;
+    log.expire();
+    log.append(members());
+    log.read(&mut live);
+    for mut behind in [frozen, follower(&log)] {
+        log.read(&mut behind);
+        assert_eq!((version(&behind), behind.accepted()), (None, 2));
+        // Another one that missed them knows nothing of use.
+        assert_eq!(behind.wanted(2), Some(0));
+        behind.adopt(&follower(&log).records(0));
+        let from = behind.wanted(live.accepted()).expect("it asks again");
+        behind.adopt(&live.records(from));
+        assert_eq!(version(&behind), Some(0));
+        assert_eq!(behind.wanted(live.accepted()), None);
+    }
+}
+
+#[test]
+fn a_daemon_that_missed_records_misses_none_once_it_reads_a_rule_set() {
+    let mut log = Log::new();
+    log.append(members());
+    log.now += RETENTION * 2;
+    log.expire();
+    log.append(attempt(Chain::default(), 1).bytes());
+    let late = follower(&log);
+    assert_eq!((version(&late), late.wanted(2)), (Some(1), None));
+    assert_eq!(late.wanted(3), Some(2));
+}
+
 #[test]
 fn the_live_rule_set_outlives_the_retention() {
     let mut log = Log::new();
