--- a/crates/indigospur-members/tests/members.rs
+++ b/crates/indigospur-members/tests/members/gossip.rs
@@ -1,159 +1,11 @@
-//! Gossip, liveness and suspects over a fake network under virtual time.
+//! Gossip, liveness and suspects.
 
-use indigospur_members::{Exchange, Heard, Members, Message, Starts, Suspects, Verdict};
+use crate::fleet::{Fleet, Node, ROUND, member, sees};
+use indigospur_members::{Exchange, Heard, Members, Message, Start, Starts, Suspects, Verdict};
 use indigospur_protocol::{Announcement, Member, State};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::time::{Duration, Instant};
-
-const ROUND: Duration = Duration::from_secs(1);
-
-fn member(index: usize) -> Member {
-    Member {
-        host: format!("host-{index:03}").into(),
-        incarnation: 1,
-        revision: 1,
-        address: format!("127.0.0.1:{index}").into(),
-        data_centre: "lisboa-a".into(),
-        region: "lisbon".into(),
-        service: "quoting".into(),
-        slots: 10,
-        connections: 100,
-        state: State::Ready,
-        instance: "".into(),
-        leaving: false,
-    }
-}
-
-struct Node {
-    members: Members,
-    suspects: Suspects,
-    exchange: Exchange,
-    up: bool,
-    bytes: usize,
-}
-
-struct Fleet {
-    nodes: Vec<Node>,
-    now: Instant,
-    rng: SmallRng,
-    /// Hosts under this number can't reach the others.
-    cut: Option<usize>,
-    /// Share of the exchanges that fail.
-    loss: f64,
-}
-
-fn size(message: &Message) -> usize {
-    48 + message.members.len() * 90 + message.crashes.len() * 20
-}
-
-impl Fleet {
-    fn new(size: usize, seed: u64) -> Fleet {
-        let now = Instant::now();
-        let node = |index| {
-            let mut members = Members::new(now, member(index));
-            members.merge(now, vec![member(0)]);
-            Node {
-                members,
-                suspects: Suspects::default(),
-                exchange: Exchange::default(),
-                up: true,
-                bytes: 0,
-            }
-        };
-        let nodes = (0..size).map(node).collect();
-        Fleet {
-            nodes,
-            now,
-            rng: SmallRng::seed_from_u64(seed),
-            cut: None,
-            loss: 0.0,
-        }
-    }
-
-    fn round(&mut self) {
-        self.now += ROUND;
-        for from in 0..self.nodes.len() {
-            if self.nodes[from].up {
-                self.nodes[from].members.tick(self.now);
-                self.exchange(from);
-            }
-        }
-    }
-
-    fn reaches(&self, from: usize, to: usize) -> bool {
-        let side = |index| self.cut.is_some_and(|cut| index < cut);
-        self.nodes[to].up && side(from) == side(to)
-    }
-
-    fn exchange(&mut self, from: usize) {
-        let Some(peer) = self.nodes[from].members.choose_peer(&mut self.rng) else {
-            return;
-        };
-        let to: usize = peer.host[5..]
-            .parse()
-            .expect("the host name ends in its number");
-        let lost = self.rng.random_bool(self.loss);
-        if lost || !self.reaches(from, to) {
-            self.nodes[from].members.missed(self.now, &peer.host);
-            return;
-        }
-        let node = &mut self.nodes[from];
-        node.members.reached(&peer.host);
-        let message = node.exchange.open(&mut node.members, &mut node.suspects, 0);
-        let answer = self.receive(to, &message);
-        self.take(from, &answer);
-        let whole = self.wants_whole(from, &answer);
-        if whole || answer.whole {
-            let node = &mut self.nodes[from];
-            let mut message = node.exchange.open(&mut node.members, &mut node.suspects, 0);
-            message.whole = whole;
-            if answer.whole {
-                message.members = node.members.all().cloned().collect();
-                message.full = true;
-            }
-            let answer = self.receive(to, &message);
-            self.take(from, &answer);
-        }
-    }
-
-    fn receive(&mut self, to: usize, message: &Message) -> Message {
-        self.take(to, message);
-        let node = &mut self.nodes[to];
-        let answer =
-            node.exchange
-                .answer(self.now, &mut node.members, &mut node.suspects, 0, message);
-        node.bytes += size(message) + size(&answer);
-        answer
-    }
-
-    fn wants_whole(&mut self, at: usize, message: &Message) -> bool {
-        let node = &mut self.nodes[at];
-        node.exchange.wants_whole(self.now, &node.members, message)
-    }
-
-    fn take(&mut self, at: usize, message: &Message) {
-        let node = &mut self.nodes[at];
-        node.exchange
-            .take(self.now, &mut node.members, &mut node.suspects, message);
-    }
-
-    fn rounds_until(&mut self, most: u32, done: impl Fn(&Node) -> bool) -> u32 {
-        for round in 0..most {
-            if self.nodes.iter().filter(|node| node.up).all(&done) {
-                return round;
-            }
-            self.round();
-        }
-        panic!("not within {most} rounds");
-    }
-}
-
-fn sees(node: &Node, host: &str, state: State) -> bool {
-    node.members
-        .get(host)
-        .is_some_and(|member| member.state == state)
-}
+use std::time::Instant;
 
 #[test]
 fn daemons_that_know_one_address_find_each_other() {
@@ -392,9 +244,10 @@
     let answer = fleet.receive(0, &asked);
     let wire = indigospur_protocol::wire::peer::GossipMessage::from(answer);
     let answer = Message::try_from(wire).expect("it is whole");
-    assert_eq!(answer.departed.as_deref(), Some("i-1"));
+    let departed = answer.departed.expect("one has left");
+    assert_eq!(departed, Start::new("i-1", 0));
     let mut starts = Starts::default();
-    assert!(!starts.leave("i-1"));
+    assert!(!starts.leave(now, &departed));
     let late = Announcement {
         service: "quoting".into(),
         address: "127.0.0.1:1".into(),
@@ -406,5 +259,5 @@
         sequence: 9,
         cold_ms: 0,
     };
-    assert_eq!(starts.hear(&late), Heard::Stale);
+    assert_eq!(starts.hear(now, &late), Heard::Stale);
 }
--- a/crates/indigospur-protocol/src/member.rs
+++ b/crates/indigospur-protocol/src/member.rs
@@ -46,7 +46,7 @@
 pub struct Member {
     /// Host name.
     pub host: HostId,
-    /// Start number of the daemon.
+    /// Start number of the daemon; one that learns of a higher one of its own takes the next.
     pub incarnation: Incarnation,
     /// Grows with each change within one incarnation.
     pub revision: u64,
@@ -66,6 +66,8 @@
     pub state: State,
     /// Start of the backend server, as it names itself; empty if it does not.
     pub instance: Arc<str>,
+    /// When that start began, in milliseconds since the Unix epoch; zero if it doesn't say.
+    pub born: u64,
     /// The backend server itself leaves, not just its daemon; it never takes new work again.
     pub leaving: bool,
 }
