Let the soak's callers ask again with the same key, and stop daemons while they start

A caller that was not told whether a request with a key ran asks another host with the same key, up to four times: that is what keys are for, and the runs of all its tries must be at most one. A promise about a later try says nothing of an earlier one, which the check leaves out; one about the first is judged as before. A daemon that is told to stop while it starts must end with status 0.

--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -17,6 +17,9 @@
 /// Share of the requests that must run at most once.
 const KEYED_SHARE: f64 = 0.3;
 
+/// Times that a request with a key is asked until someone tells whether it ran.
+const MOST_TIMES: usize = 4;
+
 /// What callers, the monitor and the soak share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -96,6 +99,13 @@
         .collect()
 }
 
+/// What a caller asks for.
+struct Request {
+    number: u64,
+    /// Empty for a request that may run more than once.
+    key: String,
+}
+
 struct Caller {
     rng: SmallRng,
     habit: Habit,
@@ -106,26 +116,41 @@
 impl Caller {
     fn call_on(mut self, shared: &Shared) {
         while !shared.ended.load(Ordering::Relaxed) {
-            let host = {
-                let hosts = lock(&shared.hosts);
-                hosts[self.rng.random_range(0..hosts.len())].clone()
-            };
-            let asked = self.ask(shared, &host);
-            lock(&shared.observed).asked.push(asked);
-            let pause = Duration::from_millis(self.rng.random_range(PAUSE_MILLIS));
-            std::thread::sleep(pause);
+            let request = self.draw_request(shared);
+            for time in 0..MOST_TIMES {
+                let asked = self.ask(shared, &request, time > 0);
+                // A part of a request that is not sent whole later must not run.
+                let over = asked.connection == Use::Part && time == 0;
+                let known = over || asked.status == 200 || asked.ran == "no";
+                lock(&shared.observed).asked.push(asked);
+                let pause = Duration::from_millis(self.rng.random_range(PAUSE_MILLIS));
+                std::thread::sleep(pause);
+                if known || request.key.is_empty() || shared.ended.load(Ordering::Relaxed) {
+                    break;
+                }
+            }
         }
     }
 
-    fn ask(&mut self, shared: &Shared, host: &HostEntry) -> Asked {
-        let keyed = self.rng.random_bool(KEYED_SHARE);
+    fn draw_request(&mut self, shared: &Shared) -> Request {
         let number = shared.next.fetch_add(1, Ordering::Relaxed);
         // The key tells its age, as keys should.
-        let key = if keyed {
+        let key = if self.rng.random_bool(KEYED_SHARE) {
             Uuid::now_v7().to_string()
         } else {
             String::new()
         };
+        Request { number, key }
+    }
+
+    /// Asks some host; with the same key again if nobody told whether the request ran.
+    fn ask(&mut self, shared: &Shared, request: &Request, again: bool) -> Asked {
+        let host = {
+            let hosts = lock(&shared.hosts);
+            hosts[self.rng.random_range(0..hosts.len())].clone()
+        };
+        let Request { number, key } = request;
+        let keyed = !key.is_empty();
         let (service, path) = if keyed {
             ("contracts", format!("/sign?n={number}"))
         } else {
@@ -134,16 +159,17 @@
         let call = Call {
             service,
             path: &path,
-            key: &key,
+            key,
             deadline_ms: DEADLINE.as_millis() as u64,
             ..Call::default()
         };
         let sent = shared.now();
-        let (answered, connection) = self.send(host, &call);
+        let (answered, connection) = self.send(&host, &call);
         Asked {
-            number,
+            number: *number,
             keyed,
-            host: host.name.clone(),
+            again,
+            host: host.name,
             connection,
             sent,
             answered: shared.now(),
--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -69,16 +69,17 @@
     if count > MOST_RUNS {
         breaches.push(Breach::Attempts(number, count));
     }
-    if asked.ran == "no" && count > 0 {
+    // Of a request that was asked before, the runs may be those of an earlier time.
+    if asked.ran == "no" && count > 0 && !asked.again {
         breaches.push(Breach::NotRunFalse(number, asked.kind.clone()));
     }
     if asked.status == 200 && asked.body != expected_body(number, asked.keyed) {
         breaches.push(Breach::Foreign(number, asked.body.clone()));
     }
-    if asked.connection == Use::Part && count > 0 {
+    if asked.connection == Use::Part && count > 0 && !asked.again {
         breaches.push(Breach::Part(number, count));
     }
-    let stays = !matches!(asked.connection, Use::Left | Use::Part);
+    let stays = asked.connection.stays();
     let calm = |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
     if stays && observed.planned.iter().any(calm) {
         let took = asked.answered.saturating_sub(asked.sent);
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -32,6 +32,8 @@
     AfterReload,
     /// By SIGTERM; the daemon that follows is sent SIGHUP while it starts.
     ReloadInStart,
+    /// By SIGTERM; the daemon that follows is sent SIGTERM while it starts.
+    StopInStart,
 }
 
 /// What is wrong with a settings file.
@@ -135,13 +137,14 @@
     Publish,
 }
 
-const PLANNED: [Fault; 26] = [
+const PLANNED: [Fault; 27] = [
     Fault::StopDaemon(Stop::Once),
     Fault::StopDaemon(Stop::Twice),
     Fault::StopDaemon(Stop::Interrupt),
     Fault::StopDaemon(Stop::ThenReload),
     Fault::StopDaemon(Stop::AfterReload),
     Fault::StopDaemon(Stop::ReloadInStart),
+    Fault::StopDaemon(Stop::StopInStart),
     Fault::Leave,
     Fault::Leave,
     Fault::Publish,
--- a/crates/indigospur-soak/src/hosts.rs
+++ b/crates/indigospur-soak/src/hosts.rs
@@ -10,7 +10,7 @@
 /// Exit status of a daemon that has stopped and cut something off.
 pub(crate) const EXIT_CUT_OFF: i32 = 3;
 /// Longest time that a daemon takes to stop, whatever is in flight.
-const STOP_TIME: Duration = Duration::from_secs(45);
+pub(crate) const STOP_TIME: Duration = Duration::from_secs(45);
 /// Lines of a log that a finding shows.
 const LAST_LINES: usize = 6;
 
--- a/crates/indigospur-soak/src/inject.rs
+++ b/crates/indigospur-soak/src/inject.rs
@@ -3,9 +3,9 @@
 use crate::around::trouble_wire;
 use crate::callers::lock;
 use crate::faults::{Fault, Scheduled, Stop};
-use crate::hosts::{EXIT_CUT_OFF, EXIT_SETTINGS, Expected, tell};
+use crate::hosts::{EXIT_CUT_OFF, EXIT_SETTINGS, Expected, STOP_TIME, tell};
 use crate::observed::{Ended, Stopped};
-use crate::soak::{Soak, Step, entry};
+use crate::soak::{LOOK, Soak, Step, entry};
 use indigospur_test_support::{Node, Starting, post, signal, wait_begun};
 use std::io;
 use std::process::ExitStatus;
@@ -205,7 +205,18 @@
             }
             None => node.spawn_daemon()?,
         };
-        greet(&starting, greeting);
+        let starting = match greeting {
+            Some("TERM") => {
+                let ended = stop_starting(node, starting)?;
+                lock(&self.shared.observed).ended.extend(ended);
+                node.spawn_daemon()?
+            }
+            Some(name) => {
+                greet(&starting, name);
+                starting
+            }
+            None => starting,
+        };
         node.take_over(starting.finish()?)
     }
 
@@ -252,6 +263,10 @@
                 self.hosts[place].greeting = Some("HUP");
                 &["TERM"]
             }
+            Stop::StopInStart => {
+                self.hosts[place].greeting = Some("TERM");
+                &["TERM"]
+            }
         };
         self.tell_to_stop(place, signals);
     }
@@ -321,10 +336,21 @@
 }
 
 /// Sends a daemon signals while it starts.
-fn greet(starting: &Starting, greeting: Option<&str>) {
-    if let Some(name) = greeting
-        && wait_begun(starting.id(), BEGIN_TIME)
-    {
+fn greet(starting: &Starting, name: &str) {
+    if wait_begun(starting.id(), BEGIN_TIME) {
         (0..GREETINGS).for_each(|_| signal(starting.id(), name));
     }
 }
+
+/// Tells a daemon to stop while it starts, and how it ended if not as it should.
+fn stop_starting(node: &Node, mut starting: Starting) -> io::Result<Option<Ended>> {
+    greet(&starting, "TERM");
+    let end = Instant::now() + STOP_TIME;
+    while Instant::now() < end {
+        if let Some(status) = starting.ended() {
+            return Ok((!status.success()).then(|| tell(node, "starting daemon", status)));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Err(io::Error::other("it does not stop while it starts"))
+}
--- a/crates/indigospur-soak/src/observed.rs
+++ b/crates/indigospur-soak/src/observed.rs
@@ -17,6 +17,13 @@
     Part,
 }
 
+impl Use {
+    /// Whether the caller waits for the answer.
+    pub(crate) fn stays(self) -> bool {
+        matches!(self, Use::Fresh | Use::Kept)
+    }
+}
+
 /// A request and what became of it. Times count from the start of the soak.
 #[derive(Clone, Debug, Default)]
 pub struct Asked {
@@ -24,6 +31,8 @@
     pub number: u64,
     /// It must run at most once.
     pub keyed: bool,
+    /// It was asked before with the same key, and nobody had told whether it ran.
+    pub again: bool,
     /// Host whose daemon was asked.
     pub host: String,
     /// How it was sent.
--- a/crates/indigospur-soak/src/report.rs
+++ b/crates/indigospur-soak/src/report.rs
@@ -1,7 +1,7 @@
 //! What a soak has found, and what led to it.
 
 use crate::checks::Breach;
-use crate::observed::{Asked, Use};
+use crate::observed::Asked;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
@@ -56,9 +56,7 @@
 /// The last outcomes, by status, kind and whether they ran.
 pub(crate) fn summarize(asked: &[Asked]) -> Vec<(String, usize)> {
     let mut counts = BTreeMap::new();
-    let stayed = asked
-        .iter()
-        .filter(|asked| !matches!(asked.connection, Use::Left | Use::Part));
+    let stayed = asked.iter().filter(|asked| asked.connection.stays());
     for asked in stayed.rev().take(LAST) {
         let service = if asked.keyed { "contracts" } else { "quoting" };
         let detail = if asked.status == 200 { "" } else { &asked.body };
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -4,7 +4,7 @@
 use crate::checks::{Breach, check};
 use crate::faults::{Fault, LogTrouble, Scheduled, draw};
 use crate::hosts::HostState;
-use crate::observed::{Leave, Seen, Use};
+use crate::observed::{Leave, Seen};
 use crate::options::SoakOptions;
 use crate::report::{Report, summarize};
 use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, Wires, ready_members, status_of};
@@ -32,7 +32,7 @@
 /// Requests in a row that must be served for the site to count as calm.
 const STREAK: usize = 30;
 /// Time between two looks at the versions, and at a condition.
-const LOOK: Duration = Duration::from_millis(100);
+pub(crate) const LOOK: Duration = Duration::from_millis(100);
 
 /// A running soak.
 #[derive(Debug)]
@@ -335,7 +335,7 @@
             .asked
             .iter()
             .rev()
-            .filter(|asked| !matches!(asked.connection, Use::Left | Use::Part));
+            .filter(|asked| asked.connection.stays());
         let last = stayed.take(STREAK);
         last.filter(|asked| asked.status == 200).count() == STREAK
     }
