Give the soak's daemons their addresses for good, and let backend servers go on beside them

A daemon that is stopped, killed or replaced starts again at the addresses that it had, as it does where it is deployed, while the backend server beside it runs on with what it has begun. Until now both started anew at other addresses, so that calls of a dead daemon that still ran, connections of callers to an address that answers again, and a leave over a restart were never met. The soak's processes listen on a loopback address of their own, so that nobody takes a port meanwhile; the first contact of a host leads through its wire too.

--- a/crates/indigospur-soak/src/inject.rs
+++ b/crates/indigospur-soak/src/inject.rs
@@ -156,25 +156,19 @@
         }
     }
 
-    /// Starts daemon and backend server of a host anew, unless its settings file is spoiled.
+    /// Starts the daemon of a host anew, unless its settings file is spoiled. The backend server
+    /// beside it goes on.
     fn restart(&mut self, place: usize) -> bool {
         if self.hosts[place].spoiled > 0 {
             return false;
         }
-        self.collect(place);
         let outcome = self.start_daemon(place);
         if let Err(error) = outcome {
             self.found_dead(place, &error);
         }
         let node = &self.site.nodes[place];
-        self.wires[place]
-            .peers
-            .set_target(&node.daemon.address("peers"));
-        let backend = node.backend.address("address");
-        self.wires[place].backend.set_target(&backend);
         let host = &mut self.hosts[place];
         host.daemon = Expected::Running;
-        (host.backend_down, host.backend_frozen) = (false, false);
         if let Some(from) = host.told.take() {
             let stopped = Stopped {
                 host: node.name.clone(),
@@ -195,7 +189,10 @@
         let starting = match starting.map(|mut starting| (starting.ended(), starting)) {
             // It waits for settings that it can read, or is about to end over those it has read.
             Some((None, starting)) => match starting.finish() {
-                Ok(daemon) => return node.take_over(daemon),
+                Ok(daemon) => {
+                    node.daemon = daemon;
+                    return Ok(());
+                }
                 Err(_) => node.spawn_daemon()?,
             },
             Some((Some(status), _)) => {
@@ -217,7 +214,8 @@
             }
             None => starting,
         };
-        node.take_over(starting.finish()?)
+        node.daemon = starting.finish()?;
+        Ok(())
     }
 
     pub(crate) fn restart_backend(&mut self, place: usize) {
--- a/crates/indigospur-soak/src/lib.rs
+++ b/crates/indigospur-soak/src/lib.rs
@@ -7,9 +7,7 @@
 //! All faults come from outside the processes: signals, settings files, limits on descriptors, and
 //! wires that every connection between daemons, to the log and to the backend servers leads
 //! through. Not injected, as nothing outside a process can without special rights: jumps of the time
-//! of day, a share of a core, and lack of memory. Daemons do not write to disks. All daemons but
-//! none of the backend servers get new ports when they start again, so a daemon is not replaced
-//! beside a backend server that goes on.
+//! of day, a share of a core, and lack of memory. Daemons do not write to disks.
 
 mod around;
 mod callers;
--- a/crates/indigospur-test-support/src/node.rs
+++ b/crates/indigospur-test-support/src/node.rs
@@ -46,6 +46,8 @@
     pub daemon: Process,
     /// The backend server.
     pub backend: Process,
+    /// Address told to other daemons at the first start.
+    pub(crate) peers: String,
     pub(crate) plan: ServicePlan,
     /// Path of the daemon's settings, and what they were at first.
     pub(crate) settings: (PathBuf, String),
@@ -108,8 +110,8 @@
     /// One of them can't be started.
     pub fn restart(&mut self) -> io::Result<()> {
         self.daemon.kill();
-        let daemon = self.spawn_daemon()?.finish()?;
-        self.take_over(daemon)
+        self.daemon = self.spawn_daemon()?.finish()?;
+        self.restart_backend()
     }
 
     /// Starts another daemon, which is not the host's yet.
@@ -119,15 +121,6 @@
     pub fn spawn_daemon(&self) -> io::Result<Starting> {
         spawn_daemon(&self.settings.0, self.daemon_log().as_deref())
     }
-
-    /// Makes a daemon the host's, and starts a backend server beside it.
-    ///
-    /// # Errors
-    /// The backend server can't be started.
-    pub fn take_over(&mut self, daemon: Process) -> io::Result<()> {
-        self.daemon = daemon;
-        self.restart_backend()
-    }
 }
 
 /// The status of the daemon with an admin address; null without an answer.
--- a/crates/indigospur-test-support/src/site.rs
+++ b/crates/indigospur-test-support/src/site.rs
@@ -3,7 +3,7 @@
 use crate::client::post;
 use crate::node::{Node, ServicePlan, ready_members, spawn_daemon, start_backend};
 use crate::process::{Process, program};
-use crate::wire::Wire;
+use crate::wire::{Wire, own_address};
 use std::collections::HashSet;
 use std::io;
 use std::path::PathBuf;
@@ -113,7 +113,8 @@
         self.add_host(name, plan, None)
     }
 
-    /// Starts a host of a service whose connections lead through wires.
+    /// Starts a host of a service whose connections lead through wires. Its daemon has the same
+    /// addresses at each start.
     ///
     /// # Errors
     /// A process can't be started.
@@ -127,7 +128,7 @@
         plan: &ServicePlan,
         wires: Option<&Wires>,
     ) -> io::Result<()> {
-        let seed = self.nodes.first().map(|node| node.daemon.address("peers"));
+        let seed = self.nodes.first().map(|node| node.peers.clone());
         let zone = ["a", "b", "c"][self.nodes.len() % 3];
         let mut log = self.log.address("address");
         let mut listen = String::new();
@@ -136,21 +137,35 @@
             log.clone_from(&wires.log.address);
             listen = format!("advertise = \"{}\"\n", wires.peers.address);
         }
-        let place = Place {
+        let any = match wires {
+            Some(_) => format!("{}:0", own_address()),
+            None => "127.0.0.1:0".to_owned(),
+        };
+        let mut place = Place {
             name,
             zone,
             log: &log,
             retention: &self.retention,
+            addresses: std::array::from_fn(|_| any.clone()),
             listen: &listen,
         };
-        let settings = settings(&place, seed.as_deref(), &self.settings);
         let path = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&path, &settings)?;
+        std::fs::write(&path, settings(&place, seed.as_deref(), &self.settings))?;
         let logs = self.logs.clone();
         let log = logs
             .as_ref()
             .map(|folder| folder.join(format!("{name}.log")));
         let daemon = spawn_daemon(&path, log.as_deref())?.finish()?;
+        if wires.is_some() {
+            // The next daemon has the same addresses; nobody else listens on this one.
+            place.addresses = ["calls", "peers", "admin"].map(|name| daemon.address(name));
+        }
+        let settings = settings(&place, seed.as_deref(), &self.settings);
+        std::fs::write(&path, &settings)?;
+        let peers = match wires {
+            Some(wires) => wires.peers.address.clone(),
+            None => daemon.address("peers"),
+        };
         let advertise = wires.map(|wires| wires.backend.address.clone());
         let backend = start_backend(plan, &daemon, advertise.as_deref())?;
         if let Some(wires) = wires {
@@ -163,6 +178,7 @@
             service,
             daemon,
             backend,
+            peers,
             plan,
             settings: (path, settings),
             logs,
@@ -290,6 +306,8 @@
     zone: &'a str,
     log: &'a str,
     retention: &'a str,
+    /// For callers, for other daemons and for operators.
+    addresses: [String; 3],
     /// Lines added to the addresses.
     listen: &'a str,
 }
@@ -300,12 +318,13 @@
         zone,
         log,
         retention,
+        addresses: [calls, peers, admin],
         listen,
     } = place;
     let seeds = seed.map_or_else(String::new, |seed| format!("[peers]\nseeds = \"{seed}\"\n"));
     format!(
         "[host]\nname = \"{name}\"\ndata-centre = \"lisboa-{zone}\"\nregion = \"lisbon\"\n\n\
-         [listen]\ncalls = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n{listen}\n\
+         [listen]\ncalls = \"{calls}\"\npeers = \"{peers}\"\nadmin = \"{admin}\"\n{listen}\n\
          [log]\naddress = \"{log}\"\npoll = \"200ms\"\nretention = \"{retention}\"\n\n{seeds}\n{more}\n"
     )
 }
--- a/crates/indigospur-test-support/src/wire.rs
+++ b/crates/indigospur-test-support/src/wire.rs
@@ -123,8 +123,8 @@
     }
 }
 
-/// A loopback address of this process alone, so that nobody takes a port that refuses for a while.
-fn own_address() -> IpAddr {
+/// A loopback address of this process alone, so that nobody takes a port that is free for a while.
+pub(crate) fn own_address() -> IpAddr {
     let [_, a, b, c] = (std::process::id() & 0x7f_ffff).to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(127, a | 0x80, b, c))
 }
