--- a/tests/once.rs
+++ b/tests/once.rs
@@ -3,7 +3,7 @@
 use indigospur_once::home_of;
 use indigospur_protocol::{EpochRecord, MemberId};
 use indigospur_test_support::{
-    Answered, Call, ServicePlan, Site, SitePlan, Wire, request, wait_until,
+    Answered, Call, ServicePlan, Site, SitePlan, Wires, request, wait_until,
 };
 use std::thread;
 use uuid::Uuid;
@@ -290,10 +290,10 @@
 
 #[test]
 fn a_cut_between_home_and_executor_runs_each_key_at_most_once() {
-    let wire = Wire::start();
+    let wires = Wires::start();
     let mut site = contracts(2);
     let late = ServicePlan::new("contracts", 1, &[]);
-    site.add_behind(&wire, "contracts-cut", &late)
+    site.add_behind(&wires, "contracts-cut", &late)
         .expect("the host starts");
     wait_for_epoch(&site);
     let keys: Vec<String> = (0..12).map(|number| format!("cut-{number}")).collect();
@@ -307,7 +307,7 @@
         wait_until("some run behind the wire", || {
             !site.nodes[2].journal().is_empty()
         });
-        wire.cut();
+        wires.peers.cut();
         sent.into_iter()
             .for_each(|thread| assert_ne!(thread.join().expect("no panic").status, 0));
     });
