--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which a caller must read an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use crate::alarm::AlarmTimer;
 use crate::link::LARGEST_MESSAGE;
+use crate::listener::ACCEPT_PAUSE;
 use crate::runtime::{self, Executor};
 use async_std::net::{TcpListener, TcpStream};
 use hyper::server::conn::http2;
@@ -25,7 +26,10 @@
             Ok((stream, _)) => {
                 runtime::spawn(serve_connection(stream, server.clone()));
             }
-            Err(_) => runtime::sleep(Duration::from_millis(10)).await,
+            Err(error) => {
+                log::warn!(error:display; "a connection of another daemon could not be accepted");
+                runtime::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
