--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -35,20 +35,14 @@
 
 impl Backend {
     fn new(daemon: &Daemon, announced: &Announcement, cold: bool) -> Arc<Backend> {
-        let options = Options {
-            policy: daemon.settings.limit,
+        let mut options = Options {
             slots: announced.slots,
-            ramp: if cold {
-                daemon.settings.ramp
-            } else {
-                Duration::ZERO
-            },
-            target_wait: daemon.settings.target_wait,
             seed: daemon.incarnation,
-            preempts: daemon.settings.preempts,
-            fill: daemon.settings.fill,
-            ..Options::default()
+            ..daemon.settings().admission()
         };
+        if !cold {
+            options.ramp = Duration::ZERO;
+        }
         let slots = Slots::new(Admission::new(options, Instant::now()));
         runtime::spawn(slots.clone().run_ticks());
         Arc::new(Backend {
@@ -211,7 +205,7 @@
 /// Takes up this daemon's part in at-most-once execution for its service. The part of another
 /// number of this start is dropped as by a crash: other daemons take that number for gone.
 fn start_once(daemon: &Daemon, service: &ServiceName) {
-    if !daemon.settings.at_most_once {
+    if !daemon.settings().at_most_once {
         return;
     }
     let mut once = lock(&daemon.once);
@@ -219,9 +213,10 @@
     if once.as_ref().is_some_and(|part| *part.me() == me) {
         return;
     }
+    let settings = daemon.settings();
     let options = OnceOptions {
-        horizon: daemon.settings.key_horizon,
-        lease: daemon.settings.key_lease,
+        horizon: settings.key_horizon,
+        lease: settings.key_lease,
         ..OnceOptions::default()
     };
     let follower = lock(&daemon.follower);
--- a/crates/indigospur-daemon/src/control/epochs.rs
+++ b/crates/indigospur-daemon/src/control/epochs.rs
@@ -48,7 +48,8 @@
         part.tick(Instant::now());
         daemon.metrics.keys(part.len());
     }
-    let age = daemon.settings.key_horizon + daemon.settings.key_lease * 2;
+    let settings = daemon.settings();
+    let age = settings.key_horizon + settings.key_lease * 2;
     lock(&daemon.follower).close_epochs(Instant::now(), age);
 }
 
@@ -195,5 +196,5 @@
     let own = part
         .current()
         .is_some_and(|epoch| &*epoch.service == service);
-    own && part.take(Instant::now(), hand_over)
+    own && part.take(Instant::now(), SystemTime::now(), hand_over)
 }
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -26,7 +26,7 @@
         renew(&daemon).await;
         report(&daemon);
         let size = lock(&daemon.fleet).members.len() as u32;
-        let pause = daemon.settings.poll.max(PAUSE_PER_MEMBER * size);
+        let pause = daemon.settings().poll.max(PAUSE_PER_MEMBER * size);
         let pause = lock(&daemon.rng).random_range(pause / 2..pause * 3 / 2);
         runtime::sleep(pause).await;
     }
@@ -72,9 +72,8 @@
     }
 }
 
-/// Fetches what the daemon at `address` has accepted beyond what is known here.
-pub(crate) async fn fetch_from(daemon: Arc<Daemon>, address: Arc<str>) {
-    let from = lock(&daemon.follower).accepted();
+/// Fetches what the daemon at `address` has accepted from offset `from` on.
+pub(crate) async fn fetch_from(daemon: Arc<Daemon>, address: Arc<str>, from: u64) {
     let now = Instant::now();
     let Ok(reply) = peers::fetch(&daemon, &address, from).await else {
         return;
@@ -128,7 +127,7 @@
     if !is_first(daemon) {
         return;
     }
-    let due = daemon.settings.retention / RENEW_AFTER;
+    let due = daemon.settings().retention / RENEW_AFTER;
     let newest = lock(&daemon.follower).newest_seed();
     if newest.is_none_or(|at| at.elapsed() >= due) {
         append_seed(daemon).await;
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -38,6 +38,8 @@
     position: Option<Position>,
     /// The last call was answered.
     answers: bool,
+    /// How often the source has moved: positions in one say nothing of another.
+    moves: u64,
 }
 
 /// Reads the source.
@@ -58,9 +60,11 @@
     });
     let mut backoff = Backoff::default();
     loop {
-        match reader.read().await {
-            Ok(()) => backoff = Backoff::default(),
-            Err(error) => {
+        let read = async { Some(reader.read().await) };
+        match futures_lite::future::or(read, moved(&daemon)).await {
+            None => reader.start_over(),
+            Some(Ok(())) => backoff = Backoff::default(),
+            Some(Err(error)) => {
                 reader.lost(error);
                 backoff.wait(&daemon).await;
             }
@@ -68,22 +72,34 @@
     }
 }
 
+/// Ends when the source has moved.
+async fn moved<T>(daemon: &Daemon) -> Option<T> {
+    let _ = daemon.moved.1.recv().await;
+    None
+}
+
 impl Reader {
     async fn read(self: &Arc<Self>) -> Result<(), SourceError> {
         let begun = Instant::now();
-        let position = lock(&self.progress).position;
+        let (position, moves) = {
+            let progress = lock(&self.progress);
+            (progress.position, progress.moves)
+        };
         let wait = position.map_or(Duration::ZERO, |_| wait(&self.daemon));
         let call = match position {
             Some(from) => self.source.changes(from, wait),
             None => self.source.newest(),
         };
         let reader = self.clone();
-        in_time(wait, call, move |found| reader.take(begun, found)).await
+        in_time(wait, call, move |found| reader.take(begun, moves, found)).await
     }
 
-    fn take(&self, begun: Instant, found: Found) {
+    /// Takes in what a call that began at `begun`, after so many moves of the source, has found.
+    fn take(&self, begun: Instant, moves: u64, found: Found) {
         let mut progress = lock(&self.progress);
-        progress.position = progress.position.max(Some(found.next));
+        if moves == progress.moves {
+            progress.position = progress.position.max(Some(found.next));
+        }
         let answered = std::mem::replace(&mut progress.answers, true);
         drop(progress);
         regained(&self.daemon, begun, answered);
@@ -93,6 +109,13 @@
         }
     }
 
+    /// The source has moved: it is read from the newest configuration on.
+    fn start_over(&self) {
+        let mut progress = lock(&self.progress);
+        progress.position = None;
+        progress.moves += 1;
+    }
+
     fn lost(&self, error: SourceError) {
         let mut progress = lock(&self.progress);
         let answered = std::mem::replace(&mut progress.answers, false);
--- a/crates/indigospur-once/src/once.rs
+++ b/crates/indigospur-once/src/once.rs
@@ -88,6 +88,8 @@
     pub records: Vec<KeyRecord>,
     /// Epochs that members are known to have moved to.
     pub fences: Vec<(MemberId, Epoch)>,
+    /// Epochs in which the sender knew all of earlier ones about the keys that were at home there.
+    pub complete: Vec<Epoch>,
 }
 
 /// State of a claim at the home.
@@ -166,7 +168,8 @@
         let applied = self.epochs.apply(now, wall, record);
         if applied {
             let (me, number) = (self.me.clone(), self.epochs.number());
-            self.epochs.fence(&me, number);
+            self.epochs.fence(wall, &me, number);
+            self.epochs.note_complete(&me);
         }
         applied
     }
@@ -202,11 +205,12 @@
             epoch: current.number,
             records,
             fences,
+            complete: self.epochs.complete_epochs(&self.me),
         })
     }
 
     /// Takes what another member hands over; false if its epoch is not known here yet.
-    pub fn take(&mut self, now: Instant, hand_over: HandOver) -> bool {
+    pub fn take(&mut self, now: Instant, wall: SystemTime, hand_over: HandOver) -> bool {
         if hand_over.epoch > self.epochs.number() {
             return false;
         }
@@ -214,9 +218,11 @@
             self.take_record(now, record);
         }
         for (member, epoch) in &hand_over.fences {
-            self.epochs.fence(member, *epoch);
+            self.epochs.fence(wall, member, *epoch);
         }
-        self.epochs.told(&hand_over.from, hand_over.epoch);
+        self.epochs.complete(&hand_over.from, hand_over.complete);
+        self.epochs.told(wall, &hand_over.from, hand_over.epoch);
+        self.epochs.note_complete(&self.me);
         true
     }
 
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -1,7 +1,8 @@
 //! Connections to the backend server beside the daemon.
 
 use crate::connection::Connection;
-use crate::http::{HttpError, HttpRequest, connect, receive, send};
+use crate::http::{HttpAnswer, HttpError, HttpRequest, connect, encode, receive};
+use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -9,8 +10,11 @@
 /// Time by which an idle connection is dropped before the backend server would close it, so that
 /// no request crosses that close.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Idle time of a connection whose backend server states none.
-const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// Time for which a connection is used again whose backend server states no idle time: it may have
+/// one below a second, which can't be stated.
+const UNSTATED_IDLE: Duration = Duration::from_millis(250);
+/// Longest idle time that is believed.
+const LONGEST_IDLE: Duration = Duration::from_secs(3_600);
 /// Answers of earlier calls that are skipped on one connection.
 const MOST_STALE: u32 = 2;
 
@@ -19,6 +23,8 @@
 pub enum BackendError {
     /// No connection could be opened, or all allowed ones are in use: nothing was sent.
     NotSent,
+    /// The request can't be put into HTTP/1.1: nothing was sent.
+    Unsendable,
     /// The connection broke while the call ran.
     Broken,
     /// The answer is truncated, mis-framed, too large or that of another call.
@@ -28,7 +34,8 @@
 impl From<HttpError> for BackendError {
     fn from(error: HttpError) -> Self {
         match error {
-            HttpError::Connect | HttpError::Request => BackendError::NotSent,
+            HttpError::Connect => BackendError::NotSent,
+            HttpError::Request => BackendError::Unsendable,
             HttpError::Broken | HttpError::Timeout => BackendError::Broken,
             HttpError::BadAnswer => BackendError::BadAnswer,
         }
@@ -99,7 +106,8 @@
 
     /// Sends a call and reads its answer.
     ///
-    /// A connection whose exchange did not end cleanly is closed. Dropping the future closes it
+    /// A connection whose exchange did not end cleanly is closed, as is one whose answer came before
+    /// the whole request was sent. Dropping the future closes it
     /// too, by which the backend server learns that the call is cancelled.
     ///
     /// # Errors
@@ -109,24 +117,26 @@
         request: &HttpRequest<'_>,
         judge: Judge<'_>,
     ) -> Result<Answer, BackendError> {
+        let bytes = encode(request).ok_or(BackendError::Unsendable)?;
         let mut lease = self.lease().await?;
-        send(lease.connection()?, request).await?;
-        for _ in 0..=MOST_STALE {
-            let answered = receive(lease.connection()?, request.method).await?;
-            if answered.unframed && !judge.unframed {
-                return Err(BackendError::BadAnswer);
+        let connection = lease.connection()?;
+        let mut writer = connection.writer();
+        let mut sent = false;
+        let sending = async {
+            match writer.write_all(&bytes).await {
+                Ok(()) => sent = true,
+                // The backend server may have answered before it closed.
+                Err(error) => log::debug!(error:display; "a request was not written whole"),
             }
-            match (judge.owner)(&answered.answer) {
-                Owner::Own => {}
-                Owner::Earlier if answered.keep_alive => continue,
-                Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
-            }
-            if answered.keep_alive {
-                lease.give_back(answered.keep_for.unwrap_or(DEFAULT_IDLE));
-            }
-            return Ok(answered.answer);
+            std::future::pending().await
+        };
+        // The answer may come before the whole request is sent, and the rest may never be read.
+        let answering = read_own(connection, request.method, judge);
+        let answered = futures_lite::future::or(sending, answering).await?;
+        if answered.keep_alive && sent {
+            lease.give_back(answered.keep_for);
         }
-        Err(BackendError::BadAnswer)
+        Ok(answered.answer)
     }
 
     async fn lease(&self) -> Result<Lease<'_>, BackendError> {
@@ -172,6 +182,26 @@
     }
 }
 
+/// Reads answers until that of the call.
+async fn read_own(
+    connection: &mut Connection,
+    method: &str,
+    judge: Judge<'_>,
+) -> Result<HttpAnswer, BackendError> {
+    for _ in 0..=MOST_STALE {
+        let answered = receive(connection, method).await?;
+        if answered.unframed && !judge.unframed {
+            return Err(BackendError::BadAnswer);
+        }
+        match (judge.owner)(&answered.answer) {
+            Owner::Own => return Ok(answered),
+            Owner::Earlier if answered.keep_alive => {}
+            Owner::Earlier | Owner::Unknown => return Err(BackendError::BadAnswer),
+        }
+    }
+    Err(BackendError::BadAnswer)
+}
+
 /// A place for a connection that is being opened.
 struct Place<'a> {
     pool: &'a BackendPool,
@@ -195,13 +225,16 @@
         self.connection.as_mut().ok_or(BackendError::NotSent)
     }
 
-    fn give_back(mut self, keep_for: Duration) {
+    fn give_back(mut self, stated: Option<Duration>) {
         let Some(mut connection) = self.connection.take_if(|connection| connection.is_idle())
         else {
             return;
         };
         connection.shrink();
-        let until = Instant::now() + keep_for.saturating_sub(IDLE_MARGIN);
+        let idle = stated.map_or(UNSTATED_IDLE, |stated| {
+            stated.min(LONGEST_IDLE).saturating_sub(IDLE_MARGIN)
+        });
+        let until = Instant::now() + idle;
         self.pool.lock().idle.push(Idle { connection, until });
     }
 }
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -4,11 +4,14 @@
 //! that a backend server sent more than one answer.
 
 use crate::head::{AnswerHead, Framing, HeadError, RequestHead};
+use crate::runtime;
 use async_std::net::TcpStream;
 use futures_lite::io::{AsyncRead, AsyncWriteExt};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 /// Bytes read from the socket at a time.
 const READ_SIZE: usize = 8 * 1024;
@@ -50,9 +53,20 @@
         }
     }
 
-    /// Waits for the first byte of a message; false if the other side closes instead.
+    /// Waits for the first byte of a message, past empty lines; false if the other side closes
+    /// instead.
     pub(crate) async fn begins(&mut self) -> bool {
-        !self.buffer.is_empty() || matches!(self.fill().await, Ok(count) if count > 0)
+        loop {
+            let empty = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+            let skipped = self.buffer.iter().take_while(empty).count();
+            self.buffer.drain(..skipped);
+            if !self.buffer.is_empty() {
+                return true;
+            }
+            if !matches!(self.fill().await, Ok(count) if count > 0) {
+                return false;
+            }
+        }
     }
 
     /// Reads the head of a request of at most `most` bytes.
@@ -229,16 +243,31 @@
         }
     }
 
+    /// Another handle to write by, while this one reads.
+    pub(crate) fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
     /// Writes a whole message, so that the other side is woken once.
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await?;
         self.stream.flush().await
     }
 
-    /// Tells the other side that nothing more comes.
-    pub(crate) async fn close(mut self) {
-        if let Err(error) = self.stream.close().await {
+    /// Tells the other side that nothing more comes, and reads what it still sends, for a time:
+    /// bytes left unread would reset the connection, and the last answer might be lost with it.
+    pub(crate) async fn linger(mut self, time: Duration) {
+        if let Err(error) = self.stream.shutdown(Shutdown::Write) {
             log::trace!(error:display; "a connection was not closed cleanly");
+            return;
+        }
+        let rest = async {
+            while matches!(self.fill().await, Ok(count) if count > 0) {
+                self.buffer.clear();
+            }
+        };
+        if runtime::within(time, rest).await.is_none() {
+            log::debug!("a connection was closed before the other side had sent all");
         }
     }
 }
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -1,166 +1,45 @@
 //! HTTP/1.1 as a server: one task a connection, bounded heads, bodies and connections.
 
 use crate::connection::{BodyError, Connection};
-use crate::head::{Framing, HeadError, RequestHead};
-use crate::runtime::{self, BoxFuture};
-use async_std::channel::{Receiver, Sender, bounded};
+use crate::encode::encode_answer;
+use crate::head::{Framing, HeadError, RequestHead, Several};
+use crate::runtime;
+use crate::service::{Bounds, HttpService, OpenRequest, Received};
 use async_std::net::{TcpListener, TcpStream};
-use indigospur_protocol::{Answer, Header, Kind, Refusal};
+use futures_lite::FutureExt;
+use indigospur_protocol::{Answer, Kind, Refusal};
 use std::io;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which a caller must read an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Bounds of a listener.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
-    /// Largest head, in bytes.
-    pub head: usize,
-    /// Largest body, in bytes.
-    pub body: u64,
-    /// Most connections.
-    pub connections: usize,
-    /// Time in which a head must arrive once it has begun, and a body after it.
-    pub message: Duration,
-    /// Time for which a connection may stay idle.
-    pub idle: Duration,
-}
-
-impl Default for Bounds {
-    fn default() -> Self {
-        Bounds {
-            head: 8 * 1024,
-            body: 64 * 1024,
-            connections: 256,
-            message: Duration::from_secs(30),
-            idle: Duration::from_secs(60),
-        }
-    }
-}
-
-/// A request as received.
-#[derive(Clone, Debug)]
-pub struct Received {
-    /// Method in upper case.
-    pub method: Arc<str>,
-    /// Value of the `Host` header without the port, in lower case.
-    pub host: Arc<str>,
-    /// Path with its query, as sent.
-    pub path: Arc<str>,
-    /// Headers that are passed on, and the daemon's own.
-    pub headers: Vec<Header>,
-    /// Whole body.
-    pub body: Arc<[u8]>,
-}
-
-impl Received {
-    /// The first value of a header.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|header| &*header.name == name)?;
-        std::str::from_utf8(&found.value).ok()
-    }
-}
-
-/// Answers one request.
-pub type Handler = Arc<dyn Fn(Received) -> BoxFuture<Answer> + Send + Sync>;
-/// The HTTP form of a refusal.
-pub type Refuse = Arc<dyn Fn(&Refusal) -> Answer + Send + Sync>;
-
-/// What a listener serves, and how it may be changed while it does.
-#[derive(Clone)]
-pub struct HttpService {
-    handler: Handler,
-    refuse: Refuse,
-    bounds: Arc<Mutex<Bounds>>,
-    closing: Arc<AtomicBool>,
-    /// Requests that were read and are not answered yet.
-    open: Arc<AtomicUsize>,
-    /// Closed when no more connections are accepted.
-    listening: (Sender<()>, Receiver<()>),
-}
-
-impl std::fmt::Debug for HttpService {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut shown = formatter.debug_struct("HttpService");
-        shown
-            .field("bounds", &self.bounds())
-            .finish_non_exhaustive()
-    }
-}
-
-impl HttpService {
-    /// A service that answers by `handler`, and by `refuse` where a request can't be read.
-    pub fn new(bounds: Bounds, handler: Handler, refuse: Refuse) -> HttpService {
-        HttpService {
-            handler,
-            refuse,
-            bounds: Arc::new(Mutex::new(bounds)),
-            closing: Arc::default(),
-            open: Arc::default(),
-            listening: bounded(1),
-        }
-    }
-
-    /// Changes the bounds for what is read from now on.
-    pub fn set_bounds(&self, bounds: Bounds) {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
-    }
-
-    /// The bounds in force.
-    pub fn bounds(&self) -> Bounds {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Announces with each answer from now on that its connection is closed.
-    pub fn close_connections(&self) {
-        self.closing.store(true, Ordering::Relaxed);
-    }
-
-    /// Accepts the connections that wait already, and none after them.
-    pub fn stop_listening(&self) {
-        self.listening.0.close();
-    }
-
-    /// Requests that were read and whose answers are not written yet.
-    pub fn open_requests(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
-    }
-}
-
-/// A request that was read, until it is answered or its caller has gone.
-struct OpenRequest(Arc<AtomicUsize>);
-
-impl OpenRequest {
-    fn new(service: &HttpService) -> OpenRequest {
-        service.open.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(service.open.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
+/// Time for which the rest of a refused request is read.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Connections beyond the bound that are answered before they are closed.
+const MOST_TURNED_AWAY: usize = 64;
+/// Time for which a connection beyond the bound is kept, and after which its caller may come back.
+const TURN_AWAY_TIME: Duration = Duration::from_secs(1);
+/// Stands for the method of a request whose head was not understood.
+const UNKNOWN_METHOD: &str = "GET";
 
 /// The next connection; `None` once the service has stopped listening and none waits.
 async fn accept(listener: &TcpListener, service: &HttpService) -> Option<io::Result<TcpStream>> {
-    let accepted = async { Some(listener.accept().await.map(|(stream, _)| stream)) };
+    let accepted = async { Some(listener.accept().await) };
     let stopped = async {
-        // Nothing is ever sent: this ends when the channel is closed.
-        let _ = service.listening.1.recv().await;
+        service.stopped().await;
         None
     };
-    futures_lite::future::or(accepted, stopped).await
+    let accepted = match futures_lite::future::or(accepted, stopped).await {
+        Some(accepted) => accepted,
+        // A connection that waits may not have been noticed yet; one closed with the listener is reset.
+        None => futures_lite::future::poll_once(listener.accept()).await?,
+    };
+    Some(accepted.map(|(stream, _)| stream))
 }
 
 /// Serves connections until the service stops listening. The handler's future is dropped when its caller
@@ -177,56 +56,132 @@
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= service.bounds().connections {
-            open.fetch_sub(1, Ordering::Relaxed);
+        let place = Place::take(&open);
+        let beyond = place.number.saturating_sub(service.bounds().connections);
+        if beyond > MOST_TURNED_AWAY {
+            log::debug!(open = place.number; "a connection was closed at once");
             continue;
         }
-        let (open, service) = (open.clone(), service.clone());
+        let service = service.clone();
         runtime::spawn(async move {
-            serve_connection(stream, &service).await;
-            open.fetch_sub(1, Ordering::Relaxed);
+            if beyond > 0 {
+                turn_away(stream, &service).await;
+            } else {
+                serve_connection(stream, &service).await;
+            }
+            drop(place);
         });
     }
 }
 
+/// A connection among those that are open, until it is dropped.
+struct Place {
+    open: Arc<AtomicUsize>,
+    /// Connections that were open when it was taken, itself included.
+    number: usize,
+}
+
+impl Place {
+    fn take(open: &Arc<AtomicUsize>) -> Place {
+        Place {
+            number: open.fetch_add(1, Ordering::Relaxed) + 1,
+            open: open.clone(),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Refuses the one request of a connection beyond the bound.
+async fn turn_away(stream: TcpStream, service: &HttpService) {
+    let mut connection = Connection::new(stream);
+    let bounds = service.bounds();
+    let head = connection.read_request_head(bounds.head);
+    let Some(Ok(head)) = runtime::within(TURN_AWAY_TIME, head).await else {
+        return;
+    };
+    let refusal =
+        Refusal::new(Kind::Overloaded, "too many connections are open").retry_after(TURN_AWAY_TIME);
+    let answer = service.refuse(&refusal);
+    match write(&mut connection, &answer, &head.method, true).await {
+        Ok(()) => connection.linger(TURN_AWAY_TIME).await,
+        Err(error) => log::debug!(error:display; "an answer was not written whole"),
+    }
+}
+
 async fn serve_connection(stream: TcpStream, service: &HttpService) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:display; "a connection delays small messages");
     }
     let mut connection = Connection::new(stream);
-    while let Ok(true) = serve_request(&mut connection, service).await {
-        connection.shrink();
+    loop {
+        match serve_request(&mut connection, service).await {
+            Ok(Next::Request) => connection.shrink(),
+            Ok(Next::Close) => return,
+            Ok(Next::Rest) => return connection.linger(LINGER_TIME).await,
+            Err(error) => {
+                log::debug!(error:display; "an answer was not written whole");
+                return;
+            }
+        }
     }
-    connection.close().await;
 }
 
-/// Serves one request; whether another may follow on the connection.
-async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<bool> {
-    let bounds = service.bounds();
-    if runtime::within(bounds.idle, connection.begins()).await != Some(true) {
-        return Ok(false);
+/// What follows on a connection.
+enum Next {
+    /// Another request.
+    Request,
+    /// Nothing.
+    Close,
+    /// The rest of a request that was refused before it was read whole.
+    Rest,
+}
+
+/// Waits for a request; false if the connection ends, was idle for too long, or the service stops
+/// before one has begun.
+async fn begins(connection: &mut Connection, service: &HttpService) -> bool {
+    let idle = Instant::now();
+    loop {
+        let left = service.bounds().idle.saturating_sub(idle.elapsed());
+        let stopped = async {
+            service.stopped().await;
+            false
+        };
+        let begun = futures_lite::future::or(connection.begins(), stopped);
+        match runtime::within(left, begun).await {
+            Some(begun) => return begun,
+            // The bound may have grown meanwhile.
+            None if idle.elapsed() < service.bounds().idle => {}
+            None => return false,
+        }
     }
-    let bounds = service.bounds();
-    let reading = read_request(connection, bounds);
-    let received = match runtime::within(bounds.message, reading).await {
-        Some(Ok(received)) => received,
-        Some(Err(Unread::Gone)) | None => return Ok(false),
-        Some(Err(Unread::Refused(refusal))) => {
-            let answer = (service.refuse)(&refusal);
-            write(connection, &answer, "GET", true).await?;
-            return Ok(false);
+}
+
+async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<Next> {
+    if !begins(connection, service).await {
+        return Ok(Next::Close);
+    }
+    let Request { received, closes } = match read_request(connection, service.bounds()).await {
+        Ok(request) => request,
+        Err(Unread::Gone) => return Ok(Next::Close),
+        Err(Unread::Refused(refusal, method)) => {
+            let answer = service.refuse(&refusal);
+            write(connection, &answer, &method, true).await?;
+            return Ok(Next::Rest);
         }
     };
     let _open = OpenRequest::new(service);
-    let Request { received, closes } = received;
     let method = received.method.clone();
-    let handled = (service.handler)(received);
-    let Some(answer) = answer_or_closed(connection, handled).await else {
-        return Ok(false);
+    let Some(answer) = answer_or_closed(connection, handle(service, received)).await else {
+        return Ok(Next::Close);
     };
     let closes = closes || service.is_closing();
     write(connection, &answer, &method, closes).await?;
-    Ok(!closes)
+    Ok(if closes { Next::Close } else { Next::Request })
 }
 
 /// A request, and whether its sender closes the connection after it.
@@ -239,43 +194,59 @@
 enum Unread {
     /// The connection ended.
     Gone,
-    /// It is turned away.
-    Refused(Refusal),
-}
-
-impl From<Refusal> for Unread {
-    fn from(refusal: Refusal) -> Self {
-        Unread::Refused(refusal)
-    }
+    /// It is turned away, with its method as far as that is known.
+    Refused(Refusal, Arc<str>),
 }
 
 async fn read_request(connection: &mut Connection, bounds: Bounds) -> Result<Request, Unread> {
-    let head = connection.read_request_head(bounds.head).await;
-    let head = head.map_err(|error| match error {
-        HeadError::Ended => Unread::Gone,
-        HeadError::Malformed => {
-            Refusal::new(Kind::BadRequest, "the request's head is not HTTP/1.1").into()
+    let begun = Instant::now();
+    let head = runtime::within(bounds.message, connection.read_request_head(bounds.head)).await;
+    let refused = |refusal| Unread::Refused(refusal, UNKNOWN_METHOD.into());
+    let head = match head {
+        Some(Ok(head)) => head,
+        Some(Err(HeadError::Ended)) => return Err(Unread::Gone),
+        Some(Err(HeadError::Malformed)) => {
+            let detail = "the request's head is not HTTP/1.1";
+            return Err(refused(Refusal::new(Kind::BadRequest, detail)));
         }
-        HeadError::TooLarge => {
+        Some(Err(HeadError::TooLarge)) => {
             let detail = format!("at most {} bytes of head are accepted", bounds.head);
-            Refusal::new(Kind::HeadTooLarge, detail).into()
+            return Err(refused(Refusal::new(Kind::HeadTooLarge, detail)));
         }
-    })?;
+        None => return Err(refused(too_slow(bounds))),
+    };
+    let refused = |refusal| Unread::Refused(refusal, head.method.clone());
+    let left = bounds.message.saturating_sub(begun.elapsed());
+    let body = runtime::within(left, read_body(connection, &head, bounds)).await;
+    let body = body.unwrap_or_else(|| Err(too_slow(bounds)));
+    let body = body.map_err(refused)?;
+    let method = head.method.clone();
+    receive(head, body, begun).map_err(|refusal| Unread::Refused(refusal, method))
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    head: &RequestHead,
+    bounds: Bounds,
+) -> Result<Vec<u8>, Refusal> {
+    let not_whole = || Refusal::new(Kind::BadRequest, "the body is not whole");
     if matches!(head.framing, Framing::Length(length) if length > bounds.body) {
-        return Err(too_large(bounds).into());
+        return Err(too_large(bounds));
     }
     if head.fields.lists("expect", "100-continue") {
         let interim = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        interim.map_err(|_| Unread::Gone)?;
+        interim.map_err(|_| not_whole())?;
     }
     let body = connection.read_body(head.framing, bounds.body).await;
-    let body = body.map_err(|error| match error {
-        BodyError::Ended | BodyError::Malformed => {
-            Unread::from(Refusal::new(Kind::BadRequest, "the body is not whole"))
-        }
-        BodyError::TooLarge => too_large(bounds).into(),
-    })?;
-    Ok(receive(head, body)?)
+    body.map_err(|error| match error {
+        BodyError::Ended | BodyError::Malformed => not_whole(),
+        BodyError::TooLarge => too_large(bounds),
+    })
+}
+
+fn too_slow(bounds: Bounds) -> Refusal {
+    let detail = format!("the request was not whole within {:?}", bounds.message);
+    Refusal::new(Kind::RequestTimeout, detail)
 }
 
 fn too_large(bounds: Bounds) -> Refusal {
@@ -283,13 +254,15 @@
     Refusal::new(Kind::BodyTooLarge, detail)
 }
 
-fn receive(head: RequestHead, body: Vec<u8>) -> Result<Request, Refusal> {
-    let hosts: Vec<&str> = head.fields.values("host").collect();
-    if hosts.len() > 1 {
-        let detail = "the request names two hosts";
-        return Err(Refusal::new(Kind::BadRequest, detail));
-    }
-    let host = hosts.first().copied().unwrap_or_default();
+fn receive(head: RequestHead, body: Vec<u8>, begun: Instant) -> Result<Request, Refusal> {
+    let bad = |detail| Refusal::new(Kind::BadRequest, detail);
+    let host = match head.fields.only("host") {
+        Ok(host) => host.unwrap_or_default(),
+        Err(Several) => return Err(bad("the request names two hosts")),
+    };
+    let plain = host.iter().all(u8::is_ascii_graphic);
+    let host = std::str::from_utf8(host).ok().filter(|_| plain);
+    let host = host.ok_or_else(|| bad("the name of the host is not plain ASCII"))?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let name = name.to_ascii_lowercase();
     let received = Received {
@@ -298,6 +271,7 @@
         path: head.target,
         headers: head.fields.pass_on(),
         body: body.into(),
+        begun,
     };
     Ok(Request {
         received,
@@ -305,10 +279,19 @@
     })
 }
 
+/// The handler's answer; a handler that panics is answered for.
+async fn handle(service: &HttpService, received: Received) -> Answer {
+    let handled = AssertUnwindSafe(async { service.handle(received).await });
+    handled.catch_unwind().await.unwrap_or_else(|_| {
+        log::error!("a handler panicked");
+        service.refuse(&Refusal::new(Kind::Internal, "the daemon failed"))
+    })
+}
+
 /// The handler's answer, or `None` if the caller went away first.
 async fn answer_or_closed(
     connection: &mut Connection,
-    handled: BoxFuture<Answer>,
+    handled: impl Future<Output = Answer>,
 ) -> Option<Answer> {
     let closed = async {
         connection.closed().await;
@@ -323,44 +306,7 @@
     method: &str,
     closes: bool,
 ) -> io::Result<()> {
-    let bytes = encode(answer, method, closes);
+    let bytes = encode_answer(answer, method, closes);
     let written = runtime::within(WRITE_TIMEOUT, connection.write(&bytes)).await;
     written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
-
-/// The bytes of an answer.
-fn encode(answer: &Answer, method: &str, closes: bool) -> Vec<u8> {
-    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
-    let reason = status.canonical_reason().unwrap_or("Unknown");
-    let mut bytes = Vec::with_capacity(512 + answer.body.len());
-    bytes.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
-    for header in &answer.headers {
-        append_header(&mut bytes, header);
-    }
-    if closes {
-        bytes.extend_from_slice(b"connection: close\r\n");
-    }
-    let has_body = method != "HEAD" && status != 204 && status != 304;
-    if has_body {
-        let length = format!("content-length: {}\r\n", answer.body.len());
-        bytes.extend_from_slice(length.as_bytes());
-    }
-    bytes.extend_from_slice(b"\r\n");
-    if has_body {
-        bytes.extend_from_slice(&answer.body);
-    }
-    bytes
-}
-
-/// Appends a header line, unless its value would end the line.
-pub(crate) fn append_header(bytes: &mut Vec<u8>, header: &Header) {
-    let breaks = |byte: &u8| matches!(byte, b'\r' | b'\n' | 0);
-    if header.value.iter().any(breaks) {
-        log::warn!(header = &*header.name; "a header that breaks the framing is left out");
-        return;
-    }
-    bytes.extend_from_slice(header.name.as_bytes());
-    bytes.extend_from_slice(b": ");
-    bytes.extend_from_slice(&header.value);
-    bytes.extend_from_slice(b"\r\n");
-}
