--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 /// Pause after a connection could not be accepted, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which a caller must read an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the rest of a refused request is read.
