Count in the soak's report what its checks have judged

Requests on kept connections and those that planned work must leave alone are counted, so that a run in which a check had nothing to look at shows.

--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -79,9 +79,7 @@
     if asked.connection == Use::Part && count > 0 && !asked.again {
         breaches.push(Breach::Part(number, count));
     }
-    let stays = asked.connection.stays();
-    let calm = |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
-    if stays && observed.planned.iter().any(calm) {
+    if observed.is_calm(asked) {
         let took = asked.answered.saturating_sub(asked.sent);
         if asked.status == 0 && !meets_end(observed, asked, count) {
             let (host, body) = (asked.host.clone(), asked.body.clone());
--- a/crates/indigospur-soak/src/lib.rs
+++ b/crates/indigospur-soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod hosts;
 mod inject;
+mod look;
 mod observed;
 mod options;
 mod report;
--- a/crates/indigospur-soak/src/observed.rs
+++ b/crates/indigospur-soak/src/observed.rs
@@ -117,6 +117,14 @@
 }
 
 impl Observed {
+    /// Whether the caller of a request waited for the answer, and only planned work was done
+    /// meanwhile.
+    pub(crate) fn is_calm(&self, asked: &Asked) -> bool {
+        let within =
+            |(from, to): &(Duration, Duration)| *from <= asked.sent && asked.answered <= *to;
+        asked.connection.stays() && self.planned.iter().any(within)
+    }
+
     /// Runs of each request.
     pub fn runs(&self) -> HashMap<u64, usize> {
         let mut runs = HashMap::new();
--- a/crates/indigospur-soak/src/report.rs
+++ b/crates/indigospur-soak/src/report.rs
@@ -18,6 +18,8 @@
     pub events: Vec<String>,
     /// Requests, and those that were served.
     pub asked: (usize, usize),
+    /// Requests on kept connections, and those judged as planned work must leave them.
+    pub judged: (usize, usize),
     /// Rounds played.
     pub rounds: usize,
     /// The last outcomes, by what they were, with their number.
@@ -37,6 +39,11 @@
             "{} rounds, {asked} requests, {served} served",
             self.rounds
         )?;
+        let (kept, calm) = self.judged;
+        writeln!(
+            f,
+            "{kept} on kept connections, {calm} while only planned work was done"
+        )?;
         for (what, count) in &self.last {
             writeln!(f, "of the last {LAST}: {count} {what}")?;
         }
