Answer requests that are on their way as the listener stops

Cause: once the listener stops, each connection without a request is closed at once. A request whose bytes were under way, or in and not noticed yet, was closed on.

Change: for 200 ms after it has stopped listening the service waits for requests that are on their way, and counts these connections as open, so that the process waits for them too.

--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -20,6 +20,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the rest of a refused request is read.
 const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Time in which requests that are on their way come in once the service has stopped listening.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 /// Connections beyond the bound that are answered before they are closed.
 const MOST_TURNED_AWAY: usize = 64;
 /// Time for which a connection beyond the bound is kept, and after which its caller may come back.
@@ -141,30 +143,57 @@
     Rest,
 }
 
-/// Waits for a request; false if the connection ends, was idle for too long, or the service stops
-/// before one has begun.
-async fn begins(connection: &mut Connection, service: &HttpService) -> bool {
+/// Whether a request has begun on a connection.
+enum Begun {
+    /// No: the connection ended, was idle for too long, or the service has stopped listening.
+    No,
+    Yes,
+    /// It came in while the service stopped; it counts as open already.
+    Late(OpenRequest),
+}
+
+impl From<bool> for Begun {
+    fn from(begun: bool) -> Begun {
+        if begun { Begun::Yes } else { Begun::No }
+    }
+}
+
+/// Waits for a request.
+async fn begins(connection: &mut Connection, service: &HttpService) -> Begun {
     let idle = Instant::now();
     loop {
         let left = service.bounds().idle.saturating_sub(idle.elapsed());
+        let begun = async { Some(connection.begins().await) };
         let stopped = async {
             service.stopped().await;
-            false
+            None
         };
-        let begun = futures_lite::future::or(connection.begins(), stopped);
-        match runtime::within(left, begun).await {
-            Some(begun) => return begun,
+        match runtime::within(left, futures_lite::future::or(begun, stopped)).await {
+            Some(Some(begun)) => return begun.into(),
+            Some(None) => return arrives(connection, service).await,
             // The bound may have grown meanwhile.
             None if idle.elapsed() < service.bounds().idle => {}
-            None => return false,
+            None => return Begun::No,
         }
     }
 }
 
-async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<Next> {
-    if !begins(connection, service).await {
-        return Ok(Next::Close);
+/// Waits for a request that was sent before its caller could know that the service has stopped
+/// listening. To close on it would reset it.
+async fn arrives(connection: &mut Connection, service: &HttpService) -> Begun {
+    let open = OpenRequest::new(service);
+    match runtime::within(ARRIVAL_TIME, connection.begins()).await {
+        Some(true) => Begun::Late(open),
+        _ => Begun::No,
     }
+}
+
+async fn serve_request(connection: &mut Connection, service: &HttpService) -> io::Result<Next> {
+    let late = match begins(connection, service).await {
+        Begun::No => return Ok(Next::Close),
+        Begun::Yes => None,
+        Begun::Late(open) => Some(open),
+    };
     let Request { received, closes } = match read_request(connection, service.bounds()).await {
         Ok(request) => request,
         Err(Unread::Gone) => return Ok(Next::Close),
@@ -174,7 +203,7 @@
             return Ok(Next::Rest);
         }
     };
-    let _open = OpenRequest::new(service);
+    let _open = late.unwrap_or_else(|| OpenRequest::new(service));
     let method = received.method.clone();
     let Some(answer) = answer_or_closed(connection, handle(service, received)).await else {
         return Ok(Next::Close);
--- a/crates/indigospur-relay/src/service.rs
+++ b/crates/indigospur-relay/src/service.rs
@@ -71,7 +71,8 @@
     refuse: Refuse,
     bounds: Arc<Mutex<Bounds>>,
     closing: Arc<AtomicBool>,
-    /// Requests that were read and are not answered yet.
+    /// Requests that were read and are not answered yet, and connections on which one may be on its way
+    /// while the service stops.
     open: Arc<AtomicUsize>,
     /// Closed when no more connections are accepted.
     listening: (Sender<()>, Receiver<()>),
@@ -119,7 +120,8 @@
         self.listening.0.close();
     }
 
-    /// Requests that were read and whose answers are not written yet.
+    /// Requests that were read and whose answers are not written yet; while the service stops, also
+    /// connections on which one may be on its way.
     pub fn open_requests(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
--- a/crates/indigospur-relay/tests/edges.rs
+++ b/crates/indigospur-relay/tests/edges.rs
@@ -158,6 +158,25 @@
     assert_eq!(read_all(&mut silent), "");
 }
 
+#[test]
+fn a_request_on_its_way_as_the_service_stops_is_answered() {
+    let (service, address) = serve(Bounds::default());
+    let mut kept = connect(&address);
+    kept.write_all(REQUEST).expect("it is read");
+    read_through(&mut kept, "whole");
+    let mut fresh = connect(&address);
+    service.stop_listening();
+    while TcpStream::connect(&address).is_ok() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    for caller in [&mut kept, &mut fresh] {
+        caller.write_all(LAST_REQUEST).expect("it is open");
+    }
+    for caller in [&mut kept, &mut fresh] {
+        assert!(read_all(caller).ends_with("whole"));
+    }
+}
+
 #[test]
 fn a_longer_idle_time_holds_for_connections_that_are_idle_already() {
     let bounds = |idle| Bounds {
