Let one in ten of the soak's requests take long, so that stops meet calls that run

Calls took 25 ms at each backend server and were over before a daemon that stops had told all others; a daemon that did not wait for them was hardly ever seen.

--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -17,6 +17,10 @@
 /// Share of the requests that must run at most once.
 const KEYED_SHARE: f64 = 0.3;
 
+/// Share of the requests that take long, so that stops meet calls that run.
+const LONG_SHARE: f64 = 0.1;
+/// Time that these take at the first backend server, in milliseconds.
+const LONG_MILLIS: u64 = 900;
 /// Times that a request with a key is asked until someone tells whether it ran.
 const MOST_TIMES: usize = 4;
 
@@ -102,6 +106,8 @@
 /// What a caller asks for.
 struct Request {
     number: u64,
+    /// Query of its path.
+    query: String,
     /// Empty for a request that may run more than once.
     key: String,
 }
@@ -140,7 +146,12 @@
         } else {
             String::new()
         };
-        Request { number, key }
+        let query = if self.rng.random_bool(LONG_SHARE) {
+            format!("n={number}&work={LONG_MILLIS}")
+        } else {
+            format!("n={number}")
+        };
+        Request { number, query, key }
     }
 
     /// Asks some host; with the same key again if nobody told whether the request ran.
@@ -149,12 +160,12 @@
             let hosts = lock(&shared.hosts);
             hosts[self.rng.random_range(0..hosts.len())].clone()
         };
-        let Request { number, key } = request;
+        let Request { number, query, key } = request;
         let keyed = !key.is_empty();
         let (service, path) = if keyed {
-            ("contracts", format!("/sign?n={number}"))
+            ("contracts", format!("/sign?{query}"))
         } else {
-            ("quoting", format!("/quote?n={number}"))
+            ("quoting", format!("/quote?{query}"))
         };
         let call = Call {
             service,
@@ -169,6 +180,7 @@
             number: *number,
             keyed,
             again,
+            query: query.clone(),
             host: host.name,
             connection,
             sent,
--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -73,7 +73,7 @@
     if asked.ran == "no" && count > 0 && !asked.again {
         breaches.push(Breach::NotRunFalse(number, asked.kind.clone()));
     }
-    if asked.status == 200 && asked.body != expected_body(number, asked.keyed) {
+    if asked.status == 200 && asked.body != expected_body(asked) {
         breaches.push(Breach::Foreign(number, asked.body.clone()));
     }
     if asked.connection == Use::Part && count > 0 && !asked.again {
@@ -113,11 +113,12 @@
 }
 
 /// What the backend servers of the site answer to a request.
-pub(crate) fn expected_body(number: u64, keyed: bool) -> String {
-    if keyed {
-        format!("contracts/sign?n={number}()")
+fn expected_body(asked: &Asked) -> String {
+    let query = &asked.query;
+    if asked.keyed {
+        format!("contracts/sign?{query}()")
     } else {
-        format!("quoting/quote?n={number}(accounts/rates())")
+        format!("quoting/quote?{query}(accounts/rates())")
     }
 }
 
--- a/crates/indigospur-soak/src/look.rs
+++ b/crates/indigospur-soak/src/look.rs
@@ -63,7 +63,8 @@
 /// The number of the request that was run; `None` for the calls of other backend servers.
 fn read_number(run: &serde_json::Value) -> Option<u64> {
     let call = run["call"].as_str()?;
-    call.split("?n=").nth(1)?.parse().ok()
+    let rest = call.split("?n=").nth(1)?;
+    rest.split('&').next()?.parse().ok()
 }
 
 /// Looks at the version that a daemon has, until the soak ends.
--- a/crates/indigospur-soak/src/observed.rs
+++ b/crates/indigospur-soak/src/observed.rs
@@ -33,6 +33,8 @@
     pub keyed: bool,
     /// It was asked before with the same key, and nobody had told whether it ran.
     pub again: bool,
+    /// Query of its path.
+    pub query: String,
     /// Host whose daemon was asked.
     pub host: String,
     /// How it was sent.
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -18,6 +18,7 @@
     Asked {
         number,
         keyed,
+        query: format!("n={number}"),
         host: "quoting-0".into(),
         sent: 100 * MILLI,
         answered: 130 * MILLI,
