--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -18,9 +18,9 @@
 const KEYED_SHARE: f64 = 0.3;
 
 /// Share of the requests that take long, so that stops meet calls that run.
-const LONG_SHARE: f64 = 0.1;
+const LONG_SHARE: f64 = 0.06;
 /// Time that these take at the first backend server, in milliseconds.
-const LONG_MILLIS: u64 = 900;
+const LONG_MILLIS: u64 = 1_500;
 /// Times that a request with a key is asked until someone tells whether it ran.
 const MOST_TIMES: usize = 4;
 
