Renew a rule set at once that the log has forgotten

Cause: a rule set that is published builds on the newest one in the log. With that one forgotten it built on nothing, and a daemon takes no rule set that does not build on the one it has, unless it is higher. The first ready host renewed the rule set by its age only, a third of the time that the log should keep it.

Change: a rule set whose place the log no longer holds is due for renewal too, at the next read.

Left: a publish that comes between the log's loss and the renewal, within one read, still builds on nothing.

--- a/crates/indigospur-publish/src/follower.rs
+++ b/crates/indigospur-publish/src/follower.rs
@@ -78,6 +78,8 @@
     seeds: VecDeque<(Instant, Arc<str>)>,
     /// Offset from which to read on.
     next: u64,
+    /// Oldest offset that the log kept at the last read.
+    first: u64,
     /// The log forgot a part unread, and nobody who has a rule set has told what that part held.
     gap: bool,
     skipped: u64,
@@ -139,6 +141,7 @@
     /// Takes in records read from the log, the `first` retained offset among them.
     pub fn read(&mut self, first: u64, records: &[Fetched]) -> Vec<News> {
         let truncated = first > self.next;
+        self.first = first;
         self.gap |= truncated;
         let source = Source::Log { truncated };
         let news = records
@@ -172,12 +175,14 @@
         records
     }
 
-    /// The record of the live rule set that must be renewed before its retention ends.
+    /// The record of the live rule set that must be renewed before its retention ends, or because the
+    /// log has forgotten it before.
     ///
     /// A renewal builds on the record it repeats, so it can't bring back an old rule set.
     pub fn renewal(&self, now: Instant, id: Arc<str>, due: Duration) -> Option<Record> {
         let kept = self.rules_record.as_ref()?;
-        if now.saturating_duration_since(kept.appended) < due {
+        let forgotten = kept.offset < self.first;
+        if !forgotten && now.saturating_duration_since(kept.appended) < due {
             return None;
         }
         let record = Record::decode(&kept.body).ok()?;
--- a/crates/indigospur-publish/tests/publish.rs
+++ b/crates/indigospur-publish/tests/publish.rs
@@ -206,6 +206,27 @@
     }
 }
 
+#[test]
+fn a_rule_set_that_the_log_forgot_is_renewed_at_once_and_what_is_published_then_counts() {
+    let mut log = Log::new();
+    let mut live = Follower::default();
+    log.append(attempt(Chain::default(), 1).bytes());
+    log.read(&mut live);
+    assert!(live.renewal(log.now, "early".into(), DUE).is_none());
+    // The log keeps records for a shorter time than its contract says.
+    log.records.clear();
+    log.first = 1;
+    log.read(&mut live);
+    let renewal = live.renewal(log.now, "renewal".into(), DUE);
+    log.append(renewal.expect("it is due").encode());
+    log.read(&mut live);
+    assert!(live.renewal(log.now, "again".into(), DUE).is_none());
+    log.append(attempt(follower(&log).rules_chain(), 2).bytes());
+    log.read(&mut live);
+    assert_eq!(version(&live), Some(2));
+    assert_eq!(version(&follower(&log)), Some(2));
+}
+
 #[test]
 fn a_daemon_that_missed_records_misses_none_once_it_reads_a_rule_set() {
     let mut log = Log::new();
--- a/crates/indigospur-soak/tests/regressions.rs
+++ b/crates/indigospur-soak/tests/regressions.rs
@@ -119,3 +119,14 @@
         (KillDaemon, 4, 2_500, 1_700),
     ]]);
 }
+
+/// Seed 9009: the log forgot the rule set; one published after that built on nothing, and the daemons
+/// that had the forgotten one never took it.
+#[test]
+#[ignore = "takes some rounds; see CONTRIBUTING.md"]
+fn a_rule_set_published_after_the_log_forgot_is_in_force_everywhere() {
+    replay(&[
+        &[(Fault::Log(LogTrouble::Forgets), 5, 0, 1_000)],
+        &[(Publish, 6, 500, 300), (STOP, 1, 1_000, 700)],
+    ]);
+}
