Know a message as unsent when its link had ended before

What callers saw: 502, "gives no sign of life" or "broke", for an unsafe request that met a link which had just ended, as when the other daemon is started anew; nothing had been sent, and it could have gone to another upstream, or been refused as not run.

Cause: a link that ended between its choice and the message's turn counted like one that broke under a message. The library tells them apart: a request that it never took up is "canceled" and given back (checked in its sources: also one that waits for its stream to open, whose body was not sent).

--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -27,7 +27,7 @@
 /// Why a message got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkError {
-    /// No connection could be opened: nothing was sent.
+    /// No connection could be opened, or it ended before the message: nothing was sent.
     Connect,
     /// The connection broke or went silent; nothing was ever heard on it.
     Mute,
@@ -48,8 +48,9 @@
     type Error = hyper::Error;
     type Future = BoxFuture<Result<Self::Response, Self::Error>>;
 
-    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), hyper::Error>> {
-        self.sender.poll_ready(context)
+    /// Always ready: of a connection that has ended, the call tells that nothing was sent.
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), hyper::Error>> {
+        Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
@@ -116,6 +117,7 @@
                 Ok(reply.into_inner())
             }
             Err(status) if is_protocol(&status) => Err(LinkError::Protocol),
+            Err(status) if is_unsent(&status) => Err(LinkError::Connect),
             Err(_) if self.answered.load(Ordering::Relaxed) => Err(LinkError::Lost),
             Err(_) => Err(LinkError::Mute),
         }
@@ -127,6 +129,14 @@
     matches!(status.code(), InvalidArgument | Unimplemented)
 }
 
+/// Whether the connection had ended before the message was handed to it.
+fn is_unsent(status: &tonic::Status) -> bool {
+    let first = std::error::Error::source(status);
+    std::iter::successors(first, |error| error.source())
+        .filter_map(|error| error.downcast_ref::<hyper::Error>())
+        .any(hyper::Error::is_canceled)
+}
+
 /// A connection and its last use.
 #[derive(Debug)]
 struct Kept {
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -65,6 +65,8 @@
 /// A wire that can hold back what is sent to the far end, and lets it through at once later.
 struct Dam {
     address: String,
+    /// The near end of its connection, once there is one.
+    near: Arc<Mutex<Option<TcpStream>>>,
     state: Arc<(Mutex<bool>, Condvar)>,
     /// Bytes that came in from the near end.
     received: Arc<AtomicUsize>,
@@ -75,12 +77,15 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let dam = Dam {
             address: listener.local_addr().expect("it listens").to_string(),
+            near: Arc::default(),
             state: Arc::default(),
             received: Arc::default(),
         };
         let (state, received) = (dam.state.clone(), dam.received.clone());
+        let open = dam.near.clone();
         std::thread::spawn(move || {
             let (near, _) = listener.accept().expect("a connection");
+            *open.lock().unwrap_or_else(PoisonError::into_inner) = near.try_clone().ok();
             let far = TcpStream::connect(target).expect("the far end listens");
             let (mut back, mut to_near) = (far.try_clone().expect("it is open"), near.try_clone());
             std::thread::spawn(move || {
@@ -97,6 +102,13 @@
         changed.notify_all();
     }
 
+    /// Ends the connection at its near end.
+    fn end(&self) {
+        let near = self.near.lock().unwrap_or_else(PoisonError::into_inner);
+        let near = near.as_ref().expect("there is a connection");
+        near.shutdown(Shutdown::Both).expect("it is open");
+    }
+
     fn received(&self) -> usize {
         self.received.load(Ordering::Relaxed)
     }
@@ -203,3 +215,26 @@
         assert!(after.await.is_ok(), "the link takes another");
     });
 }
+
+#[test]
+fn a_call_on_a_link_that_has_ended_is_known_to_be_unsent() {
+    runtime::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("it listens").to_string();
+        let (open_gate, gate) = bounded(1);
+        let peer = Arc::new(Gated {
+            gate,
+            begun: AtomicUsize::new(0),
+        });
+        runtime::spawn(serve_peers(listener, peer.clone()));
+        let dam = Dam::start(address);
+        let link = Links::default().get(&dam.address.as_str().into()).await;
+        let link = link.expect("the daemon listens");
+        let runs = runtime::spawn(relay(link.clone()));
+        until(|| peer.begun.load(Ordering::Relaxed) == 1).await;
+        dam.end();
+        assert_eq!(runs.await, Err(LinkError::Mute), "it may have run");
+        assert_eq!(relay(link).await, Err(LinkError::Connect), "it has not");
+        drop(open_gate);
+    });
+}
