Wait for all callers in the test of planned stops

Seen once in a whole run beside other work: 503 "this daemon is stopping" for one of 24 requests. The test waits for 24 runs before it stops a daemon, but the calls that quotes make are runs too, so that up to 16 requests might not have arrived. It refused what came after its signal, truly.

The test now waits for 24 runs of the callers' own requests, which is stricter.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -1,6 +1,8 @@
 //! Hosts that leave, and planned stops with requests of all kinds in flight.
 
-use indigospur_test_support::{Call, ServicePlan, Site, SitePlan, get, post, request, wait_until};
+use indigospur_test_support::{
+    Call, Node, ServicePlan, Site, SitePlan, get, post, request, wait_until,
+};
 use std::thread;
 
 const RULES: &str = "[[rule]]\nname = \"signatures\"\nwhen = { service = \"contracts\", method = \"POST\" }\n\
@@ -56,13 +58,14 @@
                     request(entry, if number % 3 == 0 { &sign } else { &quote })
                 }));
             }
-            let journals = || {
-                site.nodes
-                    .iter()
-                    .map(|node| node.journal().len())
-                    .sum::<usize>()
+            // The calls that quotes make are runs too.
+            let begun = || {
+                let runs = site.nodes.iter().flat_map(Node::journal);
+                let calls = ["GET /quote?work=300", "POST /sign?work=300"];
+                runs.filter(|run| calls.iter().any(|call| run["call"] == **call))
+                    .count()
             };
-            wait_until("all run", || journals() >= 24);
+            wait_until("all run", || begun() >= 24);
             site.nodes
                 .iter()
                 .find(|node| node.name == stopped)
