--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -4,8 +4,10 @@
 use indigospur_protocol::Header;
 use std::sync::Arc;
 
-/// Most header lines of a message.
-const MOST_HEADERS: usize = 100;
+/// Header lines of a message that need no memory of their own while it is parsed.
+const USUAL_LINES: usize = 100;
+/// Least status of an answer.
+const LEAST_STATUS: u16 = 100;
 /// Headers that concern one connection only, and those that frame a body.
 const OF_ONE_CONNECTION: [&str; 9] = [
     "connection",
@@ -50,6 +52,10 @@
     Close,
 }
 
+/// A header that may stand once stands several times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Several;
+
 /// The header lines of a message.
 #[derive(Clone, Debug)]
 pub(crate) struct Fields(Vec<Header>);
@@ -69,6 +75,15 @@
         named.filter_map(|header| std::str::from_utf8(&header.value).ok())
     }
 
+    /// The value of a header that may stand once.
+    pub(crate) fn only(&self, name: &str) -> Result<Option<&[u8]>, Several> {
+        let mut named = self.0.iter().filter(|header| &*header.name == name);
+        match (named.next(), named.next()) {
+            (_, Some(_)) => Err(Several),
+            (first, None) => Ok(first.map(|header| &*header.value)),
+        }
+    }
+
     /// Whether a comma-separated header holds a word.
     pub(crate) fn lists(&self, name: &str, word: &str) -> bool {
         self.values(name)
@@ -118,7 +133,8 @@
         }
     }
 
-    /// The headers that are passed on.
+    /// The headers that are passed on. The host is meant for the last receiver, whatever a sender
+    /// says of it.
     pub(crate) fn pass_on(self) -> Vec<Header> {
         let named: Vec<String> = self
             .values("connection")
@@ -127,12 +143,27 @@
             .collect();
         let kept = |header: &Header| {
             let name = &*header.name;
-            !OF_ONE_CONNECTION.contains(&name) && !named.iter().any(|other| other == name)
+            let listed = name != "host" && named.iter().any(|other| other == name);
+            !OF_ONE_CONNECTION.contains(&name) && !listed
         };
         self.0.into_iter().filter(kept).collect()
     }
 }
 
+/// Room for all header lines in `bytes`: a head is bounded by its length alone.
+fn room<'a, 'b>(
+    bytes: &[u8],
+    usual: &'a mut [httparse::Header<'b>],
+    many: &'a mut Vec<httparse::Header<'b>>,
+) -> &'a mut [httparse::Header<'b>] {
+    let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+    if lines <= usual.len() {
+        return usual;
+    }
+    many.resize(lines, httparse::EMPTY_HEADER);
+    many
+}
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestHead {
@@ -151,8 +182,8 @@
 impl RequestHead {
     /// The head at the start of `bytes` and its length; `None` while it is not whole.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HeadError> {
-        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut parsed = httparse::Request::new(&mut lines);
+        let (mut usual, mut many) = ([httparse::EMPTY_HEADER; USUAL_LINES], Vec::new());
+        let mut parsed = httparse::Request::new(room(bytes, &mut usual, &mut many));
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
@@ -188,15 +219,17 @@
 impl AnswerHead {
     /// The head at the start of `bytes` and its length; `None` while it is not whole.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, HeadError> {
-        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut parsed = httparse::Response::new(&mut lines);
+        let (mut usual, mut many) = ([httparse::EMPTY_HEADER; USUAL_LINES], Vec::new());
+        let mut parsed = httparse::Response::new(room(bytes, &mut usual, &mut many));
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
+        let status = parsed.code.filter(|status| *status >= LEAST_STATUS);
+        let status = status.ok_or(HeadError::Malformed)?;
         let fields = Fields::new(parsed.headers);
         let closes = parsed.version != Some(1) || fields.lists("connection", "close");
         let head = AnswerHead {
-            status: parsed.code.unwrap_or_default(),
+            status,
             fields,
             closes,
         };
--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use crate::alarm::AlarmTimer;
 use crate::link::LARGEST_MESSAGE;
+use crate::listener::ACCEPT_PAUSE;
 use crate::runtime::{self, Executor};
 use async_std::net::{TcpListener, TcpStream};
 use hyper::server::conn::http2;
@@ -18,8 +19,6 @@
 /// connection with more, and with it every call that runs there: callers that leave while this
 /// daemon is busy must not do that.
 const MOST_TAKEN_BACK: usize = 65_536;
-/// Pause after a connection could not be accepted, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Serves connections of other daemons. What is not the protocol is cut off.
 pub async fn serve_peers<P: Peer>(listener: TcpListener, peer: Arc<P>) {
