Use a link once the other daemon has replied on it

What callers saw: 502 after a second for the calls at a host that was suspended, and then for another wave of them: the connection that replaced the silent one was taken by the host's system, calls were sent on it and hung for another second, unsafe ones among them ("may have run").

Cause: a link counted as open once the connection was; HTTP/2 waits for nothing from the other side. Each call that needed a link opened one of its own, too.

A new link asks for an empty reply first, for at most 500 ms. Calls that need a link to the same address share one attempt.

Two tests, seen to fail first (a link to a listener that never reads).

Left: calls that run as the host is suspended are still given up on after a second.

--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -1,17 +1,17 @@
-//! Long-lived HTTP/2 connections to other daemons.
+//! A long-lived HTTP/2 connection to another daemon.
 
 use crate::alarm::AlarmTimer;
 use crate::http::{CONNECT_TIMEOUT, connect};
 use crate::runtime::{self, BoxFuture, Executor};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
+use indigospur_protocol::wire::peer::FetchRequest;
 use indigospur_protocol::wire::peer::peer_client::PeerClient;
 use smol_hyper::rt::FuturesIo;
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tonic::body::Body;
 use tonic::codegen::Service;
 
@@ -19,8 +19,10 @@
 const PING_AFTER: Duration = Duration::from_millis(500);
 /// Time in which the sign of life must arrive; else the connection is closed.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
-/// Connections kept. Gossip goes to any daemon, so that without a bound each would keep one to all.
-const MOST_LINKS: usize = 64;
+/// Time in which a new connection must show that the other daemon is awake.
+const SIGN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Stands behind all that a daemon could be asked for: the reply is empty.
+const NOTHING: u64 = u64::MAX;
 /// Largest message, in bytes.
 pub(crate) const LARGEST_MESSAGE: usize = 8 * 1024 * 1024;
 
@@ -67,7 +69,7 @@
 }
 
 impl Link {
-    async fn open(address: &str) -> Result<Link, LinkError> {
+    pub(crate) async fn open(address: &str) -> Result<Link, LinkError> {
         let stream = connect(address).await.map_err(|_| LinkError::Connect)?;
         let handshake = http2::Builder::new(Executor)
             .timer(AlarmTimer)
@@ -91,11 +93,31 @@
         )
         .max_decoding_message_size(LARGEST_MESSAGE)
         .max_encoding_message_size(LARGEST_MESSAGE);
-        Ok(Link {
+        let link = Link {
             client,
             sender,
             answered: Arc::default(),
-        })
+        };
+        link.await_sign_of_life().await?;
+        Ok(link)
+    }
+
+    /// Waits for a reply of the other daemon: the system of a host that is suspended takes
+    /// connections too, and what is sent on one may run later.
+    async fn await_sign_of_life(&self) -> Result<(), LinkError> {
+        let mut client = self.client();
+        let asked = client.fetch(FetchRequest { from: NOTHING });
+        match runtime::within(SIGN_TIMEOUT, asked).await {
+            Some(Err(status)) if std::error::Error::source(&status).is_some() => {
+                Err(LinkError::Connect)
+            }
+            Some(_) => Ok(()),
+            None => Err(LinkError::Connect),
+        }
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        self.sender.is_closed()
     }
 
     /// The generated client.
@@ -136,66 +158,3 @@
         .filter_map(|error| error.downcast_ref::<hyper::Error>())
         .any(hyper::Error::is_canceled)
 }
-
-/// A connection and its last use.
-#[derive(Debug)]
-struct Kept {
-    link: Link,
-    used: Instant,
-}
-
-/// The connections to other daemons, one for each address, the latest used.
-#[derive(Debug, Default)]
-pub struct Links {
-    /// At most `MOST_LINKS`; calls under way keep a connection open that was dropped here.
-    links: Mutex<HashMap<Arc<str>, Kept>>,
-}
-
-impl Links {
-    /// The connection to an address; opens one if there is none that works.
-    ///
-    /// # Errors
-    /// No connection could be opened.
-    pub async fn get(&self, address: &Arc<str>) -> Result<Link, LinkError> {
-        if let Some(link) = self.working(address) {
-            return Ok(link);
-        }
-        let link = Link::open(address).await?;
-        let mut links = self.lock();
-        drop_least_used(&mut links);
-        links.insert(
-            address.clone(),
-            Kept {
-                link: link.clone(),
-                used: Instant::now(),
-            },
-        );
-        Ok(link)
-    }
-
-    fn working(&self, address: &str) -> Option<Link> {
-        let mut links = self.lock();
-        let kept = links
-            .get_mut(address)
-            .filter(|kept| !kept.link.sender.is_closed())?;
-        kept.used = Instant::now();
-        Some(kept.link.clone())
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Arc<str>, Kept>> {
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Makes room for another connection.
-fn drop_least_used(links: &mut HashMap<Arc<str>, Kept>) {
-    links.retain(|_, kept| !kept.link.sender.is_closed());
-    while links.len() >= MOST_LINKS {
-        let least = links
-            .iter()
-            .min_by_key(|(_, kept)| kept.used)
-            .map(|(address, _)| address.clone());
-        let Some(least) = least else { break };
-        links.remove(&least);
-    }
-}
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -238,3 +238,47 @@
         drop(open_gate);
     });
 }
+
+/// A host whose system takes connections while its daemon is suspended; the connections it took.
+fn suspended() -> (Arc<str>, Arc<Mutex<Vec<TcpStream>>>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("it listens").to_string();
+    let taken: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+    let kept = taken.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            kept.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(stream);
+        }
+    });
+    (address.as_str().into(), taken)
+}
+
+#[test]
+fn no_call_is_sent_to_a_daemon_that_gives_no_sign_of_life_on_a_new_link() {
+    runtime::block_on(async {
+        let (address, _taken) = suspended();
+        let reached = Links::default().get(&address).await;
+        assert_eq!(reached.err(), Some(LinkError::Connect));
+    });
+}
+
+#[test]
+fn calls_that_need_a_link_at_the_same_time_open_one() {
+    runtime::block_on(async {
+        let (address, taken) = suspended();
+        let links = Arc::new(Links::default());
+        let waiting: Vec<_> = (0..50)
+            .map(|_| {
+                let (links, address) = (links.clone(), address.clone());
+                runtime::spawn(async move { links.get(&address).await.err() })
+            })
+            .collect();
+        for call in waiting {
+            assert_eq!(call.await, Some(LinkError::Connect));
+        }
+        let taken = taken.lock().unwrap_or_else(PoisonError::into_inner);
+        assert_eq!(taken.len(), 1, "connections");
+    });
+}
