Begin background work anew after a panic

What would be seen: a daemon that goes on answering, but hears no gossip, takes no configuration or no longer notices that its backend server has fallen silent, for good; a panic ends the task it happens in, and the rest of the process goes on.

No such panic is known.

--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -7,14 +7,27 @@
 
 /// Starts the background work.
 pub(crate) fn start(daemon: &Arc<Daemon>) {
-    runtime::spawn(gossip::run(daemon.clone()));
+    supervise(daemon, "gossip", gossip::run);
     match daemon.source.clone() {
-        Some(source) => runtime::spawn(source_reader::run(daemon.clone(), source)),
-        None => runtime::spawn(log_reader::run(daemon.clone())),
-    };
+        Some(source) => supervise(daemon, "configuration", move |daemon| {
+            source_reader::run(daemon, source.clone())
+        }),
+        None => supervise(daemon, "log", log_reader::run),
+    }
     if daemon.settings.at_most_once {
-        runtime::spawn(epochs::run(daemon.clone()));
+        supervise(daemon, "epochs", epochs::run);
     }
-    runtime::spawn(crate::backend::watch(daemon.clone()));
+    supervise(daemon, "backend server", crate::backend::watch);
     runtime::spawn(crate::backend::end_wait(daemon.clone()));
 }
+
+fn supervise<F>(
+    daemon: &Arc<Daemon>,
+    name: &'static str,
+    work: impl Fn(Arc<Daemon>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let daemon = daemon.clone();
+    runtime::supervise(name, move || work(daemon.clone()));
+}
--- a/crates/indigospur-relay/src/runtime.rs
+++ b/crates/indigospur-relay/src/runtime.rs
@@ -2,12 +2,17 @@
 
 use crate::alarm::Sleep;
 use async_global_executor::GlobalExecutorConfig;
+use futures_lite::FutureExt;
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
 pub use async_std::task::JoinHandle;
 
+/// Pause before background work that panicked begins anew.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
+
 /// Sets the number of executor threads. Must come before anything is spawned.
 pub fn set_threads(threads: usize) {
     let config = GlobalExecutorConfig::default()
@@ -29,6 +34,27 @@
     async_std::task::spawn(future)
 }
 
+/// Runs background work that is needed for as long as the process runs: after a panic it is logged and
+/// begins anew. Ends with the work.
+pub fn supervise<F>(
+    name: &'static str,
+    work: impl Fn() -> F + Send + Sync + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    spawn(async move {
+        loop {
+            let done = AssertUnwindSafe(async { work().await }).catch_unwind();
+            if done.await.is_ok() {
+                return;
+            }
+            log::error!(work = name; "background work panicked and begins anew");
+            sleep(RESTART_PAUSE).await;
+        }
+    })
+}
+
 /// Waits.
 pub async fn sleep(duration: Duration) {
     Sleep::until(Instant::now() + duration).await;
