Tell bytes that are no answer from a connection that broke

What callers saw: an answer 43 ms or more later. Bytes that are not HTTP counted as a broken connection, after which the backend server is asked twice, 40 ms apart and on new connections, whether it has gone; it had not, and the upstream's share of faults did not grow.

They now count as an answer that is not whole, like all other ways in which an answer is wrong.

--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -122,8 +122,8 @@
     loop {
         let head = connection.read_answer_head(LARGEST_HEAD).await;
         let head = head.map_err(|error| match error {
-            HeadError::Ended | HeadError::Malformed => HttpError::Broken,
-            HeadError::TooLarge => HttpError::BadAnswer,
+            HeadError::Ended => HttpError::Broken,
+            HeadError::Malformed | HeadError::TooLarge => HttpError::BadAnswer,
         })?;
         if !head.is_interim() {
             return Ok(head);
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -171,3 +171,14 @@
     assert!(is_whole(raw.call(b"")));
     assert_eq!(raw.connections(), 2);
 }
+
+#[test]
+fn bytes_that_are_no_answer_are_told_from_a_connection_that_broke() {
+    let garbage = Raw::answering("\u{1}\u{2}garbage\r\n\r\n".to_owned());
+    assert_eq!(garbage.call(b""), Err(BackendError::BadAnswer));
+    let broken = Raw::start(|stream| {
+        read_head(stream);
+        let _ = stream.write_all(&WHOLE.as_bytes()[..12]);
+    });
+    assert_eq!(broken.call(b""), Err(BackendError::Broken));
+}
