--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -244,10 +244,7 @@
             refused(Kind::BadAnswer, detail)
         }
         Ended::Failed(BackendError::Broken) => Outcome::Refused(broken(daemon, backend).await),
-        Ended::Late => {
-            let detail = "the deadline passed while the call ran";
-            refused(Kind::DeadlineRunning, detail)
-        }
+        Ended::Late => refused(Kind::DeadlineRunning, "the deadline passed while it ran"),
         Ended::Preempted(refused) => {
             daemon.metrics.preempted();
             Outcome::Refused(Refusal {
