Let all calls that are sent on a link be looked at

What callers would see: 504, "may have run", for calls beyond 200 at a time between two daemons, though they never left their own daemon, and no admission had seen them.

Cause: the HTTP/2 library allows 200 calls at a time on a connection, and has the sender hold the others back until one ends.

65,536 are allowed, so that the receiver's admission decides on each.

--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -14,6 +14,9 @@
 
 /// Time after which an idle connection is asked for a sign of life.
 const PING_AFTER: Duration = Duration::from_secs(20);
+/// Calls on one connection at a time. The library would have the sender hold further ones back, where
+/// no admission sees them and nobody knows that they were not run.
+const MOST_CALLS: u32 = 65_536;
 /// Calls on one connection that may be taken back before they are looked at. The library ends a
 /// connection with more, and with it every call that runs there: callers that leave while this
 /// daemon is busy must not do that.
@@ -48,6 +51,7 @@
     let served = http2::Builder::new(Executor)
         .timer(AlarmTimer)
         .keep_alive_interval(PING_AFTER)
+        .max_concurrent_streams(MOST_CALLS)
         .max_pending_accept_reset_streams(MOST_TAKEN_BACK)
         .serve_connection(FuturesIo::new(stream), service)
         .await;
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -13,6 +13,10 @@
 
 /// Calls whose callers leave while the other side is busy.
 const CALLS: usize = 60;
+/// Calls that run at a time.
+const MANY_CALLS: usize = 1_000;
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// Bytes of a frame that takes a call back.
 const RESET_FRAME: usize = 13;
 
@@ -238,3 +242,29 @@
         drop(open_gate);
     });
 }
+
+#[test]
+fn as_many_calls_as_a_daemon_is_sent_at_a_time_are_looked_at() {
+    runtime::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("it listens").to_string();
+        let (open_gate, gate) = bounded(1);
+        let peer = Arc::new(Gated {
+            gate,
+            begun: AtomicUsize::new(0),
+        });
+        runtime::spawn(serve_peers(listener, peer.clone()));
+        let link = Links::default().get(&address.as_str().into()).await;
+        let link = link.expect("the daemon listens");
+        let calls: Vec<_> = (0..MANY_CALLS)
+            .map(|_| runtime::spawn(relay(link.clone())))
+            .collect();
+        let all = until(|| peer.begun.load(Ordering::Relaxed) == MANY_CALLS);
+        let seen = runtime::within(PATIENCE, all).await;
+        assert!(seen.is_some(), "{:?} of {MANY_CALLS}", peer.begun);
+        drop(open_gate);
+        for call in calls {
+            assert!(call.await.is_ok());
+        }
+    });
+}
