Refuse announcements of a service that is not the one of the host

A heartbeat that named another service was taken for a new start: the backend server beside the daemon got no calls until its next heartbeat, and, since starts that were replaced are remembered, for 3 s without the time of its start. A writer that repeats such a heartbeat kept it out.

--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -75,6 +75,11 @@
 
 /// The HTTP conventions of callers and of backend servers.
 pub trait Dialect: Debug + Send + Sync {
+    /// Whether a backend server of this service may announce itself.
+    fn admits(&self, _service: &str) -> bool {
+        true
+    }
+
     /// Reads the head of a caller's request, and takes out of it what is not passed on.
     ///
     /// # Errors
--- a/crates/indigospur-daemon/src/port.rs
+++ b/crates/indigospur-daemon/src/port.rs
@@ -29,6 +29,9 @@
     /// What is wrong with it.
     pub async fn announce(&self, announced: &Announcement) -> Result<(), &'static str> {
         backend::check(announced)?;
+        if !self.daemon.dialect.admits(&announced.service) {
+            return Err("the service is not the one of this host");
+        }
         if backend::announce(&self.daemon, announced) {
             control::tell_now(&self.daemon).await;
         }
