Count no failure of an upstream that is ejected already

Calls that were under way on a link fail together when it is lost. Each of them beyond the third doubled the ejection, so that nine calls at one moment set a host aside for 500 ms x 2^6 = 32 s, long after it was back.

Ruled out: fewer doublings, which would bring a host that stays dead more calls.

A failure while the upstream is ejected no longer counts; one after its return doubles as before. The test was seen to fail first (no call within 1 s after 40 failures).

--- a/crates/indigospur-routing/src/upstream.rs
+++ b/crates/indigospur-routing/src/upstream.rs
@@ -185,7 +185,11 @@
         }
     }
 
+    /// Counts a failure. Calls that were under way when the upstream was ejected tell nothing new.
     fn fail(&mut self, now: Instant) {
+        if self.is_ejected(now) {
+            return;
+        }
         self.failures += 1;
         if self.failures < FAILURES_TO_EJECT {
             return;
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -97,6 +97,19 @@
     assert!(count(&mut router, now + Duration::from_secs(1), 100)["a"] > 20);
 }
 
+#[test]
+fn calls_that_fail_at_one_moment_eject_an_upstream_no_longer_than_three_do() {
+    let now = Instant::now();
+    let mut router = router(&[
+        member("a", "lisboa-a", "lisbon"),
+        member("b", "lisboa-a", "lisbon"),
+    ]);
+    for _ in 0..40 {
+        router.finish(now, "quoting", "a", Attempt::Failed, None);
+    }
+    assert!(count(&mut router, now + Duration::from_secs(1), 100).get("a") > Some(&20));
+}
+
 #[test]
 fn ejection_never_leaves_a_service_without_upstreams() {
     let now = Instant::now();
