Share out by weights of any size

Weights whose sum is beyond 32 bits overflowed: a panic for each call in a debug build, wrong shares in a release build. They are summed as floating-point numbers, as they are compared. The test was seen to fail first (the panic); it passes now.

--- a/crates/indigospur-rules/src/treatment.rs
+++ b/crates/indigospur-rules/src/treatment.rs
@@ -111,8 +111,8 @@
 
     /// The target of one call, by a number drawn evenly from 0 to 1; `None` if there is none.
     pub fn target(&self, drawn: f64) -> Option<&ServiceName> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = drawn * f64::from(total);
+        let weights = self.targets.iter().map(|target| f64::from(target.weight));
+        let mut left = drawn * weights.sum::<f64>();
         for target in self.targets.iter() {
             left -= f64::from(target.weight);
             if left < 0.0 {
--- a/crates/indigospur-rules/tests/draws.rs
+++ b/crates/indigospur-rules/tests/draws.rs
@@ -1,6 +1,6 @@
 //! How calls are shared out among the targets of a rule.
 
-use indigospur_rules::{Decision, Draws, RuleSet, Subject, parse};
+use indigospur_rules::{Decision, Draws, RuleSet, Subject, Target, Treatment, parse};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
@@ -84,3 +84,17 @@
         );
     }
 }
+
+#[test]
+fn weights_of_any_size_share_out() {
+    let target = |service: &str| Target {
+        service: service.into(),
+        weight: u32::MAX,
+    };
+    let treatment = Treatment {
+        targets: ["old", "new"].map(target).into(),
+        ..decide(&split(1, 1)).treatment
+    };
+    assert_eq!(treatment.target(0.4).map(|name| &**name), Some("old"));
+    assert_eq!(treatment.target(0.6).map(|name| &**name), Some("new"));
+}
