Serve though nobody reads the addresses that are printed

A daemon whose standard output had lost its reader by the time that it printed its addresses panicked, and ended with status 101. The failure is logged now.

--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -7,6 +7,7 @@
 use crate::signals::{Request, Signals};
 use bpaf::Bpaf;
 use indigospur_relay::runtime;
+use std::io::Write;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -53,14 +54,19 @@
     runtime::set_threads(1);
     runtime::block_on(async {
         let serving = Starting::new(settings).serve().await?;
-        println!(
-            "{}",
-            serde_json::to_string(serving.addresses()).unwrap_or_default()
-        );
+        print_addresses(&serving);
         Ok(serve_until_stopped(serving, signals, file).await)
     })
 }
 
+/// Prints the addresses for whoever started the daemon; it serves also if nobody reads them.
+fn print_addresses(serving: &Serving) {
+    let addresses = serde_json::to_string(serving.addresses()).unwrap_or_default();
+    if let Err(error) = writeln!(std::io::stdout(), "{addresses}") {
+        log::warn!(error:display; "the addresses could not be printed");
+    }
+}
+
 /// Serves until a signal to stop, and stops; the program's exit status. Settings that change
 /// meanwhile are put in force, at a signal or when it is noticed that the file has changed.
 pub async fn serve_until_stopped<T>(
