Refuse no long head for good before the first configuration

What callers saw: 431 for a head of more than 8 KB at a daemon that had no configuration yet, though the operator's bound may allow it. A caller does not come back after that; after 503 it does.

While no rule set is known, heads of up to 64 KB are read and refused as not run.

--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -285,7 +285,7 @@
         };
         let rules = lock(&self.rules);
         let asked = rules.as_ref().map(|rules| rules.callers);
-        callers.set_bounds(self.settings().caller_bounds(&asked.unwrap_or_default()));
+        callers.set_bounds(self.settings().caller_bounds(asked.as_ref()));
     }
 
     /// Whether calls of callers are still taken: while serving, and for a time after the shutdown
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -11,7 +11,6 @@
 use crate::{admin, caller, control};
 use async_std::net::TcpListener;
 use indigospur_relay::{Bounds, Handler, HttpService, Refuse, runtime, serve_http, serve_peers};
-use indigospur_rules::CallerBounds;
 use serde::Serialize;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -98,7 +97,7 @@
             .unwrap_or_else(|| addresses.peers.as_str().into());
         let daemon = Daemon::new(self.settings, self.dialect, self.source, &told);
         runtime::spawn(serve_peers(peers.0, Arc::new(PeerPort(daemon.clone()))));
-        let bounds = daemon.settings().caller_bounds(&CallerBounds::default());
+        let bounds = daemon.settings().caller_bounds(None);
         let callers = HttpService::new(bounds, caller_handler(&daemon), refuse(&daemon));
         let callers = daemon.callers.get_or_init(|| callers).clone();
         runtime::spawn(serve_http(calls.0, callers));
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -13,6 +13,8 @@
 const LARGEST_BODY: u64 = 4 * 1_024 * 1_024;
 /// Largest head of a caller's request that no rule set bounds, in bytes.
 const LARGEST_HEAD: usize = 8 * 1_024;
+/// The same while no rule set is known, in bytes.
+const LARGEST_UNRULED_HEAD: usize = 64 * 1_024;
 const DAY: Duration = Duration::from_secs(24 * 3_600);
 
 /// Settings of a daemon.
@@ -124,14 +126,21 @@
         }
     }
 
-    /// The bounds on callers: those of the rule set, within the daemon's own.
-    pub(crate) fn caller_bounds(&self, asked: &CallerBounds) -> Bounds {
+    /// The bounds on callers: those of the rule set, within the daemon's own. While none is known
+    /// heads are bounded widely: a caller that is told of a bound does not come back.
+    pub(crate) fn caller_bounds(&self, asked: Option<&CallerBounds>) -> Bounds {
         let own = Bounds {
             head: LARGEST_HEAD,
             body: self.body,
             connections: self.connections,
             ..Bounds::default()
         };
+        let Some(asked) = asked else {
+            return Bounds {
+                head: LARGEST_UNRULED_HEAD,
+                ..own
+            };
+        };
         let head = asked.head.and_then(|head| usize::try_from(head).ok());
         Bounds {
             head: head.unwrap_or(own.head),
