Bound callers by the rule set without rules as by any other

The rule set without rules is put in force like any other; its failure to parse is no longer swallowed.

--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -66,9 +66,12 @@
 
 /// A log that was read and holds no rule set means the rule set without rules.
 fn start_without_rules(daemon: &Daemon) {
-    let mut rules = lock(&daemon.rules);
-    if rules.is_none() {
-        *rules = indigospur_rules::parse("default", "").ok().map(Arc::new);
+    if daemon.rules().is_some() {
+        return;
+    }
+    match indigospur_rules::parse("default", "") {
+        Ok(rules) => daemon.put_in_force(Arc::new(rules)),
+        Err(problems) => log::error!(problems:%; "the rule set without rules can't be read"),
     }
 }
 
