Follow no log to another address where keys run at most once

Found in review: a changed log.address was put in force at once, whatever the log is for. Epochs, fences and the lease of keys are true of one log; with hosts that change over up to 5 s apart, a key could run twice. It waits for the next start now unless keys.at-most-once is false, as it is on the users' platform. The test was seen to fail first (the change counted as applied); it passes now.

--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -107,6 +107,11 @@
             peers: started.peers,
             advertise: started.advertise,
             admin: started.admin,
+            log: if started.at_most_once {
+                started.log
+            } else {
+                self.log
+            },
             key_horizon: started.key_horizon,
             key_lease: started.key_lease,
             at_most_once: started.at_most_once,
--- a/crates/indigospur-daemon/src/settings_file.rs
+++ b/crates/indigospur-daemon/src/settings_file.rs
@@ -13,6 +13,10 @@
 /// Keys that hold from start to stop, by how they begin.
 const FIXED: [&str; 3] = ["host.", "listen.", "keys."];
 
+/// Holds from start to stop as well where keys run at most once: what one log says of epochs, and
+/// for how long that may be relied on, is not true of another.
+const LOG: &str = "log.address";
+
 /// The settings file of a daemon.
 #[derive(Debug)]
 pub struct SettingsFile<T> {
@@ -20,6 +24,8 @@
     read: ReadSettings<T>,
     /// Keys beyond the daemon's own that hold from start to stop, by how they begin.
     fixed: &'static [&'static str],
+    /// The daemon has started with a part in running keys at most once.
+    keyed: bool,
     /// What the file held when it was last read; `None` if it could not be.
     last: Option<String>,
     /// What it held when its settings were last put in force.
@@ -64,6 +70,7 @@
             path: path.to_owned(),
             read,
             fixed,
+            keyed: settings.at_most_once,
             last: Some(text.clone()),
             good: text,
         };
@@ -107,7 +114,7 @@
         }
         let fixed = |key: &String| {
             let mut prefixes = FIXED.iter().chain(self.fixed);
-            prefixes.any(|prefix| key.starts_with(prefix))
+            prefixes.any(|prefix| key.starts_with(prefix)) || (self.keyed && key == LOG)
         };
         let (waiting, applied) = keys.into_iter().partition(fixed);
         Ok(Some(Changed {
--- a/crates/indigospur-daemon/tests/settings_file.rs
+++ b/crates/indigospur-daemon/tests/settings_file.rs
@@ -44,6 +44,23 @@
     assert_eq!(changed.settings.leave, Duration::from_secs(2));
 }
 
+// Epochs and fences of one log say nothing of another: keys might run twice.
+#[test]
+fn a_daemon_that_runs_keys_at_most_once_follows_no_log_to_another_address() {
+    let moved = |text: &str| text.replace("127.0.0.1:4", "127.0.0.1:5");
+    let mut file = File::new("keyed").open();
+    let changed = file.take(moved(TEXT)).expect("it is whole");
+    let changed = changed.expect("it changed");
+    assert_eq!(changed.waiting, ["log.address"]);
+    assert_eq!(changed.applied, Vec::<String>::new());
+
+    let text = format!("{TEXT}[keys]\nat-most-once = false\n");
+    let written = File::new("unkeyed");
+    std::fs::write(&written.0, &text).expect("the folder is writable");
+    let changed = written.open().take(moved(&text)).expect("it is whole");
+    assert_eq!(changed.expect("it changed").applied, ["log.address"]);
+}
+
 #[test]
 fn a_file_that_says_the_same_in_other_words_changes_nothing() {
     let mut file = File::new("same").open();
