Take callers for at most half of the time of a stop

Found in review: limits.leave did not know limits.shutdown, which follows the platform's grace. With a grace time below 3 s the stop would have been cut off by the kill before what ran had ended. With the 6 s of the users' sites nothing changes.

--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -292,7 +292,7 @@
     /// has begun, until the callers have noticed.
     pub(crate) fn takes_callers(&self) -> bool {
         let since = *lock(&self.drained);
-        since.is_none_or(|since| since.elapsed() < self.settings().leave)
+        since.is_none_or(|since| since.elapsed() < self.settings().leave_time())
     }
 
     /// Whether calls can be treated: a rule set is in force, or the log is known to hold none.
@@ -307,7 +307,7 @@
     /// Begins the graceful shutdown: no new work, and everyone is told.
     pub(crate) fn drain(&self) {
         lock(&self.drained).get_or_insert_with(Instant::now);
-        log::info!(leave_ms = self.settings().leave.as_millis() as u64; "stopping");
+        log::info!(leave_ms = self.settings().leave_time().as_millis() as u64; "stopping");
         if let Some(callers) = self.callers.get() {
             callers.close_connections();
         }
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Time for which a stopping daemon still takes calls of callers: what runs then must end within
+    /// the time of the stop too.
+    pub fn leave_time(&self) -> Duration {
+        self.leave.min(self.shutdown / 2)
+    }
+
     /// The admission to a backend server that starts cold.
     pub(crate) fn admission(&self) -> Options {
         Options {
--- a/crates/indigospur-daemon/tests/settings_file.rs
+++ b/crates/indigospur-daemon/tests/settings_file.rs
@@ -61,6 +61,18 @@
     assert_eq!(changed.expect("it changed").applied, ["log.address"]);
 }
 
+#[test]
+fn callers_are_taken_for_at_most_half_of_the_time_of_a_stop() {
+    let settings = |limits: &str| {
+        let text = TEXT.replace("leave = \"1s\"", limits);
+        Settings::parse("settings.toml", &text).expect("it is whole")
+    };
+    let short = settings("leave = \"10s\"\nshutdown = \"4s\"");
+    assert_eq!(short.leave_time(), Duration::from_secs(2));
+    let long = settings("leave = \"1s\"\nshutdown = \"4s\"");
+    assert_eq!(long.leave_time(), Duration::from_secs(1));
+}
+
 #[test]
 fn a_file_that_says_the_same_in_other_words_changes_nothing() {
     let mut file = File::new("same").open();
