Register again where the configuration's source has moved to

Found in review: a daemon registered once, at the address of its start, so that a host added after a move would find none of the others. The test was seen to fail first (not within 20 s); it passes now.

--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -62,7 +62,10 @@
     loop {
         let read = async { Some(reader.read().await) };
         match futures_lite::future::or(read, moved(&daemon)).await {
-            None => reader.start_over(),
+            None => {
+                reader.start_over();
+                runtime::spawn(register(daemon.clone(), reader.source.clone()));
+            }
             Some(Ok(())) => backoff = Backoff::default(),
             Some(Err(error)) => {
                 reader.lost(error);
