--- a/crates/indigospur-daemon/src/signals.rs
+++ b/crates/indigospur-daemon/src/signals.rs
@@ -74,11 +74,11 @@
 fn pass_on(number: i32, stop: &Sender<()>, reload: &Sender<()>) {
     let request = RECEIVED.iter().find(|(known, _)| *known == number);
     let request = request.and_then(|(_, request)| *request);
-    let signal = signal_name(number).unwrap_or("unknown");
-    log::info!(signal, request:debug; "signal received");
     let _ = match request {
         Some(Request::Stop) => stop.try_send(()),
         Some(Request::Reload) => reload.try_send(()),
         None => Ok(()),
     };
+    let signal = signal_name(number).unwrap_or("unknown");
+    log::info!(signal, request:debug; "signal received");
 }
