Log in which history of the store and at which offset configurations were read

The logs said which version came into force and from where, which does not tell an offset that no longer leads to the newest record from a daemon that was cut off. No decision uses it yet.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -13,6 +13,10 @@
 /// Position in a source, as an offset that grows with each publication; defined by the source.
 pub type Position = u64;
 
+/// Number of a source's history. It rises each time the source is restored from an earlier copy;
+/// positions are given out again then. Zero if the source reports none.
+pub type Era = u64;
+
 /// A decoded configuration.
 #[derive(Clone, Debug)]
 pub struct PublishedConfiguration {
@@ -29,6 +33,8 @@
     pub bodies: Vec<Arc<[u8]>>,
     /// Position to continue reading from.
     pub next: Position,
+    /// History that `next` belongs to.
+    pub era: Era,
 }
 
 /// A daemon registered at a source; new daemons ask it for the member list.
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -1,7 +1,7 @@
 //! Follows a configuration source, directly and through configurations that other daemons have read.
 
 use crate::configuration::{
-    ConfigurationBatch, ConfigurationSource, Contact, Position, SourceError,
+    ConfigurationBatch, ConfigurationSource, Contact, Era, Position, SourceError,
 };
 use crate::control::gossip;
 use crate::daemon::{Daemon, lock};
@@ -39,6 +39,8 @@
 struct Progress {
     /// Position to continue from; `None` until the newest configuration has been read.
     position: Option<Position>,
+    /// Era of the last answer.
+    era: Option<Era>,
     /// Whether the last read succeeded.
     available: bool,
     /// Number of changes of the source's address. A position is valid only at the address it was
@@ -99,6 +101,7 @@
         };
         let reader = self.clone();
         with_timeout(wait, call, move |batch| {
+            log_read(&reader, position, &batch);
             reader.apply(started, address_changes, batch)
         })
         .await
@@ -139,6 +142,19 @@
     }
 }
 
+/// Logs a read from position `from` that brought configurations or was answered in another era than
+/// the one before.
+fn log_read(reader: &Reader, from: Option<Position>, batch: &ConfigurationBatch) {
+    let era = batch.era;
+    let before = lock(&reader.progress).era.replace(era);
+    if let Some(before) = before.filter(|before| *before != era) {
+        log::warn!(era, before, from:?, next = batch.next; "the configuration source answers from another history");
+    }
+    if !batch.bodies.is_empty() {
+        log::info!(era, from:?, next = batch.next, count = batch.bodies.len(); "configurations read from the source");
+    }
+}
+
 /// Runs a call that may take `wait` and passes its result to `apply`, even if it is late: a slow
 /// source is followed though all its answers are too late.
 ///
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -27,7 +27,8 @@
 mod slots;
 
 pub use configuration::{
-    ConfigurationBatch, ConfigurationSource, Contact, Position, PublishedConfiguration, SourceError,
+    ConfigurationBatch, ConfigurationSource, Contact, Era, Position, PublishedConfiguration,
+    SourceError,
 };
 pub use dialect::{AnswerMeaning, CallHead, Dialect, OutgoingCall, ParentRef, RequestHead};
 pub use error::StartError;
