Read the newest configuration again when the store was restored from a copy

What callers saw: a route of a confirmed version was refused as unknown, until the next publication or for good.

Cause: the reader kept a bare offset. The store gives offsets out again after it was restored. Once its log had grown past the kept offset, reads from there were answered as if nothing had happened, and what was written below it was never read. All watchers keep the same offset, so gossip brought nothing either. Positions were combined by maximum, so a late answer from before the restore did the same.

Class: state read from the store was kept without the history that it is valid in. A position is now an era and an offset, and one type decides what an answer makes of it (Cursor): an answer in a later era than the position that was read from says nothing about earlier records, and one of an earlier era counts for nothing but the versions that it holds, which only grow.

Ruled out: the versions themselves. They are compared as numbers that the operator chose, and it writes them again.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -3,6 +3,7 @@
 
 use displaydoc::Display;
 use indigospur_protocol::Version;
+use indigospur_publish::Position;
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::BoxFuture;
 use indigospur_rules::RuleSet;
@@ -10,13 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Position in a source, as an offset that grows with each publication; defined by the source.
-pub type Position = u64;
-
-/// Number of a source's history. It rises each time the source is restored from an earlier copy;
-/// positions are given out again then. Zero if the source reports none.
-pub type Era = u64;
-
 /// A decoded configuration.
 #[derive(Clone, Debug)]
 pub struct PublishedConfiguration {
@@ -27,14 +21,12 @@
 }
 
 /// Result of one read of a source.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConfigurationBatch {
     /// Encoded configurations, in the order of publication.
     pub bodies: Vec<Arc<[u8]>>,
-    /// Position to continue reading from.
+    /// Position to continue reading from, in the era in which the source answered.
     pub next: Position,
-    /// History that `next` belongs to.
-    pub era: Era,
 }
 
 /// A daemon registered at a source; new daemons ask it for the member list.
@@ -75,7 +67,8 @@
     fn newest(&self) -> BoxFuture<Result<ConfigurationBatch, SourceError>>;
 
     /// Reads the configurations published from position `from` on. If there is none, waits for one
-    /// for at most `wait`.
+    /// for at most `wait`. A source that was restored since may answer from the same offset of its
+    /// new era.
     ///
     /// # Errors
     /// The source can't be read, or no longer holds `from`.
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -1,12 +1,11 @@
 //! Follows a configuration source, directly and through configurations that other daemons have read.
 
-use crate::configuration::{
-    ConfigurationBatch, ConfigurationSource, Contact, Era, Position, SourceError,
-};
+use crate::configuration::{ConfigurationBatch, ConfigurationSource, Contact, SourceError};
 use crate::control::gossip;
 use crate::daemon::{Daemon, lock};
 use crate::{backend, peers};
 use indigospur_protocol::State;
+use indigospur_publish::{Cursor, Position};
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::{self, BoxFuture};
 use rand::Rng;
@@ -37,17 +36,25 @@
 /// State of reading the source.
 #[derive(Debug, Default)]
 struct Progress {
-    /// Position to continue from; `None` until the newest configuration has been read.
-    position: Option<Position>,
-    /// Era of the last answer.
-    era: Option<Era>,
+    /// Position at the present address of the source.
+    cursor: Cursor,
     /// Whether the last read succeeded.
     available: bool,
-    /// Number of changes of the source's address. A position is valid only at the address it was
+    /// Number of changes of the source's address. The cursor holds only at the address that it was
     /// read from.
     address_changes: u64,
 }
 
+/// A read in progress.
+#[derive(Clone, Copy, Debug)]
+struct StartedRead {
+    started: Instant,
+    /// Position that it reads from; `None` if it reads the newest configuration.
+    from: Option<Position>,
+    /// [`Progress::address_changes`] at its start.
+    address_changes: u64,
+}
+
 /// The reader of a source.
 #[derive(Debug)]
 struct Reader {
@@ -73,10 +80,7 @@
                 runtime::spawn(register(daemon.clone(), reader.source.clone()));
             }
             Some(Ok(())) => backoff = Backoff::default(),
-            Some(Err(error)) => {
-                reader.record_failure(error);
-                backoff.wait(&daemon).await;
-            }
+            Some(Err(_)) => backoff.wait(&daemon).await,
         }
     }
 }
@@ -90,33 +94,35 @@
 impl Reader {
     async fn read(self: &Arc<Self>) -> Result<(), SourceError> {
         let started = Instant::now();
-        let (position, address_changes) = {
+        let (from, address_changes) = {
             let progress = lock(&self.progress);
-            (progress.position, progress.address_changes)
+            (progress.cursor.position(), progress.address_changes)
         };
-        let wait = position.map_or(Duration::ZERO, |_| change_wait(&self.daemon));
-        let call = match position {
+        let wait = from.map_or(Duration::ZERO, |_| change_wait(&self.daemon));
+        let call = match from {
             Some(from) => self.source.changes(from, wait),
             None => self.source.newest(),
         };
+        let read = StartedRead {
+            started,
+            from,
+            address_changes,
+        };
         let reader = self.clone();
-        with_timeout(wait, call, move |batch| {
-            log_read(&reader, position, &batch);
-            reader.apply(started, address_changes, batch)
-        })
-        .await
+        with_timeout(wait, call, move |batch| reader.apply(read, batch))
+            .await
+            .inspect_err(|error| self.record_failure(read, *error))
     }
 
-    /// Applies the result of a read that started at `started`, when the source's address had changed
-    /// `address_changes` times.
-    fn apply(&self, started: Instant, address_changes: u64, batch: ConfigurationBatch) {
+    /// Applies the answer to a read.
+    fn apply(&self, read: StartedRead, batch: ConfigurationBatch) {
         let mut progress = lock(&self.progress);
-        if address_changes == progress.address_changes {
-            progress.position = progress.position.max(Some(batch.next));
-        }
+        let is_restored = read.address_changes == progress.address_changes
+            && progress.cursor.advance(read.from, batch.next);
         let was_available = std::mem::replace(&mut progress.available, true);
         drop(progress);
-        record_success(&self.daemon, started, was_available);
+        log_read(read.from, &batch, is_restored);
+        record_success(&self.daemon, read.started, was_available);
         for body in batch.bodies {
             self.daemon.metrics.count_control_bytes(body.len());
             apply_if_newer(&self.daemon, self.source.as_ref(), &body, "source");
@@ -126,32 +132,30 @@
     /// Starts again from the newest configuration, at the new address of the source.
     fn restart(&self) {
         let mut progress = lock(&self.progress);
-        progress.position = None;
+        progress.cursor = Cursor::default();
         progress.address_changes += 1;
     }
 
-    fn record_failure(&self, error: SourceError) {
+    fn record_failure(&self, read: StartedRead, error: SourceError) {
         let mut progress = lock(&self.progress);
         let was_available = std::mem::replace(&mut progress.available, false);
         // Reading can't continue from this position, but may from the newest configuration.
         if matches!(error, SourceError::PositionExpired | SourceError::Malformed) {
-            progress.position = None;
+            progress.cursor.expire(read.from);
         }
         drop(progress);
         record_failure(&self.daemon, error, was_available);
     }
 }
 
-/// Logs a read from position `from` that brought configurations or was answered in another era than
-/// the one before.
-fn log_read(reader: &Reader, from: Option<Position>, batch: &ConfigurationBatch) {
-    let era = batch.era;
-    let before = lock(&reader.progress).era.replace(era);
-    if let Some(before) = before.filter(|before| *before != era) {
-        log::warn!(era, before, from:?, next = batch.next; "the configuration source answers from another history");
+/// Logs a read that brought configurations or is the first one since the source was restored.
+fn log_read(from: Option<Position>, batch: &ConfigurationBatch, is_restored: bool) {
+    let Position { era, offset } = batch.next;
+    if is_restored {
+        log::warn!(era, from:?, next = offset; "the configuration source was restored from an earlier copy; the newest configuration is read again");
     }
     if !batch.bodies.is_empty() {
-        log::info!(era, from:?, next = batch.next, count = batch.bodies.len(); "configurations read from the source");
+        log::info!(era, from:?, next = offset, count = batch.bodies.len(); "configurations read from the source");
     }
 }
 
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -27,8 +27,7 @@
 mod slots;
 
 pub use configuration::{
-    ConfigurationBatch, ConfigurationSource, Contact, Era, Position, PublishedConfiguration,
-    SourceError,
+    ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
 pub use dialect::{AnswerMeaning, CallHead, Dialect, OutgoingCall, ParentRef, RequestHead};
 pub use error::StartError;
