Register again when the store was restored from a copy

A daemon that starts after a restore finds nobody registered, takes itself for the only one, and is never part of the fleet: no gossip brings it configurations or members, and it answers that no upstream takes calls.

The registration was taken as done once it was confirmed; the store may lose what it has confirmed.

Now the confirmation has the era in which it was given, and any later era that an answer shows makes it void. The daemon then registers and reads the registrations as at its start, spread over a time that grows with the fleet (200 a second), and asks those that it doesn't know; so of a fleet that registers again and a daemon that starts meanwhile one finds the other. It is compared by era, not by the event: a confirmation that comes late, in the era before, or before the first read of the configuration is void all the same.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -3,7 +3,7 @@
 
 use displaydoc::Display;
 use indigospur_protocol::Version;
-use indigospur_publish::Position;
+use indigospur_publish::{Era, Position};
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::BoxFuture;
 use indigospur_rules::RuleSet;
@@ -94,10 +94,11 @@
     fn contacts(&self) -> BoxFuture<Result<Vec<Contact>, SourceError>>;
 
     /// Registers a daemon, so that other daemons find it in [`ConfigurationSource::contacts`].
+    /// Returns the era in which the source confirmed it; a later one may have lost it.
     ///
     /// # Errors
     /// The source did not confirm the registration.
-    fn register(&self, contact: Contact) -> BoxFuture<Result<(), SourceError>>;
+    fn register(&self, contact: Contact) -> BoxFuture<Result<Era, SourceError>>;
 }
 
 /// The newest accepted configuration of a source.
--- /dev/null
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -0,0 +1,207 @@
+//! Keeps this daemon registered at the configuration source and joins the fleet by way of the daemons
+//! that are registered there.
+
+use crate::backend;
+use crate::configuration::{ConfigurationSource, Contact};
+use crate::control::gossip;
+use crate::control::source_reader::{Backoff, with_timeout};
+use crate::daemon::{Daemon, lock};
+use async_std::channel::{Receiver, Sender, bounded};
+use indigospur_publish::Era;
+use indigospur_relay::runtime;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Registered daemons that are asked for the member list at a time.
+const CONTACTS_AT_ONCE: usize = 4;
+/// Time after which the next ones are asked, if none of them has answered.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Registrations a second that the whole fleet sends after the source was restored.
+const RENEWALS_PER_SECOND: u32 = 200;
+
+#[derive(Debug, Default)]
+struct State {
+    /// Latest era of the source.
+    latest: Era,
+    /// Era in which the source last confirmed the registration; it is lost if that is not the
+    /// latest one.
+    registered: Option<Era>,
+    /// Last list of contacts that was not used yet, with `registered` at the time of its request.
+    contacts: Option<(Option<Era>, Vec<Contact>)>,
+    /// Number of changes of the source's address; answers from an earlier address count for nothing.
+    address_changes: u64,
+}
+
+impl State {
+    fn is_registered(&self) -> bool {
+        self.registered.is_some_and(|era| era >= self.latest)
+    }
+}
+
+/// Registration of this daemon at a source.
+#[derive(Debug)]
+pub(crate) struct Registration {
+    daemon: Arc<Daemon>,
+    source: Arc<dyn ConfigurationSource>,
+    state: Mutex<State>,
+    /// Signals that the registration is lost.
+    lost: (Sender<()>, Receiver<()>),
+}
+
+impl Registration {
+    pub(crate) fn new(
+        daemon: Arc<Daemon>,
+        source: Arc<dyn ConfigurationSource>,
+    ) -> Arc<Registration> {
+        Arc::new(Registration {
+            daemon,
+            source,
+            state: Mutex::default(),
+            lost: bounded(1),
+        })
+    }
+
+    /// Registers this daemon, and again whenever the registration is lost.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            self.register_and_join().await;
+            while lock(&self.state).is_registered() {
+                let _ = self.lost.1.recv().await;
+            }
+            log::info!(
+                "this daemon is no longer registered at the configuration source; it registers again"
+            );
+            runtime::sleep(self.renewal_delay()).await;
+        }
+    }
+
+    /// Takes note of the era of an answer of the source at its present address.
+    pub(crate) fn observe_era(&self, era: Era) {
+        let mut state = lock(&self.state);
+        state.latest = state.latest.max(era);
+        if !state.is_registered() {
+            let _ = self.lost.0.try_send(());
+        }
+    }
+
+    /// Forgets the registration, as the address of the source has changed.
+    pub(crate) fn restart(&self) {
+        let mut state = lock(&self.state);
+        *state = State {
+            address_changes: state.address_changes + 1,
+            ..State::default()
+        };
+        let _ = self.lost.0.try_send(());
+    }
+
+    /// A random part of the time in which the whole fleet may renew its registrations.
+    fn renewal_delay(&self) -> Duration {
+        let members = u32::try_from(lock(&self.daemon.fleet).members.len()).unwrap_or(u32::MAX);
+        let whole = Duration::from_secs(1) * members / RENEWALS_PER_SECOND;
+        whole.mul_f64(lock(&self.daemon.rng).random())
+    }
+
+    /// Registers this daemon and joins the fleet by way of registered daemons, until it is
+    /// registered and either knows another member or is the only one registered.
+    ///
+    /// A daemon registers before it reads the contacts, so that of two that register at the same
+    /// time at least one finds the other. While it can't register it reads the contacts until it
+    /// knows another member, and reads them once more after it has registered.
+    async fn register_and_join(self: &Arc<Self>) {
+        let mut backoff = Backoff::default();
+        loop {
+            if !lock(&self.state).is_registered() {
+                self.register().await;
+            }
+            let registered = lock(&self.state).is_registered();
+            let alone = lock(&self.daemon.fleet).members.is_empty();
+            if registered || alone {
+                self.read_contacts().await;
+            }
+            let contacts = lock(&self.state).contacts.take();
+            if let Some((read_as, contacts)) = contacts
+                && self.join_via_contacts(contacts).await
+                && self.is_registered_as(read_as)
+            {
+                return;
+            }
+            backoff.wait(&self.daemon).await;
+        }
+    }
+
+    /// Whether this daemon is registered and has been since it was registered in the era `read_as`.
+    fn is_registered_as(&self, read_as: Option<Era>) -> bool {
+        let state = lock(&self.state);
+        state.is_registered() && state.registered == read_as
+    }
+
+    async fn register(self: &Arc<Self>) {
+        let own = Contact {
+            host: self.daemon.host().clone(),
+            address: lock(&self.daemon.fleet).members.me().address.clone(),
+        };
+        let (registration, address_changes) = (self.clone(), lock(&self.state).address_changes);
+        let call = self.source.register(own);
+        let attempt = with_timeout(Duration::ZERO, call, move |era| {
+            let mut state = lock(&registration.state);
+            if state.address_changes == address_changes {
+                state.registered = state.registered.max(Some(era));
+                state.latest = state.latest.max(era);
+            }
+        });
+        if let Err(error) = attempt.await {
+            log::debug!(error:display; "this daemon could not be registered at the configuration source; trying again");
+        }
+    }
+
+    /// Reads the contacts of the registered daemons.
+    async fn read_contacts(self: &Arc<Self>) {
+        let (read_as, address_changes) = {
+            let state = lock(&self.state);
+            (state.registered, state.address_changes)
+        };
+        let registration = self.clone();
+        let read = with_timeout(Duration::ZERO, self.source.contacts(), move |contacts| {
+            let mut state = lock(&registration.state);
+            if state.address_changes == address_changes {
+                state.contacts = Some((read_as, contacts));
+            }
+        });
+        if let Err(error) = read.await {
+            log::debug!(error:display; "the registered daemons could not be read from the configuration source; trying again");
+        }
+    }
+
+    /// Joins the fleet by way of registered daemons that are not known yet. Returns whether another
+    /// member is known then, or no other daemon is registered.
+    async fn join_via_contacts(&self, contacts: Vec<Contact>) -> bool {
+        let daemon = &self.daemon;
+        let others = contacts.into_iter();
+        let mut others: Vec<Contact> = others
+            .filter(|contact| contact.host != *daemon.host())
+            .collect();
+        if others.is_empty() {
+            backend::end_fleet_wait(daemon);
+            return true;
+        }
+        let is_unknown = |contact: &Contact| {
+            let fleet = lock(&daemon.fleet);
+            let member = fleet.members.get(&contact.host);
+            member.is_none_or(|member| member.address != contact.address)
+        };
+        others.retain(is_unknown);
+        others.shuffle(&mut *lock(&daemon.rng));
+        for contacts in others.chunks(CONTACTS_AT_ONCE) {
+            for contact in contacts {
+                gossip::join_via(daemon, contact.address.clone());
+            }
+            runtime::sleep(CONTACT_TIMEOUT).await;
+            if !lock(&daemon.fleet).members.is_empty() {
+                return true;
+            }
+        }
+        !lock(&daemon.fleet).members.is_empty()
+    }
+}
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -1,15 +1,14 @@
 //! Follows a configuration source, directly and through configurations that other daemons have read.
 
-use crate::configuration::{ConfigurationBatch, ConfigurationSource, Contact, SourceError};
-use crate::control::gossip;
+use crate::configuration::{ConfigurationBatch, ConfigurationSource, SourceError};
+use crate::control::registration::Registration;
 use crate::daemon::{Daemon, lock};
-use crate::{backend, peers};
+use crate::peers;
 use indigospur_protocol::State;
 use indigospur_publish::{Cursor, Position};
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::{self, BoxFuture};
 use rand::Rng;
-use rand::seq::SliceRandom;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,10 +20,6 @@
 const DEFAULT_WAIT: Duration = Duration::from_secs(20);
 /// Number of watchers.
 const WATCHER_COUNT: usize = 3;
-/// Registered daemons that are asked for the member list at a time.
-const CONTACTS_AT_ONCE: usize = 4;
-/// Time after which the next ones are asked, if none of them has answered.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time in which the source should answer, in addition to the wait in the request. After it the
 /// request is repeated, but a late answer is still used.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -60,15 +55,18 @@
 struct Reader {
     daemon: Arc<Daemon>,
     source: Arc<dyn ConfigurationSource>,
+    registration: Arc<Registration>,
     progress: Mutex<Progress>,
 }
 
 /// Registers this daemon and follows the source, for as long as the daemon runs.
 pub(crate) async fn run(daemon: Arc<Daemon>, source: Arc<dyn ConfigurationSource>) {
-    runtime::spawn(register(daemon.clone(), source.clone()));
+    let registration = Registration::new(daemon.clone(), source.clone());
+    runtime::spawn(registration.clone().run());
     let reader = Arc::new(Reader {
         daemon: daemon.clone(),
         source,
+        registration,
         progress: Mutex::default(),
     });
     let mut backoff = Backoff::default();
@@ -77,7 +75,7 @@
         match futures_lite::future::or(read, address_changed(&daemon)).await {
             None => {
                 reader.restart();
-                runtime::spawn(register(daemon.clone(), reader.source.clone()));
+                reader.registration.restart();
             }
             Some(Ok(())) => backoff = Backoff::default(),
             Some(Err(_)) => backoff.wait(&daemon).await,
@@ -119,8 +117,10 @@
         let mut progress = lock(&self.progress);
         let is_restored = read.address_changes == progress.address_changes
             && progress.cursor.advance(read.from, batch.next);
+        let era = progress.cursor.era();
         let was_available = std::mem::replace(&mut progress.available, true);
         drop(progress);
+        self.registration.observe_era(era);
         log_read(read.from, &batch, is_restored);
         record_success(&self.daemon, read.started, was_available);
         for body in batch.bodies {
@@ -164,7 +164,7 @@
 ///
 /// # Errors
 /// The call failed, or did not complete within `wait` and [`ANSWER_TIMEOUT`].
-async fn with_timeout<T: Send + 'static>(
+pub(crate) async fn with_timeout<T: Send + 'static>(
     wait: Duration,
     call: BoxFuture<Result<T, SourceError>>,
     apply: impl FnOnce(T) + Send + 'static,
@@ -175,7 +175,7 @@
 }
 
 /// Exponential backoff with jitter.
-struct Backoff {
+pub(crate) struct Backoff {
     delay: Duration,
 }
 
@@ -186,7 +186,7 @@
 }
 
 impl Backoff {
-    async fn wait(&mut self, daemon: &Daemon) {
+    pub(crate) async fn wait(&mut self, daemon: &Daemon) {
         let jittered = lock(&daemon.rng).random_range(self.delay / 2..self.delay);
         runtime::sleep(jittered).await;
         self.delay = (self.delay * 2).min(MAX_BACKOFF);
@@ -270,88 +270,3 @@
         apply_if_newer(&daemon, source.as_ref(), &record.body.into(), &address);
     }
 }
-
-/// State of the registration, shared with calls that may complete late.
-#[derive(Debug, Default)]
-struct Registration {
-    registered: bool,
-    /// Last list of contacts that was not used yet, and whether it was requested after this daemon
-    /// had registered.
-    contacts: Option<(bool, Vec<Contact>)>,
-}
-
-/// Registers this daemon and joins the fleet by way of registered daemons, until it is registered
-/// and either knows another member or is the only one registered.
-///
-/// A daemon registers before it reads the contacts, so that of two that start together at least one
-/// finds the other. While it can't register it reads the contacts until it knows another member, and
-/// reads them once more after it has registered.
-async fn register(daemon: Arc<Daemon>, source: Arc<dyn ConfigurationSource>) {
-    let own = Contact {
-        host: daemon.host().clone(),
-        address: lock(&daemon.fleet).members.me().address.clone(),
-    };
-    let registration = Arc::new(Mutex::new(Registration::default()));
-    let mut backoff = Backoff::default();
-    loop {
-        let registered = lock(&registration).registered;
-        if !registered {
-            let shared = registration.clone();
-            let call = source.register(own.clone());
-            let attempt = with_timeout(Duration::ZERO, call, move |()| {
-                lock(&shared).registered = true;
-            });
-            if let Err(error) = attempt.await {
-                log::debug!(error:display; "this daemon could not be registered at the configuration source; trying again");
-            }
-        }
-        let registered = lock(&registration).registered;
-        let alone = lock(&daemon.fleet).members.is_empty();
-        if registered || alone {
-            read_contacts(source.as_ref(), &registration).await;
-        }
-        let contacts = lock(&registration).contacts.take();
-        if let Some((registered, contacts)) = contacts
-            && join_via_contacts(&daemon, contacts).await
-            && registered
-        {
-            return;
-        }
-        backoff.wait(&daemon).await;
-    }
-}
-
-/// Reads the contacts of the registered daemons.
-async fn read_contacts(source: &dyn ConfigurationSource, registration: &Arc<Mutex<Registration>>) {
-    let registered = lock(registration).registered;
-    let shared = registration.clone();
-    let read = with_timeout(Duration::ZERO, source.contacts(), move |contacts| {
-        lock(&shared).contacts = Some((registered, contacts));
-    });
-    if let Err(error) = read.await {
-        log::debug!(error:display; "the registered daemons could not be read from the configuration source; trying again");
-    }
-}
-
-/// Joins the fleet by way of registered daemons. Returns whether another member is known then, or no
-/// other daemon is registered.
-async fn join_via_contacts(daemon: &Arc<Daemon>, contacts: Vec<Contact>) -> bool {
-    let others = contacts.into_iter();
-    let others = others.filter(|contact| contact.host != *daemon.host());
-    let mut others: Vec<Contact> = others.collect();
-    if others.is_empty() {
-        backend::end_fleet_wait(daemon);
-        return true;
-    }
-    others.shuffle(&mut *lock(&daemon.rng));
-    for contacts in others.chunks(CONTACTS_AT_ONCE) {
-        for contact in contacts {
-            gossip::join_via(daemon, contact.address.clone());
-        }
-        runtime::sleep(CONTACT_TIMEOUT).await;
-        if !lock(&daemon.fleet).members.is_empty() {
-            return true;
-        }
-    }
-    false
-}
--- a/crates/indigospur-publish/src/cursor.rs
+++ b/crates/indigospur-publish/src/cursor.rs
@@ -28,6 +28,11 @@
         self.position
     }
 
+    /// Latest era of an answer; zero before the first one.
+    pub fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
     /// Records the answer to a read that started at `from`, or of the newest state if that is
     /// `None`; `next` is the position after it. Returns whether the answer is the first one since
     /// the source was restored.
