--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -78,6 +78,11 @@
                 reader.registration.restart();
             }
             Some(Ok(())) => backoff = Backoff::default(),
+            Some(Err(SourceError::PositionExpired)) => {
+                // The source answers. A short wait bounds the calls if it expires all positions.
+                backoff = Backoff::default();
+                backoff.wait(&daemon).await;
+            }
             Some(Err(_)) => backoff.wait(&daemon).await,
         }
     }
@@ -138,9 +143,14 @@
 
     fn record_failure(&self, read: StartedRead, error: SourceError) {
         let mut progress = lock(&self.progress);
+        if error == SourceError::PositionExpired {
+            progress.cursor.expire(read.from);
+            log::info!(from:? = read.from; "the configuration source no longer holds the read position; the newest configuration is read");
+            return;
+        }
         let was_available = std::mem::replace(&mut progress.available, false);
         // Reading can't continue from this position, but may from the newest configuration.
-        if matches!(error, SourceError::PositionExpired | SourceError::Malformed) {
+        if error == SourceError::Malformed {
             progress.cursor.expire(read.from);
         }
         drop(progress);
