Log the rate limit and the leaving that a backend server names in its answers

The logs had no line for either, so they could not tell a limit that nobody reads from one that is read and then lost. No decision uses them yet.

An answer that says that another process has the address is not heard.

--- a/crates/indigospur-daemon/src/builtin_dialect.rs
+++ b/crates/indigospur-daemon/src/builtin_dialect.rs
@@ -1,6 +1,9 @@
 //! The built-in HTTP conventions, whose headers begin with `indigospur-`.
 
-use crate::dialect::{AnswerMeaning, CallHead, Dialect, OutgoingCall, ParentRef, RequestHead};
+use crate::dialect::{
+    AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
+    RequestHead,
+};
 use indigospur_protocol::{Answer, Header, Kind, Refusal, RelayMessage, ServiceName, headers};
 use indigospur_relay::{ReceivedRequest, ResponseOwner};
 use std::sync::Arc;
@@ -81,6 +84,13 @@
         }
     }
 
+    fn read_status(&self, answer: &Answer) -> BackendStatus {
+        BackendStatus {
+            rate_limit: RateLimit::parse(answer.header(headers::RATE_LIMIT)),
+            leaving: answer.header(headers::LEAVING) == Some("1"),
+        }
+    }
+
     fn read_answer(&self, answer: &mut Answer) -> AnswerMeaning {
         answer
             .headers
--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -4,7 +4,7 @@
 //! decisions.
 
 use indigospur_protocol::{
-    Answer, Customer, Header, Key, Kind, Refusal, RelayMessage, RequestId, ServiceName,
+    Answer, Customer, Header, Key, Kind, Rate, Refusal, RelayMessage, RequestId, ServiceName,
 };
 use indigospur_relay::{ReceivedRequest, ResponseOwner};
 use std::fmt::Debug;
@@ -77,6 +77,38 @@
     MaybeRun(Kind),
 }
 
+/// What an answer says about the rate of calls that the backend server takes from all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RateLimit {
+    /// No limit applies.
+    #[default]
+    Unlimited,
+    /// This limit applies until an answer says otherwise.
+    Limited(Rate),
+    /// The limit is not a valid number.
+    Malformed,
+}
+
+impl RateLimit {
+    /// Reads a limit in calls a second; without text, no limit applies.
+    pub fn parse(text: Option<&str>) -> RateLimit {
+        let Some(text) = text else {
+            return RateLimit::Unlimited;
+        };
+        let rate = text.trim().parse().ok().and_then(Rate::per_second);
+        rate.map_or(RateLimit::Malformed, RateLimit::Limited)
+    }
+}
+
+/// What a backend server says about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackendStatus {
+    /// Limit on the rate of calls to it.
+    pub rate_limit: RateLimit,
+    /// Whether it is shutting down and takes no new calls.
+    pub leaving: bool,
+}
+
 /// The HTTP conventions of callers and of backend servers.
 pub trait Dialect: Debug + Send + Sync {
     /// Whether announcements of a backend server of `service` are accepted on this host. The
@@ -103,6 +135,9 @@
     /// was sent.
     fn owner(&self, answer: &Answer, token: &str) -> ResponseOwner;
 
+    /// Reads what an answer says about the backend server itself.
+    fn read_status(&self, answer: &Answer) -> BackendStatus;
+
     /// Interprets an answer of the backend server, and removes from it the headers that are not
     /// passed back to the caller.
     fn read_answer(&self, answer: &mut Answer) -> AnswerMeaning;
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Runs calls at the backend server of this host, after admission.
 
 use crate::backend::{self, Backend};
+use crate::backend_status;
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
 use crate::slots::Slot;
@@ -283,7 +284,13 @@
     mut answer: Answer,
     slot: &mut Slot,
 ) -> Outcome {
-    let (kind, ran) = match daemon.dialect.read_answer(&mut answer) {
+    let status = daemon.dialect.read_status(&answer);
+    let meaning = daemon.dialect.read_answer(&mut answer);
+    // An answer with this kind comes from another process.
+    if meaning != AnswerMeaning::NotRun(Kind::NotReady) {
+        backend_status::observe(backend, status);
+    }
+    let (kind, ran) = match meaning {
         AnswerMeaning::Answer => {
             slot.set_completion(Completion::Answered);
             mark_key_finished(daemon, context);
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod backend;
+mod backend_status;
 mod builtin_dialect;
 mod caller;
 mod configuration;
@@ -29,7 +30,10 @@
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
-pub use dialect::{AnswerMeaning, CallHead, Dialect, OutgoingCall, ParentRef, RequestHead};
+pub use dialect::{
+    AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
+    RequestHead,
+};
 pub use error::StartError;
 pub use handle::DaemonHandle;
 pub use lifecycle::{Addresses, DaemonBuilder, RunningDaemon, listen};
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -17,6 +17,15 @@
     pub body: Arc<[u8]>,
 }
 
+impl Answer {
+    /// Value of the first header with this name, in lower case; `None` if there is none or it is not
+    /// UTF-8.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|header| &*header.name == name)?;
+        std::str::from_utf8(&found.value).ok()
+    }
+}
+
 /// An error response made by a daemon in place of a backend server's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/indigospur-protocol/src/headers.rs
+++ b/crates/indigospur-protocol/src/headers.rs
@@ -14,6 +14,11 @@
 /// Deadline of the call, in milliseconds since the Unix epoch by the clock that the daemon and
 /// the backend server share on their host.
 pub const DEADLINE_AT: &str = "indigospur-deadline-at";
+/// Limit on the calls a second that a backend server takes from all hosts together, as a decimal
+/// number in each of its answers for as long as the limit applies.
+pub const RATE_LIMIT: &str = "indigospur-rate-limit";
+/// Set to `1` in the answers of a backend server that is shutting down and takes no new calls.
+pub const LEAVING: &str = "indigospur-leaving";
 /// Name of the refusal kind, on answers made by the daemon.
 pub const KIND: &str = "indigospur-kind";
 /// Whether the call ran (`no`, `yes` or `unknown`), on answers made by the daemon.
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod kind;
 mod member;
+mod rate;
 mod reason;
 #[allow(missing_docs, clippy::all, rustdoc::all, unreachable_pub)]
 pub mod wire;
@@ -27,4 +28,5 @@
 pub use ids::{Customer, Epoch, HostId, Incarnation, Key, RequestId, ServiceName, Version};
 pub use kind::{KINDS, Kind, KindInfo, Ran, RetryAdvice};
 pub use member::{Member, State};
+pub use rate::Rate;
 pub use reason::RetryReason;
