Keep to the rate limit that a backend server names in its answers

What callers and operators saw: a backend server in need got as many requests as before it said how many it takes (72 in four seconds, 57 allowed).

Cause: nothing read the limit; calls were admitted by slots alone, and these servers have 66 of them. Class: a backend server says something about itself in an answer for which the program has no design.

The daemon beside the server is the only way to it, so it alone keeps the limit for all hosts: admission spaces the starts of calls by the rate (0.25 s of it at once at most). Calls beyond it wait within the target wait, the highest class first, or are refused as rate-limited: not run, and passed over without retry credit, since no work was done. The load report gives the concurrency that the rate sustains, so ingress admission counts the capacity that is left. A limit ends with an answer without one, if its call started after the last answer that named one; a limit below a call in two seconds is taken as that, since only an answer can lift it.

Ruled out: a share of the limit for each host. It needs the number of hosts that call, wastes what a host doesn't use, and fails while hosts come and go.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -4,7 +4,8 @@
 use crate::ewma::Ewma;
 use crate::limit::{Limit, LimitPolicy};
 use crate::queue::Queue;
-use indigospur_protocol::{Class, Kind, Load};
+use crate::rate_limiter::RateLimiter;
+use indigospur_protocol::{Class, Kind, Load, Rate};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -73,11 +74,12 @@
     charged: Duration,
 }
 
-/// Admission to one backend server: concurrency limit, queue and preemption.
+/// Admission to one backend server: concurrency limit, rate limit, queue and preemption.
 #[derive(Debug)]
 pub struct Admission {
     options: Options,
     limit: Limit,
+    rate_limiter: RateLimiter,
     queue: Queue,
     running: BTreeMap<Ticket, Running>,
     /// Running calls; the last in this order is preempted first.
@@ -100,6 +102,7 @@
                 now,
                 options.ramp,
             ),
+            rate_limiter: RateLimiter::new(now),
             queue: Queue::default(),
             running: BTreeMap::new(),
             preemption_order: BTreeSet::new(),
@@ -130,6 +133,27 @@
         self.set_slots(now, self.options.slots)
     }
 
+    /// Records the limit on the rate of calls that an answer names, or that it names none; the call
+    /// was started at `started`. Queued calls may start, or be shed.
+    pub fn observe_rate_limit(
+        &mut self,
+        now: Instant,
+        started: Instant,
+        rate: Option<Rate>,
+    ) -> Vec<Effect> {
+        self.rate_limiter.observe(now, started, rate);
+        let mut effects = self.start_queued(now);
+        if self.rate_limit().is_some() {
+            self.shed_excess(now, Class::MAX, &mut effects);
+        }
+        effects
+    }
+
+    /// The limit in force on the rate of calls; `None` without one.
+    pub fn rate_limit(&self) -> Option<Rate> {
+        self.rate_limiter.rate()
+    }
+
     /// Refuses new calls from now on; queued calls are still served.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -144,7 +168,7 @@
     pub fn load(&self, now: Instant) -> Load {
         Load {
             in_flight: self.running.len() as u32,
-            limit: self.limit.get(now),
+            limit: self.sustained_concurrency(now),
             queued: self.queue.len() as u32,
             service_time: self.service_time.get(),
             incarnation: 0,
@@ -167,7 +191,12 @@
             return (Verdict::Run(ticket), Vec::new());
         }
         if self.misses_deadline(now, &arrival) {
-            return (self.refuse(now, Kind::DeadlineUnreachable), Vec::new());
+            let kind = if self.is_rate_limited(now) {
+                Kind::RateLimited
+            } else {
+                Kind::DeadlineUnreachable
+            };
+            return (self.refuse(now, kind), Vec::new());
         }
         self.enqueue(now, ticket, arrival)
     }
@@ -204,12 +233,14 @@
 
     /// When [`Admission::tick`] should next be called; `None` while the queue is empty.
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let ready_at = self.rate_limiter.ready_at(now);
         let wake_times = self.queue.earliest_deadlines().map(|(class, deadline, _)| {
-            if self.can_preempt(class) {
-                self.urgent_from(deadline).max(now)
-            } else {
-                deadline
-            }
+            let at = match ready_at {
+                Some(ready_at) => ready_at,
+                None if self.can_preempt(class) => self.urgent_from(deadline).max(now),
+                None => deadline,
+            };
+            at.min(deadline)
         });
         wake_times.min()
     }
@@ -247,6 +278,9 @@
     }
 
     fn next_urgent(&self, now: Instant) -> Option<(Class, Ticket)> {
+        if self.is_rate_limited(now) {
+            return None;
+        }
         let mut calls = self
             .queue
             .earliest_deadlines()
@@ -267,7 +301,26 @@
     }
 
     fn has_free_slot(&self, now: Instant) -> bool {
-        (self.running.len() as u32) < self.limit.get(now)
+        (self.running.len() as u32) < self.limit.get(now) && !self.is_rate_limited(now)
+    }
+
+    /// Whether the rate limit allows no call to start now.
+    fn is_rate_limited(&self, now: Instant) -> bool {
+        self.rate_limiter.ready_at(now).is_some()
+    }
+
+    /// Calls that run at a time if slots are the only limit, or calls start at the rate limit.
+    fn sustained_concurrency(&self, now: Instant) -> u32 {
+        let limit = self.limit.get(now);
+        let Some(interval) = self.rate_limiter.interval() else {
+            return limit;
+        };
+        let by_rate = self
+            .service_time
+            .get()
+            .as_nanos()
+            .div_ceil(interval.as_nanos().max(1));
+        limit.min(u32::try_from(by_rate).unwrap_or(u32::MAX).max(1))
     }
 
     /// Whether the call would miss its deadline at the expected waiting and service times.
@@ -283,7 +336,8 @@
 
     fn expected_wait(&self, now: Instant, class: Class) -> Duration {
         let calls_ahead = self.queue.count_ahead(class) as u32;
-        self.service_time.get() * calls_ahead / self.limit.get(now)
+        let by_slots = self.service_time.get() * calls_ahead / self.limit.get(now);
+        by_slots.max(self.rate_limiter.wait(now, calls_ahead))
     }
 
     /// Whether a call of lower priority than `class` is queued, or runs and can be preempted.
@@ -313,6 +367,13 @@
         self.queue.push(ticket, arrival);
         let mut effects = self.preempt_for_urgent(now);
         effects.extend(self.start_queued(now));
+        self.shed_excess(now, class, &mut effects);
+        Self::split_verdict(ticket, effects)
+    }
+
+    /// Sheds queued calls beyond the queue capacity, or cancels running ones for them. `class` is
+    /// that of the call for which room is made.
+    fn shed_excess(&mut self, now: Instant, class: Class, effects: &mut Vec<Effect>) {
         while self.queue.len() > self.queue_capacity(now) {
             let Some(candidate) = self.queue.shed_candidate() else {
                 break;
@@ -320,19 +381,20 @@
             let Some(candidate_class) = self.queue.get(candidate).map(|call| call.class) else {
                 break;
             };
-            if self.preempt_for(now, candidate_class, &mut effects) {
+            if !self.is_rate_limited(now) && self.preempt_for(now, candidate_class, effects) {
                 effects.extend(self.start_queued(now));
                 continue;
             }
             self.queue.remove(candidate);
-            let kind = if candidate_class > class {
+            let kind = if self.rate_limit().is_some() {
+                Kind::RateLimited
+            } else if candidate_class > class {
                 Kind::Overloaded
             } else {
                 Kind::OverShare
             };
             effects.push(Effect::Refuse(candidate, self.refusal(now, kind)));
         }
-        Self::split_verdict(ticket, effects)
     }
 
     /// Separates the effect on the arriving call `ticket` from those on other calls.
@@ -350,13 +412,21 @@
     }
 
     /// Calls that may wait: as many as finish within the target wait, but at least the concurrency
-    /// limit, and at most the configured bound, which takes precedence.
+    /// limit, and at most the configured bound, which takes precedence. Under a rate limit, at most
+    /// as many as start within the target wait.
     fn queue_capacity(&self, now: Instant) -> usize {
         let limit = self.limit.get(now) as usize;
         let service_time = self.service_time.get().as_nanos().max(1);
         let finished_in_target = self.options.target_wait.as_nanos() * limit as u128 / service_time;
         let finished_in_target = usize::try_from(finished_in_target).unwrap_or(usize::MAX);
-        finished_in_target.max(limit).min(self.options.max_queued)
+        let capacity = finished_in_target.max(limit).min(self.options.max_queued);
+        match self.rate_limiter.interval() {
+            None => capacity,
+            Some(interval) => {
+                let started = self.options.target_wait.div_duration_f64(interval).round();
+                capacity.min(started as usize)
+            }
+        }
     }
 
     /// Cancels a running call of lower priority than `class`; false if there is none.
@@ -402,6 +472,7 @@
 
     fn start(&mut self, now: Instant, ticket: Ticket, arrival: Arrival) {
         let charged = self.service_time.get();
+        self.rate_limiter.start(now);
         self.queue.charge(&arrival, charged);
         self.preemption_order.insert((arrival.class, ticket));
         self.running.insert(
--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod pressure;
 mod queue;
+mod rate_limiter;
 
 pub use admission::{Admission, Options};
 pub use effect::{AdmissionRefusal, Arrival, Completion, Effect, Ticket, Verdict};
--- a/crates/indigospur-budget/src/decision.rs
+++ b/crates/indigospur-budget/src/decision.rs
@@ -14,7 +14,7 @@
     pub remaining: Duration,
     /// Expected duration of an attempt.
     pub expected: Duration,
-    /// Number of unavailable upstreams that the call may still pass over without credit, see
+    /// Number of upstreams that the call may still pass over without credit, see
     /// [`decide_retry`].
     pub free_failovers: u32,
     /// Number of refusals by backend servers themselves after which the call may still be sent to
@@ -38,11 +38,18 @@
     refusal.ran == Ran::No && refusal.kind.info().upstream_unavailable
 }
 
+/// Whether a failed attempt put no work on the upstream: it was unavailable, or its daemon held the
+/// call back because of a rate limit.
+pub fn is_passed_over(refusal: &Refusal) -> bool {
+    let rate_limited = refusal.ran == Ran::No && refusal.kind == Kind::RateLimited;
+    rate_limited || is_upstream_unavailable(refusal)
+}
+
 /// Decides whether to retry a failed attempt, and spends credit and ratio if so. Returns the reason
 /// why the call may be retried.
 ///
-/// An upstream that provably did not run the call, for a reason of its own such as being down or
-/// draining, is passed over without credit, `free_failovers` times in a call. No work was done
+/// An upstream that provably did not run the call, for a reason of its own such as being down,
+/// draining or at its rate limit, is passed over without credit, `free_failovers` times in a call. No work was done
 /// there that a retry would repeat, and the credit is kept for failures that cost work. A backend
 /// server that refused the call itself is passed over without credit too, `free_sheds` times, but
 /// within the ratio, since the refused attempt put load on it.
@@ -73,7 +80,7 @@
     if options.remaining <= options.expected {
         return Err(RetryReason::NoTimeLeft);
     }
-    if is_upstream_unavailable(refusal) && options.free_failovers > 0 {
+    if is_passed_over(refusal) && options.free_failovers > 0 {
         return Ok(reason);
     }
     let without_credit =
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -9,7 +9,9 @@
 mod request_counts;
 
 pub use credit::Credit;
-pub use decision::{FailedAttempt, RetryOptions, decide_retry, is_upstream_unavailable};
+pub use decision::{
+    FailedAttempt, RetryOptions, decide_retry, is_passed_over, is_upstream_unavailable,
+};
 pub use ledger::{ClosedCall, Ledger, Token, add_work};
 pub use ratio::{RatioOptions, RetryRatio};
 pub use request_counts::RequestCounts;
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -6,12 +6,12 @@
 use indigospur_admission::{Admission, Options};
 use indigospur_members::{AnnouncementOutcome, Instance};
 use indigospur_once::{Once, OnceOptions};
-use indigospur_protocol::{Announcement, Rate, ServiceName, State};
+use indigospur_protocol::{Announcement, ServiceName, State};
 use indigospur_publish::{Body, Record};
 use indigospur_relay::{BackendPool, runtime};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Time without an announcement after which the backend server is probed by opening a connection.
@@ -32,8 +32,6 @@
     started_ms: u64,
     pub(crate) pool: BackendPool,
     pub(crate) slots: Arc<Slots>,
-    /// Limit on its rate of calls that it named in its last answer.
-    pub(crate) rate_limit: Mutex<Option<Rate>>,
     /// Set by the first call that finds the backend server down.
     is_down: AtomicBool,
 }
@@ -56,7 +54,6 @@
             started_ms: announcement.started_ms,
             pool: BackendPool::new(&announcement.address, announcement.connections),
             slots,
-            rate_limit: Mutex::default(),
             is_down: AtomicBool::new(false),
         })
     }
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -105,11 +105,13 @@
 }
 
 fn shed_refusal(refused: AdmissionRefusal) -> Refusal {
-    Refusal::new(
-        refused.kind,
-        "the backend server's slots and queue are taken",
-    )
-    .with_retry_after(refused.retry_after)
+    let detail = match refused.kind {
+        Kind::RateLimited => {
+            "the backend server is at the limit that it named on its rate of calls"
+        }
+        _ => "the backend server's slots and queue are taken",
+    };
+    Refusal::new(refused.kind, detail).with_retry_after(refused.retry_after)
 }
 
 /// Records the key of a call that runs at most once. From here on the call must be passed to the
@@ -167,7 +169,7 @@
         deadline,
     )
     .await;
-    let outcome = handle_end(daemon, backend, &context, call_end, &mut slot).await;
+    let outcome = handle_end(daemon, backend, &context, call_end, &mut slot, started).await;
     let closed = ledger_entry.close();
     if closed.shed_below && !is_success(&outcome) && daemon.settings().yields_below {
         slot.set_completion(Completion::Shed);
@@ -239,9 +241,10 @@
     context: &Context,
     call_end: CallEnd,
     slot: &mut Slot,
+    started: Instant,
 ) -> Outcome {
     match call_end {
-        CallEnd::Answered(answer) => handle_answer(daemon, backend, context, answer, slot),
+        CallEnd::Answered(answer) => handle_answer(daemon, backend, context, answer, slot, started),
         CallEnd::Failed(BackendError::NoConnection) => {
             mark_key_not_run(daemon, context);
             check_down(daemon, backend, Some(context.digest)).await;
@@ -283,12 +286,13 @@
     context: &Context,
     mut answer: Answer,
     slot: &mut Slot,
+    started: Instant,
 ) -> Outcome {
     let status = daemon.dialect.read_status(&answer);
     let meaning = daemon.dialect.read_answer(&mut answer);
     // An answer with this kind comes from another process.
     if meaning != AnswerMeaning::NotRun(Kind::NotReady) {
-        backend_status::observe(backend, status);
+        backend_status::observe(backend, status, started);
     }
     let (kind, ran) = match meaning {
         AnswerMeaning::Answer => {
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -3,7 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::{inbound, peers};
 use indigospur_budget::{
-    Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry,
+    Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
 };
 use indigospur_protocol::{
@@ -15,7 +15,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Unavailable upstreams that a call may skip without spending retry credit.
+/// Upstreams that are unavailable or at their rate limit and that a call may skip without spending
+/// retry credit.
 const MAX_FREE_FAILOVERS: u32 = 2;
 /// Refusals by backend servers themselves after which one call may be sent to another upstream
 /// without spending retry credit; enough to try all upstreams of the smallest services.
@@ -360,7 +361,7 @@
         remaining_ms = options.remaining.as_millis() as u64;
         "attempt at an upstream failed"
     );
-    if is_upstream_unavailable(refusal) {
+    if is_passed_over(refusal) {
         progress.free_failovers = progress.free_failovers.saturating_sub(1);
     } else if refusal.kind == Kind::BackendShed && progress.free_sheds > 0 {
         progress.free_sheds -= 1;
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -4,7 +4,7 @@
 use indigospur_admission::{
     Admission, AdmissionRefusal, Arrival, Completion, Effect, Options, Ticket, Verdict,
 };
-use indigospur_protocol::Load;
+use indigospur_protocol::{Load, Rate};
 use indigospur_relay::runtime;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -131,6 +131,26 @@
         state.apply(effects);
     }
 
+    /// Records the rate limit that an answer names; the call was started at `started`. Returns the
+    /// limit before and the one in force now.
+    pub(crate) fn observe_rate_limit(
+        &self,
+        started: Instant,
+        rate: Option<Rate>,
+    ) -> (Option<Rate>, Option<Rate>) {
+        let mut state = self.lock();
+        let before = state.admission.rate_limit();
+        let effects = state
+            .admission
+            .observe_rate_limit(Instant::now(), started, rate);
+        state.apply(effects);
+        let after = state.admission.rate_limit();
+        if before != after {
+            let _ = self.wake.try_send(());
+        }
+        (before, after)
+    }
+
     pub(crate) fn set_options(&self, options: Options) {
         let mut state = self.lock();
         let effects = state.admission.set_options(Instant::now(), options);
--- a/crates/indigospur-protocol/src/kind.rs
+++ b/crates/indigospur-protocol/src/kind.rs
@@ -114,6 +114,8 @@
     BackendShed,
     /// The request was not received completely in time.
     RequestTimeout,
+    /// The limit that the backend server named on its rate of calls allows none now.
+    RateLimited,
 }
 
 /// Properties of a refusal kind.
@@ -408,6 +410,15 @@
         false,
         false,
     ),
+    info(
+        Kind::RateLimited,
+        "rate-limited",
+        503,
+        Ran::No,
+        Later,
+        true,
+        false,
+    ),
 ];
 
 impl Kind {
@@ -418,10 +429,18 @@
 
     /// Whether calls are refused with this kind because of overload.
     pub fn is_overload(self) -> bool {
-        use Kind::{DeadlineUnreachable, DeadlineWaiting, OverShare, Overloaded, OverloadedBelow};
+        use Kind::{
+            DeadlineUnreachable, DeadlineWaiting, OverShare, Overloaded, OverloadedBelow,
+            RateLimited,
+        };
         matches!(
             self,
-            Overloaded | OverShare | DeadlineUnreachable | DeadlineWaiting | OverloadedBelow
+            Overloaded
+                | OverShare
+                | DeadlineUnreachable
+                | DeadlineWaiting
+                | OverloadedBelow
+                | RateLimited
         )
     }
 
