Keep the rate limit of a backend server over restarts of the daemon beside it

What operators would have seen: the daemon beside a limited backend server restarts, and until the first answer names the limit again the server gets all that is sent to it: as long as a call takes, at the full rate.

Cause: what was learned from answers lives in one process and is bound to its lifetime, though it holds as long as the backend server's process does.

Other daemons keep the limit of each host with the instance that named it, as they keep the instance that left, and the reply to a daemon's own gossip tells it. It holds for that instance only, and only until the daemon has read an answer itself. The same record serves a backend server that was taken away and announces itself again.

--- a/crates/indigospur-daemon/src/admin.rs
+++ b/crates/indigospur-daemon/src/admin.rs
@@ -3,7 +3,7 @@
 
 use crate::backend;
 use crate::daemon::{Daemon, lock};
-use indigospur_protocol::{Announcement, Answer, Kind, Outcome, Refusal};
+use indigospur_protocol::{Announcement, Answer, Kind, Outcome, Rate, Refusal};
 use indigospur_relay::ReceivedRequest;
 use serde::Serialize;
 use std::sync::Arc;
@@ -15,6 +15,9 @@
     data_centre: Arc<str>,
     service: Arc<str>,
     state: indigospur_protocol::State,
+    /// Limit that the backend server names on its rate of calls, in calls a second.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rate_limit: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -129,6 +132,7 @@
             data_centre: member.data_centre.clone(),
             service: member.service.clone(),
             state: member.state,
+            rate_limit: member.rate_limit.map(Rate::calls_per_second),
         })
         .collect();
     let log_version = lock(&daemon.follower)
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -1,6 +1,7 @@
 //! The backend server of this host: its announcements, its liveness, and the start of at-most-once
 //! execution for its service.
 
+use crate::backend_status;
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
 use indigospur_admission::{Admission, Options};
@@ -41,6 +42,8 @@
     pub(crate) slots: Arc<Slots>,
     /// Rate limit last announced to the fleet.
     pub(crate) announced_rate: Mutex<AnnouncedRate>,
+    /// Whether an answer of it has been read.
+    pub(crate) has_answered: AtomicBool,
     /// Set by the first call that finds the backend server down.
     is_down: AtomicBool,
 }
@@ -55,7 +58,11 @@
         if !cold {
             options.ramp = Duration::ZERO;
         }
-        let slots = Slots::new(Admission::new(options, Instant::now()));
+        let now = Instant::now();
+        let slots = Slots::new(Admission::new(options, now));
+        let instance = Instance::new(&announcement.instance, announcement.started_ms);
+        let rate = backend_status::known_rate_limit(daemon, &instance);
+        slots.observe_rate_limit(now, rate);
         runtime::spawn(slots.clone().run_ticks());
         Arc::new(Backend {
             service: announcement.service.clone(),
@@ -63,11 +70,16 @@
             started_ms: announcement.started_ms,
             pool: BackendPool::new(&announcement.address, announcement.connections),
             slots,
-            announced_rate: Mutex::default(),
+            announced_rate: Mutex::new(AnnouncedRate { rate, at: None }),
+            has_answered: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
         })
     }
 
+    pub(crate) fn instance(&self) -> Instance {
+        Instance::new(&self.instance, self.started_ms)
+    }
+
     /// Marks the backend server as down. Returns true on the first call only, so that one crash is
     /// reported once.
     pub(crate) fn mark_down(&self) -> bool {
--- a/crates/indigospur-daemon/src/backend_status.rs
+++ b/crates/indigospur-daemon/src/backend_status.rs
@@ -3,7 +3,9 @@
 use crate::backend::Backend;
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{BackendStatus, RateLimit};
+use indigospur_members::{Instance, NamedLimit};
 use indigospur_protocol::Rate;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Shortest time between two announcements of a changed rate limit to the fleet. The first one, and the
@@ -12,6 +14,7 @@
 
 /// Takes note of the status in the answer to a call that was started at `started`.
 pub(crate) fn observe(daemon: &Daemon, backend: &Backend, status: BackendStatus, started: Instant) {
+    backend.has_answered.store(true, Ordering::Relaxed);
     match status.rate_limit {
         RateLimit::Unlimited => observe_rate_limit(daemon, backend, started, None),
         RateLimit::Limited(rate) => observe_rate_limit(daemon, backend, started, Some(rate)),
@@ -33,10 +36,35 @@
             before:? = before.map(Rate::calls_per_second);
             "the backend server changed the limit on its rate of calls"
         );
+        *lock(&daemon.named_limit) = after.map(|rate| NamedLimit {
+            instance: backend.instance(),
+            rate,
+        });
     }
     announce_rate_limit(daemon, backend, after);
 }
 
+/// The rate limit that an instance is known to have named, before it is told again by an answer.
+pub(crate) fn known_rate_limit(daemon: &Daemon, instance: &Instance) -> Option<Rate> {
+    let named = lock(&daemon.named_limit);
+    let named = named.as_ref().filter(|limit| limit.instance == *instance);
+    named.map(|limit| limit.rate)
+}
+
+/// Applies a rate limit that other daemons remember of the backend server on this host, unless it has
+/// answered a call of this daemon.
+pub(crate) fn recall_rate_limit(daemon: &Daemon, limit: &NamedLimit) {
+    let backend = daemon.backend();
+    let has_answered = |backend: &Backend| backend.has_answered.load(Ordering::Relaxed);
+    if backend.as_deref().is_some_and(has_answered) || lock(&daemon.named_limit).is_some() {
+        return;
+    }
+    *lock(&daemon.named_limit) = Some(limit.clone());
+    if let Some(backend) = backend.filter(|backend| backend.instance() == limit.instance) {
+        observe_rate_limit(daemon, &backend, Instant::now(), Some(limit.rate));
+    }
+}
+
 /// Announces the rate limit in force to the fleet, unless it is known there or a change was announced
 /// just before; then a later answer announces it.
 fn announce_rate_limit(daemon: &Daemon, backend: &Backend, rate: Option<Rate>) {
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::control::{log_reader, source_reader};
 use crate::daemon::{Daemon, Fleet, lock};
-use crate::{backend, peers};
+use crate::{backend, backend_status, peers};
 use indigospur_members::Message;
 use indigospur_protocol::{HostId, Member};
 use indigospur_relay::runtime;
@@ -173,6 +173,9 @@
     if let Some(instance) = &message.departed {
         backend::handle_departure(daemon, instance);
     }
+    if let Some(limit) = &message.limit {
+        backend_status::recall_rate_limit(daemon, limit);
+    }
     fetch_if_behind(daemon, message.accepted, address);
 }
 
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -8,7 +8,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
 use indigospur_budget::{Ledger, RatioOptions, RequestCounts, RetryRatio};
-use indigospur_members::{Exchange, InstanceTracker, Members, Suspects};
+use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
     Announcement, EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice,
@@ -66,6 +66,9 @@
     pub(crate) backend: Mutex<Option<Arc<Backend>>>,
     /// Processes of the backend server, past and present, known from its announcements.
     pub(crate) instances: Mutex<InstanceTracker>,
+    /// Rate limit that the backend server named last, to this daemon or to the one before it on this
+    /// host.
+    pub(crate) named_limit: Mutex<Option<NamedLimit>>,
     /// Set once another daemon has answered gossip or the time for that has passed.
     pub(crate) fleet_wait_over: AtomicBool,
     /// Last announcement that is held back until `fleet_wait_over` is set.
@@ -162,6 +165,7 @@
             callers: OnceLock::new(),
             backend: Mutex::default(),
             instances: Mutex::default(),
+            named_limit: Mutex::default(),
             fleet_wait_over: AtomicBool::new(false),
             pending_announcement: Mutex::default(),
             backend_lost: AtomicBool::new(false),
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -1,9 +1,9 @@
 //! Gossip messages between two daemons, bounded in size.
 
-use crate::instances::Instance;
+use crate::instances::{Instance, NamedLimit};
 use crate::members::Members;
 use crate::suspects::Suspects;
-use indigospur_protocol::{Crash, HostId, Member, WireError, wire::peer};
+use indigospur_protocol::{Crash, HostId, Member, Rate, WireError, wire::peer};
 use std::time::{Duration, Instant};
 
 const MAX_MEMBERS_PER_MESSAGE: usize = 12;
@@ -41,11 +41,14 @@
     pub full: bool,
     /// Instance of the backend server that left the receiver's host last, as known to the sender.
     pub departed: Option<Instance>,
+    /// Rate limit in force at the backend server on the receiver's host, as known to the sender.
+    pub limit: Option<NamedLimit>,
 }
 
 impl From<Message> for peer::GossipMessage {
     fn from(message: Message) -> Self {
         let departed = message.departed.as_ref();
+        let limited = message.limit.as_ref().map(|limit| &limit.instance);
         peer::GossipMessage {
             from: message.from.to_string(),
             accepted: message.accepted,
@@ -56,6 +59,9 @@
             full: message.full,
             departed: departed.map_or_else(String::new, |instance| instance.name.to_string()),
             departed_born: departed.map_or(0, |instance| instance.started_ms),
+            limited: limited.map_or_else(String::new, |instance| instance.name.to_string()),
+            limited_born: limited.map_or(0, |instance| instance.started_ms),
+            rate_limit: message.limit.as_ref().map(|limit| limit.rate.millihertz()),
         }
     }
 }
@@ -76,6 +82,10 @@
             full: wire.full,
             departed: (!wire.departed.is_empty())
                 .then(|| Instance::new(&wire.departed, wire.departed_born)),
+            limit: wire.rate_limit.map(|rate| NamedLimit {
+                instance: Instance::new(&wire.limited, wire.limited_born),
+                rate: Rate::from_millihertz(rate),
+            }),
         })
     }
 }
@@ -120,6 +130,7 @@
             whole: members.is_empty(),
             full: false,
             departed: None,
+            limit: None,
         }
     }
 
@@ -135,6 +146,7 @@
         let mut answer = self.open(members, suspects, accepted);
         answer.whole = self.needs_full_list(now, members, message);
         answer.departed = members.departed(&message.from).cloned();
+        answer.limit = members.named_limit(&message.from).cloned();
         if message.whole {
             answer.members = members.all().cloned().collect();
             answer.full = true;
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -4,7 +4,7 @@
 //! twice, or from an instance that has ended. Once an instance with a name has announced that it
 //! leaves, its later announcements that it is ready are ignored.
 
-use indigospur_protocol::{Announcement, State};
+use indigospur_protocol::{Announcement, Rate, State};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,6 +43,15 @@
     }
 }
 
+/// Limit on the rate of calls that an instance has named.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// Instance that it applies to.
+    pub instance: Instance,
+    /// The limit on calls from all hosts together.
+    pub rate: Rate,
+}
+
 #[derive(Debug)]
 struct Departed {
     instance: Instance,
--- a/crates/indigospur-members/src/lib.rs
+++ b/crates/indigospur-members/src/lib.rs
@@ -8,6 +8,6 @@
 mod suspects;
 
 pub use exchange::{Exchange, Message};
-pub use instances::{AnnouncementOutcome, Instance, InstanceTracker};
+pub use instances::{AnnouncementOutcome, Instance, InstanceTracker, NamedLimit};
 pub use members::Members;
 pub use suspects::{Suspects, Verdict};
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -1,7 +1,7 @@
 //! The members of the fleet as known to one daemon.
 
 use crate::broadcasts::Broadcasts;
-use crate::instances::Instance;
+use crate::instances::{Instance, NamedLimit};
 use indigospur_protocol::{HostId, Member, MemberId, State};
 use rand::Rng;
 use std::collections::{BTreeMap, HashMap};
@@ -44,6 +44,8 @@
     /// Instance of the backend server that left last, by host; kept over restarts of the daemon
     /// there.
     departed: HashMap<HostId, Instance>,
+    /// Rate limit in force at the backend server, by host; kept over restarts of the daemon there.
+    limits: HashMap<HostId, NamedLimit>,
 }
 
 impl Members {
@@ -57,6 +59,7 @@
             broadcasts: Broadcasts::default(),
             digest: 0,
             departed: HashMap::new(),
+            limits: HashMap::new(),
         };
         members.store(now, me);
         members
@@ -103,6 +106,11 @@
         self.departed.get(host)
     }
 
+    /// Rate limit in force at the backend server on a host; `None` if none is known.
+    pub fn named_limit(&self, host: &str) -> Option<&NamedLimit> {
+        self.limits.get(host)
+    }
+
     /// Changes this daemon's own entry and queues it for gossip; returns false if nothing changed.
     pub fn announce(&mut self, now: Instant, change: impl FnOnce(&mut Member)) -> bool {
         let mut me = self.me().clone();
@@ -264,6 +272,7 @@
             .collect();
         for host in hosts {
             self.departed.remove(&host);
+            self.limits.remove(&host);
             if let Some(entry) = self.table.remove(&host) {
                 self.digest ^= hash(&entry.member);
             }
@@ -277,6 +286,18 @@
             let instance = Instance::new(&member.instance, member.started_ms);
             self.departed.insert(host.clone(), instance);
         }
+        match member.rate_limit {
+            Some(rate) => {
+                let instance = Instance::new(&member.instance, member.started_ms);
+                let limit = NamedLimit { instance, rate };
+                self.limits.insert(host.clone(), limit);
+            }
+            // A daemon that has just started does not know its backend server yet.
+            None if member.service.is_empty() => {}
+            None => {
+                self.limits.remove(&host);
+            }
+        }
         let before = self.table.insert(
             host.clone(),
             Entry {
--- a/crates/indigospur-members/tests/members/restarts.rs
+++ b/crates/indigospur-members/tests/members/restarts.rs
@@ -1,9 +1,11 @@
 //! Restarts of daemons and of backend servers whose start times are unknown or out of order.
 
 use crate::fleet::{Fleet, has_state, member};
-use indigospur_members::{AnnouncementOutcome, Instance, InstanceTracker, Members, Message};
+use indigospur_members::{
+    AnnouncementOutcome, Instance, InstanceTracker, Members, Message, NamedLimit,
+};
 use indigospur_protocol::wire::peer::GossipMessage;
-use indigospur_protocol::{Announcement, Member, State};
+use indigospur_protocol::{Announcement, Member, Rate, State};
 use std::time::{Duration, Instant};
 
 fn announced(instance: &str, started_ms: u64, state: State, sequence: u64) -> Announcement {
@@ -228,6 +230,41 @@
     assert_eq!(answer.departed, Some(Instance::new("i-1", 100)));
 }
 
+#[test]
+fn a_restarted_daemon_learns_the_rate_limit_of_its_backend_server() {
+    let mut fleet = Fleet::new(2, 13);
+    let limited = |revision, rate_limit| Member {
+        revision,
+        instance: "i-1".into(),
+        started_ms: 100,
+        rate_limit,
+        ..member(1)
+    };
+    let rate = Rate::per_second(7.6).expect("it is valid");
+    let answer = |fleet: &mut Fleet| {
+        let node = &mut fleet.nodes[1];
+        let request = node.exchange.open(&mut node.members, &mut node.suspects, 0);
+        let wire = GossipMessage::from(fleet.receive(0, &request));
+        Message::try_from(wire).expect("the message is valid").limit
+    };
+    let members = &mut fleet.nodes[0].members;
+    members.merge(fleet.now, vec![limited(2, Some(rate))]);
+    let restarted = Member {
+        incarnation: member(1).incarnation + 1,
+        service: "".into(),
+        ..member(1)
+    };
+    members.merge(fleet.now, vec![restarted.clone()]);
+    let instance = Instance::new("i-1", 100);
+    assert_eq!(answer(&mut fleet), Some(NamedLimit { instance, rate }));
+    let lifted = Member {
+        incarnation: restarted.incarnation,
+        ..limited(3, None)
+    };
+    fleet.nodes[0].members.merge(fleet.now, vec![lifted]);
+    assert_eq!(answer(&mut fleet), None);
+}
+
 /// A backend server announces itself every 1.5 s; its clock was set back before it was restarted.
 #[test]
 fn an_instance_whose_clock_was_set_back_replaces_one_that_stopped_announcing() {
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -205,6 +205,16 @@
     /// Start time of the departed instance, as `born` in Member.
     #[prost(uint64, tag = "9")]
     pub departed_born: u64,
+    /// Instance of the receiver's host that last named a limit on its rate of calls, as known to the
+    /// sender; the limit is absent if it knows none.
+    #[prost(string, tag = "10")]
+    pub limited: ::prost::alloc::string::String,
+    /// Start time of the limited instance, as `born` in Member.
+    #[prost(uint64, tag = "11")]
+    pub limited_born: u64,
+    /// The limit, in calls in 1,000 seconds.
+    #[prost(uint64, optional, tag = "12")]
+    pub rate_limit: ::core::option::Option<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {
