Send no more calls to a backend server that says in an answer that it leaves

What callers saw: a backend server that said Server-Leaving: 1 in its answers got requests for as long as its heartbeats said that it was ready.

The statement is handled as a deregistration now: the daemon beside the server admits nothing from then on, peers keep the instance, and late heartbeats of it are ignored, also after a restart of the daemon. It binds the instance that the call was sent to; an answer of another process at the address is not heard. A server that names no instance can come back by announcing that it is ready, as after a draining announcement.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -197,20 +197,20 @@
     if !lock(&daemon.instances).mark_left(now, instance) {
         return false;
     }
-    log::info!(
-        instance = &*instance.name,
-        born = instance.started_ms;
-        "backend server is leaving; it gets no new calls"
-    );
     daemon.drain_slots();
     let state_changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.state = State::Draining;
         me.leaving = true;
     });
     if state_changed {
+        log::info!(
+            instance = &*instance.name,
+            born = instance.started_ms;
+            "backend server is leaving; it gets no new calls"
+        );
         daemon.publish_own_state();
     }
-    true
+    state_changed
 }
 
 /// Puts an announced backend server in place, or updates the one that is there already.
--- a/crates/indigospur-daemon/src/backend_status.rs
+++ b/crates/indigospur-daemon/src/backend_status.rs
@@ -1,6 +1,6 @@
 //! What the backend server of this host says about itself in its answers.
 
-use crate::backend::Backend;
+use crate::backend::{self, Backend};
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{BackendStatus, RateLimit};
 use indigospur_members::{Instance, NamedLimit};
@@ -22,7 +22,7 @@
             log::warn!(instance = &*backend.instance; "the rate limit in an answer of the backend server is malformed; it is ignored");
         }
     }
-    if status.leaving {
+    if status.leaving && backend::handle_departure(daemon, &backend.instance()) {
         log::info!(instance = &*backend.instance; "the backend server says in an answer that it leaves");
     }
 }
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -198,6 +198,10 @@
             self.record_departed(now, instance.clone());
             return false;
         };
+        // A backend server without a name may leave and then come back.
+        if current.name.is_empty() {
+            return true;
+        }
         if instance.started_ms > current.started_ms {
             self.record_departed(now, instance.clone());
         }
