Send calls again to a backend server without a name that is ready again

What callers saw: a backend server that names no instance (the product's own interface) announced that it drains and then, without an exit, that it is ready: its daemon refused all calls as draining for as long as both ran, while the others sent them there.

Cause: the slots were drained for the lifetime of the backend server's entry; an announcement that it is ready reused the entry and never opened them again. The platform's instances have names and leave for good, so they were not affected.

Before: a_backend_server_without_a_name_that_is_ready_again_gets_calls_again failed after 30 s. After: it passes. While the daemon itself stops, the slots stay closed.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -159,6 +159,11 @@
         self.draining = true;
     }
 
+    /// Accepts new calls again after [`Admission::drain`].
+    pub fn resume(&mut self) {
+        self.draining = false;
+    }
+
     /// Number of running and queued calls.
     pub fn outstanding(&self) -> usize {
         self.running.len() + self.queue.len()
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -223,7 +223,12 @@
             && backend.started_ms == announcement.started_ms
     });
     match unchanged {
-        Some(backend) => backend.slots.set_slots(announcement.slots),
+        Some(backend) => {
+            backend.slots.set_slots(announcement.slots);
+            if !daemon.is_draining() {
+                backend.slots.resume();
+            }
+        }
         None => {
             let crashed = daemon.backend_lost.swap(false, Ordering::Relaxed);
             let cold = crashed || announcement.cold_ms > 0;
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -125,6 +125,10 @@
         self.lock().admission.drain();
     }
 
+    pub(crate) fn resume(&self) {
+        self.lock().admission.resume();
+    }
+
     pub(crate) fn set_slots(&self, slots: u32) {
         let mut state = self.lock();
         let effects = state.admission.set_slots(Instant::now(), slots);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -146,3 +146,28 @@
     }
     assert_eq!(run_count(&site, "contracts-0"), before);
 }
+
+#[test]
+fn a_backend_server_without_a_name_that_is_ready_again_gets_calls_again() {
+    let site = start_site();
+    let host = site.nodes_of("contracts").next().expect("the host exists");
+    let announcement = format!(
+        "{{\"service\":\"contracts\",\"address\":\"{}\",\"slots\":8,\"connections\":8,\"state\":\"draining\"}}",
+        host.backend.address("address")
+    );
+    let before = run_count(&site, "contracts-0");
+    assert_eq!(
+        post(&host.admin_address(), "/announce", &announcement).status,
+        200
+    );
+    let call = Call {
+        service: "contracts",
+        path: "/terms",
+        ..Call::default()
+    };
+    // The stand-in goes on announcing that it is ready.
+    wait_until("the backend server gets calls", || {
+        request(&host.caller_address(), &call);
+        run_count(&site, "contracts-0") > before
+    });
+}
