Ignore a late reply that an upstream drains once its next state is known

What callers would have seen: a reply that says "draining" arrives after gossip has brought the next instance of that host; this daemon then takes the host for draining until it announces another change, which may never come.

Cause: the mark was set on whatever state the host had by then. It is set now only if the host still has the state in which it was chosen for the call.

Before: a_late_reply_that_an_upstream_drains_does_not_outlast_its_next_state fails without the comparison. After: passes.

--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -213,7 +213,7 @@
     if let Outcome::Refused(refusal) = &reply.outcome {
         progress.ran = progress.ran.then(refusal.ran);
         if refusal.kind == Kind::Draining {
-            lock(&daemon.router).set_draining(&service, &member.host);
+            lock(&daemon.router).set_draining(member);
         }
     }
     reply
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -114,11 +114,15 @@
         }
     }
 
-    /// Marks an upstream as draining when one of its replies says so, before gossip brings its new
-    /// state.
-    pub fn set_draining(&mut self, service: &str, host: &str) {
-        let upstreams = self.services.get_mut(service).into_iter().flatten();
-        for upstream in upstreams.filter(|upstream| &*upstream.member.host == host) {
+    /// Marks an upstream as draining when its reply to a call says so, before gossip brings its new
+    /// state. `chosen` is the upstream as it was chosen for the call: if it has announced another
+    /// state since, the reply is outdated.
+    pub fn set_draining(&mut self, chosen: &Member) {
+        let upstreams = self.services.get_mut(&chosen.service);
+        let is_same = |upstream: &&mut Upstream| {
+            upstream.member.host == chosen.host && upstream.member.recency() == chosen.recency()
+        };
+        for upstream in upstreams.into_iter().flatten().filter(is_same) {
             upstream.member.state = State::Draining;
         }
     }
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -133,10 +133,32 @@
         member("a", "lisboa-a", "lisbon"),
         member("b", "lisboa-a", "lisbon"),
     ]);
-    router.set_draining("quoting", "a");
+    router.set_draining(&member("a", "lisboa-a", "lisbon"));
     assert_eq!(count(&mut router, now, 100).get("a"), None);
 }
 
+/// The next instance of its backend server is known already when the reply for the last one arrives.
+#[test]
+fn a_late_reply_that_an_upstream_drains_does_not_outlast_its_next_state() {
+    let now = Instant::now();
+    let chosen = member("a", "lisboa-a", "lisbon");
+    let mut router = router(&[chosen.clone(), member("b", "lisboa-b", "lisbon")]);
+    for next in [
+        Member {
+            revision: 2,
+            ..chosen.clone()
+        },
+        Member {
+            incarnation: 2,
+            ..chosen.clone()
+        },
+    ] {
+        router.update(&next);
+        router.set_draining(&chosen);
+        assert_eq!(count(&mut router, now, 10)["a"], 10);
+    }
+}
+
 /// While the daemon of the only serving host restarts, its service must stay reachable.
 #[test]
 fn a_draining_upstream_is_a_last_resort_unless_it_is_leaving() {
