Play rate limits and leaving that are named in answers in the soak

The stand-in of a backend server names a limit or that it leaves in its answers and counts the calls that it gets nevertheless; the soak draws both as planned work and checks them.

--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -39,6 +39,8 @@
     VersionRegressed(String, u64, u64),
     /// the backend server of {0} began {1} runs after all daemons should have noticed that it leaves
     RunsAfterDrain(String, usize),
+    /// the backend server of {0} began {1} runs in four seconds while it named a limit that allows {2}
+    OverRateLimit(String, u64, u64),
     /// {0}
     Other(String),
 }
@@ -57,6 +59,11 @@
     breaches.extend(violated.map(|drain| {
         Breach::RunsAfterDrain(drain.host.clone(), drain.later_runs - drain.noticed_runs)
     }));
+    let limits = observations.rate_limits.iter();
+    let exceeded = limits.filter(|span| span.starts > span.allowed);
+    breaches.extend(
+        exceeded.map(|span| Breach::OverRateLimit(span.host.clone(), span.starts, span.allowed)),
+    );
     breaches.extend(observations.findings.iter().cloned().map(Breach::Other));
     breaches
 }
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -132,6 +132,11 @@
     SlowBackend,
     /// The backend server announces that it leaves, and is restarted at the end of the fault.
     DrainBackend,
+    /// The backend server stops announcing itself and says in its answers that it leaves; it is
+    /// restarted at the end of the fault.
+    LeaveInAnswers,
+    /// The backend server names in its answers a limit on the calls a second that it takes.
+    LimitRate(u32),
     /// A network link of the host fails.
     Link(Link, LinkFault),
     /// The platform's log fails for all daemons.
@@ -140,7 +145,7 @@
     Publish,
 }
 
-const PLANNED: [Fault; 27] = [
+const PLANNED: [Fault; 30] = [
     Fault::StopDaemon(StopMethod::Terminate),
     Fault::StopDaemon(StopMethod::TerminateTwice),
     Fault::StopDaemon(StopMethod::Interrupt),
@@ -150,6 +155,9 @@
     Fault::StopDaemon(StopMethod::TerminateDuringRestart),
     Fault::DrainBackend,
     Fault::DrainBackend,
+    Fault::LeaveInAnswers,
+    Fault::LimitRate(5),
+    Fault::LimitRate(0),
     Fault::Publish,
     Fault::Publish,
     Fault::Reload(1),
@@ -232,7 +240,8 @@
     pub host: usize,
     /// Begin of the fault, from the start of the round.
     pub at: Duration,
-    /// Duration of the fault. The end of `Fault::DrainBackend` is timed by the soak instead.
+    /// Duration of the fault. The ends of `Fault::DrainBackend`, `Fault::LeaveInAnswers` and
+    /// `Fault::LimitRate` are timed by the soak instead.
     pub duration: Duration,
 }
 
--- a/crates/indigospur-soak/src/hosts.rs
+++ b/crates/indigospur-soak/src/hosts.rs
@@ -50,6 +50,10 @@
     pub(crate) backend_suspended: bool,
     /// Process ID of a backend server that has announced that it leaves.
     pub(crate) draining_backend: Option<u32>,
+    /// That backend server says so in its answers only.
+    pub(crate) leaves_unannounced: bool,
+    /// Process ID of a backend server that has named a limit on its rate of calls.
+    pub(crate) limited_backend: Option<u32>,
     /// An unplanned fault has hit the host in this round.
     pub(crate) unplanned_fault: bool,
 }
--- a/crates/indigospur-soak/src/inject.rs
+++ b/crates/indigospur-soak/src/inject.rs
@@ -73,7 +73,9 @@
                 }
             }
             Fault::SlowBackend => self.slow_down(index, SLOWDOWN),
-            Fault::DrainBackend => self.drain_backend(index),
+            Fault::DrainBackend => self.drain_backend(index, true),
+            Fault::LeaveInAnswers => self.drain_backend(index, false),
+            Fault::LimitRate(limit) => self.limit_rate(index, &limit.to_string()),
             Fault::Link(link, fault) => apply_link_fault(self.proxy(index, link), fault),
             Fault::Log(fault) => {
                 self.log_faults.push(fault);
@@ -112,7 +114,8 @@
             }
             Fault::SuspendBackend => self.resume_backend(index),
             Fault::SlowBackend => self.slow_down(index, 1),
-            Fault::DrainBackend => {
+            Fault::LimitRate(_) => self.end_rate_limit(index),
+            Fault::DrainBackend | Fault::LeaveInAnswers => {
                 if self.record_drain(index, false) {
                     self.restart_backend(index);
                 }
@@ -320,12 +323,16 @@
         }
     }
 
-    fn drain_backend(&mut self, index: usize) {
+    /// Makes a backend server leave; it announces that, or says so in its answers only.
+    fn drain_backend(&mut self, index: usize, announced: bool) {
         self.resume_backend(index);
         if !self.hosts[index].backend_down {
             let backend = &self.site.nodes[index].backend;
             self.hosts[index].draining_backend = Some(backend.id());
-            post(&backend.address("address"), "/stand-in/drain", "");
+            self.hosts[index].leaves_unannounced = !announced;
+            let method = if announced { "drain" } else { "leave" };
+            let path = format!("/stand-in/{method}");
+            post(&backend.address("address"), &path, "");
         }
     }
 
--- a/crates/indigospur-soak/src/lib.rs
+++ b/crates/indigospur-soak/src/lib.rs
@@ -26,8 +26,8 @@
     Fault, Link, LinkFault, LogFault, ScheduledFault, SettingsDefect, StopMethod, draw_faults,
 };
 pub use observations::{
-    BackendDrain, ConnectionUse, DaemonStop, Observations, RequestRecord, UnexpectedExit,
-    VersionSample,
+    BackendDrain, ConnectionUse, DaemonStop, Observations, RateLimitSpan, RequestRecord,
+    UnexpectedExit, VersionSample,
 };
 pub use options::{SoakOptions, read_options};
 pub use report::Report;
--- a/crates/indigospur-soak/src/monitor.rs
+++ b/crates/indigospur-soak/src/monitor.rs
@@ -1,9 +1,10 @@
 //! Observation of the processes while the soak runs.
 
 use crate::callers::{Shared, lock};
-use crate::observations::{BackendDrain, VersionSample};
+use crate::observations::{BackendDrain, RateLimitSpan, VersionSample};
 use crate::soak::{POLL_INTERVAL, Soak};
-use indigospur_test_support::fetch_status;
+use indigospur_test_support::{fetch_status, get, post};
+use serde_json::Value;
 use std::sync::atomic::Ordering;
 
 impl Soak {
@@ -38,6 +39,11 @@
             return false;
         }
         let runs = self.collect_journal(index);
+        let unannounced = self.hosts[index].leaves_unannounced;
+        if noticed && unannounced && self.named_count(index, "leaving-answers") == 0 {
+            // It has had no call in whose answer it could say so.
+            return true;
+        }
         let host = self.site.nodes[index].name.clone();
         let mut observations = lock(&self.shared.observations);
         if self.hosts[index].unplanned_fault {
@@ -58,6 +64,46 @@
         true
     }
 
+    /// A count that a backend server keeps since it named a rate limit or that it leaves.
+    fn named_count(&self, index: usize, name: &str) -> u64 {
+        let address = self.site.nodes[index].backend.address("address");
+        let report = get(&address, "/stand-in/named").body;
+        let report: Value = serde_json::from_str(&report).unwrap_or_default();
+        report[name].as_u64().unwrap_or_default()
+    }
+
+    pub(crate) fn limit_rate(&mut self, index: usize, limit: &str) {
+        self.resume_backend(index);
+        let host = &mut self.hosts[index];
+        if !host.backend_down {
+            let backend = &self.site.nodes[index].backend;
+            host.limited_backend = Some(backend.id());
+            let path = format!("/stand-in/rate-limit/{limit}");
+            post(&backend.address("address"), &path, "");
+        }
+    }
+
+    /// Records the calls that a backend server got while it named a limit, and lifts the limit. Hosts
+    /// that an unplanned fault has hit in this round are left out.
+    pub(crate) fn end_rate_limit(&mut self, index: usize) {
+        let limited = self.hosts[index].limited_backend.take();
+        let same = limited == Some(self.site.nodes[index].backend.id());
+        if !same || self.hosts[index].backend_down {
+            return;
+        }
+        self.resume_backend(index);
+        if !self.hosts[index].unplanned_fault {
+            let span = RateLimitSpan {
+                host: self.site.nodes[index].name.clone(),
+                starts: self.named_count(index, "most-starts"),
+                allowed: self.named_count(index, "allowed-starts"),
+            };
+            lock(&self.shared.observations).rate_limits.push(span);
+        }
+        self.limit_rate(index, "none");
+        self.hosts[index].limited_backend = None;
+    }
+
     /// Records processes that have exited unexpectedly; returns whether any has since the start.
     pub(crate) fn record_exits(&mut self) -> bool {
         let pairs = self.hosts.iter_mut().zip(&mut self.site.nodes);
--- a/crates/indigospur-soak/src/observations.rs
+++ b/crates/indigospur-soak/src/observations.rs
@@ -75,6 +75,17 @@
     pub later_runs: usize,
 }
 
+/// Calls that a backend server got while it named a limit on their rate.
+#[derive(Clone, Debug)]
+pub struct RateLimitSpan {
+    /// Name of the backend server's host.
+    pub host: String,
+    /// Most calls that began within four seconds, from three seconds after the limit was named.
+    pub starts: u64,
+    /// Calls that the limit allows in four seconds.
+    pub allowed: u64,
+}
+
 /// A process that exited although no stop of it was requested, or with an exit status that is not
 /// allowed after a requested stop or a failed start.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,6 +121,8 @@
     pub versions: Vec<VersionSample>,
     /// Backend servers that left while no unplanned fault hit their host.
     pub drains: Vec<BackendDrain>,
+    /// Backend servers that named a rate limit while no unplanned fault hit their host.
+    pub rate_limits: Vec<RateLimitSpan>,
     /// Unexpected exits of processes.
     pub exits: Vec<UnexpectedExit>,
     /// Requested stops of daemons.
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -31,6 +31,9 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_000);
 /// Time after that for which the backend server must begin no run.
 const DRAIN_WATCH: Duration = Duration::from_millis(700);
+/// Time for which a backend server names a limit on its rate of calls: longer than the stability
+/// window and the span in which calls are counted.
+const RATE_LIMIT_WATCH: Duration = Duration::from_millis(7_500);
 /// Number of consecutive requests that must be served for the site to count as recovered.
 const SERVED_STREAK: usize = 30;
 /// Interval between two polls of a daemon's status or of a condition.
@@ -328,7 +331,9 @@
 
 /// The steps that follow the begin of a fault; times count from the start of the round.
 fn following_steps(scheduled: ScheduledFault, begun: Duration) -> Vec<(Duration, Step)> {
-    if scheduled.fault == Fault::DrainBackend {
+    if let Fault::LimitRate(_) = scheduled.fault {
+        vec![(begun + RATE_LIMIT_WATCH, Step::End(scheduled))]
+    } else if matches!(scheduled.fault, Fault::DrainBackend | Fault::LeaveInAnswers) {
         let noticed = begun + DRAIN_NOTICE;
         vec![
             (noticed, Step::DrainNoticed(scheduled.host)),
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -1,8 +1,8 @@
 //! Each check finds the violation that it is meant for, and nothing else.
 
 use indigospur_soak::{
-    BackendDrain, Breach, ConnectionUse, DaemonStop, Fault, Observations, RequestRecord,
-    ScheduledFault, UnexpectedExit, VersionSample, check, draw_faults,
+    BackendDrain, Breach, ConnectionUse, DaemonStop, Fault, Observations, RateLimitSpan,
+    RequestRecord, ScheduledFault, UnexpectedExit, VersionSample, check, draw_faults,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -177,6 +177,19 @@
     assert_eq!(check(&observations), [breach]);
 }
 
+#[test]
+fn more_runs_than_a_named_rate_limit_allows_are_found() {
+    let mut observations = observed(Vec::new(), &[]);
+    let span = |starts| RateLimitSpan {
+        host: "quoting-0".into(),
+        starts,
+        allowed: 35,
+    };
+    observations.rate_limits = vec![span(35), span(36)];
+    let breach = Breach::OverRateLimit("quoting-0".into(), 36, 35);
+    assert_eq!(check(&observations), [breach]);
+}
+
 fn lost(connection: ConnectionUse, body: &str) -> RequestRecord {
     RequestRecord {
         status: 0,
--- a/crates/indigospur-stand-ins/src/backend_server.rs
+++ b/crates/indigospur-stand-ins/src/backend_server.rs
@@ -6,7 +6,11 @@
 //! - `fail=crash` exits the process with status 70 once the request is in the journal.
 //! - `fail=other` answers with the token of another call.
 //! - `fail=shed` answers 503 without a call token.
+//!
+//! Requests to `/stand-in/` control the server: `drain`, `leave`, `slowdown/FACTOR` and
+//! `rate-limit/CALLS_PER_SECOND` (`rate-limit/none` lifts the limit).
 
+use crate::named_status::NamedStatus;
 use crate::reply::{json, refusal_encoder, text, with_headers};
 use async_std::net::TcpListener;
 use indigospur_protocol::{Announcement, Answer, Header, State, headers};
@@ -15,8 +19,8 @@
 };
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
 
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -71,6 +75,9 @@
     max_running: AtomicU32,
     slowdown: AtomicU64,
     draining: AtomicBool,
+    /// Whether it has stopped announcing itself.
+    silent: AtomicBool,
+    named: Mutex<NamedStatus>,
 }
 
 /// Simulated backend server; clones share their state.
@@ -116,9 +123,22 @@
         self.shared.slowdown.store(factor, Ordering::Relaxed);
     }
 
-    /// Announces the draining state from the next announcement on.
+    /// Announces the draining state from the next announcement on, and says in all answers that it
+    /// leaves.
     pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::Relaxed);
+        self.named().set_leaving();
+    }
+
+    /// Stops announcing itself, and says in all answers that it leaves.
+    pub fn leave(&self) {
+        self.shared.silent.store(true, Ordering::Relaxed);
+        self.named().set_leaving();
+    }
+
+    fn named(&self) -> MutexGuard<'_, NamedStatus> {
+        let named = self.shared.named.lock();
+        named.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Serves requests and sends announcements until the listener fails.
@@ -148,7 +168,7 @@
         let Some(daemon) = self.options.daemon_admin.clone() else {
             return;
         };
-        loop {
+        while !self.shared.silent.load(Ordering::Relaxed) {
             let draining = self.shared.draining.load(Ordering::Relaxed);
             let announcement = Announcement {
                 service: self.options.service.as_str().into(),
@@ -179,14 +199,25 @@
                 self.drain();
                 return text(200, "");
             }
+            "/stand-in/leave" => {
+                self.leave();
+                return text(200, "");
+            }
+            "/stand-in/named" => return json(&self.named().report()),
             path => {
+                if let Some(limit) = path.strip_prefix("/stand-in/rate-limit/") {
+                    self.named().set_limit(limit.parse().ok());
+                    return text(200, "");
+                }
                 if let Some(factor) = path.strip_prefix("/stand-in/slowdown/") {
                     self.set_slowdown(factor.parse().unwrap_or(1));
                     return text(200, "");
                 }
             }
         }
-        self.run(request).await
+        let mut answer = self.run(request).await;
+        answer.headers.extend(self.named().headers(Instant::now()));
+        answer
     }
 
     async fn run(&self, request: ReceivedRequest) -> Answer {
@@ -199,6 +230,7 @@
             .fetch_max(running, Ordering::Relaxed);
         let _guard = RunningGuard(self.shared.clone());
         let index = self.record_start(&request);
+        self.named().record_start(Instant::now());
         if query_parameter(&request.path, "fail") == Some("crash") {
             std::process::exit(70);
         }
--- a/crates/indigospur-stand-ins/src/lib.rs
+++ b/crates/indigospur-stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 //! not part of the product.
 
 mod backend_server;
+mod named_status;
 mod platform_log;
 mod reply;
 
