Hear the rate limit of a backend server's present instance only

A late answer of an instance that was replaced could lift or name a limit in the record that is kept for the next one, and, without a name, let the next one drain. An answer of another entry than the present one counts only if it names the instance that leaves. By reading; no test shows it, since the moment can't be arranged from outside the daemon.

--- a/crates/indigospur-daemon/src/backend_status.rs
+++ b/crates/indigospur-daemon/src/backend_status.rs
@@ -5,6 +5,7 @@
 use crate::dialect::{BackendStatus, RateLimit};
 use indigospur_members::{Instance, NamedLimit};
 use indigospur_protocol::Rate;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -12,17 +13,31 @@
 /// end of a limit, are announced at once.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Takes note of the status in the answer to a call that was started at `started`.
-pub(crate) fn observe(daemon: &Daemon, backend: &Backend, status: BackendStatus, started: Instant) {
-    backend.has_answered.store(true, Ordering::Relaxed);
-    match status.rate_limit {
-        RateLimit::Unlimited => observe_rate_limit(daemon, backend, started, None),
-        RateLimit::Limited(rate) => observe_rate_limit(daemon, backend, started, Some(rate)),
-        RateLimit::Malformed => {
-            log::warn!(instance = &*backend.instance; "the rate limit in an answer of the backend server is malformed; it is ignored");
+/// Takes note of the status in the answer to a call that was started at `started`. A late answer of
+/// an instance that was replaced is heard only if it names the instance that leaves.
+pub(crate) fn observe(
+    daemon: &Daemon,
+    backend: &Arc<Backend>,
+    status: BackendStatus,
+    started: Instant,
+) {
+    let current = daemon.backend();
+    let is_current = current.is_some_and(|current| Arc::ptr_eq(&current, backend));
+    if is_current {
+        backend.has_answered.store(true, Ordering::Relaxed);
+        match status.rate_limit {
+            RateLimit::Unlimited => observe_rate_limit(daemon, backend, started, None),
+            RateLimit::Limited(rate) => observe_rate_limit(daemon, backend, started, Some(rate)),
+            RateLimit::Malformed => {
+                log::warn!(instance = &*backend.instance; "the rate limit in an answer of the backend server is malformed; it is ignored");
+            }
         }
     }
-    if status.leaving && backend::handle_departure(daemon, &backend.instance()) {
+    let has_name = !backend.instance.is_empty();
+    if status.leaving
+        && (is_current || has_name)
+        && backend::handle_departure(daemon, &backend.instance())
+    {
         log::info!(instance = &*backend.instance; "the backend server says in an answer that it leaves");
     }
 }
