Let a raised rate limit apply from the answer that names it

After a limit of half a call a second the next call waited up to two seconds, whatever limit was named meanwhile.

--- a/crates/indigospur-admission/src/rate_limiter.rs
+++ b/crates/indigospur-admission/src/rate_limiter.rs
@@ -33,24 +33,23 @@
         }
     }
 
-    /// Records what an answer says of the limit; the call was started at `started`. Returns whether
-    /// the limit in force has changed.
+    /// Records what an answer says of the limit; the call was started at `started`.
     ///
     /// Answers may arrive in another order than they were made. One without a limit counts only if
     /// its call was started after the last answer that named one.
-    pub(crate) fn observe(&mut self, now: Instant, started: Instant, rate: Option<Rate>) -> bool {
-        let before = self.rate();
+    pub(crate) fn observe(&mut self, now: Instant, started: Instant, rate: Option<Rate>) {
         match rate {
             Some(rate) => {
-                if before.is_none() {
-                    self.next = now;
-                }
                 self.limit = Some(Limit { rate, named: now });
+                // After a change the next call waits no longer than the new limit asks for.
+                let spaced = self
+                    .interval()
+                    .map_or(now, |interval| now + BURST + interval);
+                self.next = self.next.min(spaced);
             }
             None if self.limit.is_some_and(|limit| started >= limit.named) => self.limit = None,
             None => {}
         }
-        before != self.rate()
     }
 
     /// The limit in force.
--- a/crates/indigospur-admission/tests/rate_limit.rs
+++ b/crates/indigospur-admission/tests/rate_limit.rs
@@ -184,6 +184,30 @@
     assert!(kinds.clone().all(|kind| *kind == Kind::RateLimited));
 }
 
+#[test]
+fn a_raised_limit_applies_from_the_answer_that_names_it() {
+    let mut server = Server::new(66, millis(20));
+    let mut raised = None;
+    for number in 0..600_u64 {
+        let at = millis(number * 20);
+        if at == millis(8_000) {
+            (server.per_second, server.named) = (Some(20.0), None);
+        } else if at < millis(8_000) {
+            server.per_second = Some(0.5);
+        } else {
+            raised = raised.or(server.named);
+        }
+        server.arrive(at, 1);
+    }
+    let raised = raised.expect("an answer names the raised limit");
+    let second = raised..raised + millis(1_000);
+    let starts = server
+        .starts
+        .iter()
+        .filter(|start| second.contains(&start.0));
+    assert!(starts.count() >= 18);
+}
+
 #[test]
 fn calls_of_higher_priority_start_first_under_a_limit() {
     let mut server = Server::new(66, millis(50));
