--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -1,5 +1,8 @@
 //! Decides which calls run, are queued or are shed at one backend server.
 
+mod capacity;
+mod preemption;
+
 use crate::effect::{AdmissionRefusal, Arrival, Completion, Effect, Ticket, Verdict};
 use crate::ewma::Ewma;
 use crate::limit::{Limit, LimitPolicy};
@@ -13,11 +16,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest Retry-After time of a refusal, jitter included.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
-/// A queued call is urgent when its deadline is nearer than this many mean service times.
-const URGENT_SERVICE_TIMES: u32 = 2;
-/// A queued call is urgent at the latest this long before its deadline.
-const MIN_URGENT_MARGIN: Duration = Duration::from_millis(5);
-
 /// Settings of the admission to one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -250,17 +248,6 @@
         wake_times.min()
     }
 
-    /// Time from which a queued call with this deadline is urgent.
-    fn urgent_from(&self, deadline: Instant) -> Instant {
-        let margin = (self.service_time.get() * URGENT_SERVICE_TIMES).max(MIN_URGENT_MARGIN);
-        deadline.checked_sub(margin).unwrap_or(deadline)
-    }
-
-    fn can_preempt(&self, class: Class) -> bool {
-        self.preemption_candidate()
-            .is_some_and(|(lowest, _)| lowest > class)
-    }
-
     fn next_expired(&self, now: Instant) -> Option<(Class, Ticket)> {
         let expired = self
             .queue
@@ -269,82 +256,6 @@
         expired.map(|(class, _, ticket)| (class, ticket))
     }
 
-    /// Starts urgent calls in the slots of running calls of lower priority.
-    fn preempt_for_urgent(&mut self, now: Instant) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        while let Some((class, ticket)) = self.next_urgent(now) {
-            self.preempt_for(now, class, &mut effects);
-            if let Some(arrival) = self.queue.remove(ticket) {
-                self.start(now, ticket, arrival);
-                effects.push(Effect::Run(ticket));
-            }
-        }
-        effects
-    }
-
-    fn next_urgent(&self, now: Instant) -> Option<(Class, Ticket)> {
-        if self.is_rate_limited(now) {
-            return None;
-        }
-        let mut calls = self
-            .queue
-            .earliest_deadlines()
-            .filter(|(_, deadline, _)| *deadline > now);
-        let urgent = calls.find(|(class, deadline, _)| {
-            self.can_preempt(*class) && self.urgent_from(*deadline) <= now
-        });
-        urgent.map(|(class, _, ticket)| (class, ticket))
-    }
-
-    /// Sheds all queued calls of lower priority than `class` after a call of `class` was preempted
-    /// or expired in the queue, so that no call is refused in favour of one of lower priority.
-    fn shed_lower_priority(&mut self, now: Instant, class: Class, effects: &mut Vec<Effect>) {
-        for ticket in self.queue.lower_priority(class) {
-            self.queue.remove(ticket);
-            effects.push(Effect::Refuse(ticket, self.refusal(now, Kind::Overloaded)));
-        }
-    }
-
-    fn has_free_slot(&self, now: Instant) -> bool {
-        (self.running.len() as u32) < self.limit.get(now) && !self.is_rate_limited(now)
-    }
-
-    /// Whether the rate limit allows no call to start now.
-    fn is_rate_limited(&self, now: Instant) -> bool {
-        self.rate_limiter.ready_at(now).is_some()
-    }
-
-    /// Calls that run at a time if slots are the only limit, or calls start at the rate limit.
-    fn sustained_concurrency(&self, now: Instant) -> u32 {
-        let limit = self.limit.get(now);
-        let Some(interval) = self.rate_limiter.interval() else {
-            return limit;
-        };
-        let by_rate = self
-            .service_time
-            .get()
-            .as_nanos()
-            .div_ceil(interval.as_nanos().max(1));
-        limit.min(u32::try_from(by_rate).unwrap_or(u32::MAX).max(1))
-    }
-
-    /// Whether the call would miss its deadline at the expected waiting and service times.
-    ///
-    /// False for a call that can displace one of lower priority, as it need not wait its turn.
-    fn misses_deadline(&self, now: Instant, arrival: &Arrival) -> bool {
-        if arrival.waits || self.can_displace(arrival.class) {
-            return false;
-        }
-        let wait = self.expected_wait(now, arrival.class);
-        now + wait + self.service_time.get() > arrival.deadline
-    }
-
-    fn expected_wait(&self, now: Instant, class: Class) -> Duration {
-        let calls_ahead = self.queue.count_ahead(class) as u32;
-        let by_slots = self.service_time.get() * calls_ahead / self.limit.get(now);
-        by_slots.max(self.rate_limiter.wait(now, calls_ahead))
-    }
-
     /// Whether a call of lower priority than `class` is queued, or runs and can be preempted.
     fn can_displace(&self, class: Class) -> bool {
         let displaces_queued = self
@@ -354,14 +265,6 @@
         displaces_queued || self.can_preempt(class)
     }
 
-    /// The running call to preempt first; `None` if preemption is off.
-    fn preemption_candidate(&self) -> Option<(Class, Ticket)> {
-        self.preemption_order
-            .last()
-            .copied()
-            .filter(|_| self.options.preempts)
-    }
-
     fn enqueue(
         &mut self,
         now: Instant,
@@ -416,38 +319,6 @@
         (verdict, effects)
     }
 
-    /// Calls that may wait: as many as finish within the target wait, but at least the concurrency
-    /// limit, and at most the configured bound, which takes precedence. Under a rate limit, at most
-    /// as many as start within the target wait.
-    fn queue_capacity(&self, now: Instant) -> usize {
-        let limit = self.limit.get(now) as usize;
-        let service_time = self.service_time.get().as_nanos().max(1);
-        let finished_in_target = self.options.target_wait.as_nanos() * limit as u128 / service_time;
-        let finished_in_target = usize::try_from(finished_in_target).unwrap_or(usize::MAX);
-        let capacity = finished_in_target.max(limit).min(self.options.max_queued);
-        match self.rate_limiter.interval() {
-            None => capacity,
-            Some(interval) => {
-                let started = self.options.target_wait.div_duration_f64(interval).round();
-                capacity.min(started as usize)
-            }
-        }
-    }
-
-    /// Cancels a running call of lower priority than `class`; false if there is none.
-    fn preempt_for(&mut self, now: Instant, class: Class, effects: &mut Vec<Effect>) -> bool {
-        let Some((lowest, ticket)) = self.preemption_candidate() else {
-            return false;
-        };
-        if lowest <= class {
-            return false;
-        }
-        self.release(now, ticket, Completion::Failed);
-        effects.push(Effect::Preempt(ticket, self.refusal(now, Kind::Overloaded)));
-        self.shed_lower_priority(now, lowest, effects);
-        true
-    }
-
     /// Starts queued calls in free slots, and refuses those that can no longer finish in time.
     fn start_queued(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
