--- a/crates/indigospur-budget/src/decision.rs
+++ b/crates/indigospur-budget/src/decision.rs
@@ -49,10 +49,10 @@
 /// why the call may be retried.
 ///
 /// An upstream that provably did not run the call, for a reason of its own such as being down,
-/// draining or at its rate limit, is passed over without credit, `free_failovers` times in a call. No work was done
-/// there that a retry would repeat, and the credit is kept for failures that cost work. A backend
-/// server that refused the call itself is passed over without credit too, `free_sheds` times, but
-/// within the ratio, since the refused attempt put load on it.
+/// draining or at its rate limit, is passed over without credit, `free_failovers` times in a call.
+/// No work was done there that a retry would repeat, and the credit is kept for failures that cost
+/// work. A backend server that refused the call itself is passed over without credit too,
+/// `free_sheds` times, but within the ratio, since the refused attempt put load on it.
 ///
 /// # Errors
 /// The reason why the call is not retried.
