Ask other daemons for member lists that the log dropped unread

Product's own interface; the users' platform doesn't use this log.

What callers saw: after the log had dropped records before their time, daemons that were restarted answered that the log has no member list of a service, or began another chain of lists for their own service, while all others had the present one.

Cause: a daemon that missed records closed the gap once it read a rule set. That made up for missed rule sets, not for missed member lists.

The gap stays open until records of a daemon without a gap were adopted, or of three daemons with one: after a start of the whole fleet nobody has them.

The test a_daemon_that_missed_expired_records_has_no_gap_once_it_reads_a_rule_set held the fault as the expected behaviour: the record that expires in it is a member list. Its setting and its last assertion are kept in two tests that ask for more: the list is fetched, a sender with a gap does not close it, and a gap that nobody can fill ends.

--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -104,7 +104,7 @@
             FetchedRecord::new(now, record.offset, age, record.body)
         })
         .collect();
-    let changes = lock(&daemon.follower).adopt(&records);
+    let changes = lock(&daemon.follower).adopt(&records, reply.gap);
     apply(&daemon, changes);
 }
 
--- a/crates/indigospur-daemon/src/peer_service.rs
+++ b/crates/indigospur-daemon/src/peer_service.rs
@@ -32,6 +32,7 @@
     });
     peer::FetchReply {
         records: records.into_iter().collect(),
+        gap: false,
     }
 }
 
@@ -90,7 +91,10 @@
         if self.0.source.is_some() {
             return Ok(Response::new(newest_after(&self.0, from)));
         }
-        let records = lock(&self.0.follower).records(from);
+        let (records, gap) = {
+            let follower = lock(&self.0.follower);
+            (follower.records(from), follower.has_gap())
+        };
         let records = records.iter().map(|fetched| peer::LogRecord {
             offset: fetched.offset,
             body: fetched.body.to_vec(),
@@ -100,6 +104,7 @@
         });
         Ok(Response::new(peer::FetchReply {
             records: records.collect(),
+            gap,
         }))
     }
 
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -235,6 +235,9 @@
 pub struct FetchReply {
     #[prost(message, repeated, tag = "1")]
     pub records: ::prost::alloc::vec::Vec<LogRecord>,
+    /// Whether records expired before the sender could read them.
+    #[prost(bool, tag = "2")]
+    pub gap: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeyRecord {
--- a/crates/indigospur-publish/src/follower.rs
+++ b/crates/indigospur-publish/src/follower.rs
@@ -8,6 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Daemons with a gap of their own that are asked until a gap counts as closed: after a start of the
+/// whole fleet no daemon has the records that expired before.
+const MAX_GAP_FETCHES: u32 = 3;
 /// Maximum number of seeds kept; the oldest are dropped.
 const MAX_SEEDS: usize = 16;
 
@@ -80,9 +83,10 @@
     next: u64,
     /// Lowest offset that the log retained at the last read.
     first_retained: u64,
-    /// Whether records expired unread, and neither a later rule set in the log nor records of
-    /// another daemon have made up for them yet.
+    /// Whether records expired unread, and records of other daemons have not made up for them yet.
     gap: bool,
+    /// Number of daemons whose records were adopted since the gap opened.
+    gap_fetches: u32,
     skipped: u64,
 }
 
@@ -144,7 +148,9 @@
     pub fn read(&mut self, first: u64, records: &[FetchedRecord]) -> Vec<Change> {
         let truncated = first > self.next;
         self.first_retained = first;
-        self.gap |= truncated;
+        if truncated {
+            (self.gap, self.gap_fetches) = (true, 0);
+        }
         let source = Source::Log { truncated };
         let changes = records
             .iter()
@@ -155,13 +161,21 @@
         changes
     }
 
-    /// Applies records that another daemon has accepted, and returns the changes.
-    pub fn adopt(&mut self, records: &[FetchedRecord]) -> Vec<Change> {
+    /// Whether records expired unread that other daemons may have.
+    pub fn has_gap(&self) -> bool {
+        self.gap
+    }
+
+    /// Applies records that another daemon has accepted, and returns the changes. `sender_gap` says
+    /// whether that daemon has a gap itself.
+    pub fn adopt(&mut self, records: &[FetchedRecord], sender_gap: bool) -> Vec<Change> {
         let changes = records
             .iter()
             .filter_map(|fetched| self.apply(fetched, Source::Daemon))
             .collect();
-        self.gap &= self.active_rules.is_none();
+        self.gap_fetches += 1;
+        let may_be_filled = sender_gap && self.gap_fetches < MAX_GAP_FETCHES;
+        self.gap &= may_be_filled || self.active_rules.is_none();
         changes
     }
 
@@ -242,8 +256,6 @@
             rules: Arc::new(rules),
             text,
         };
-        // A rule set read from the log is newer than any that expired unread.
-        self.gap &= matches!(source, Source::Daemon);
         self.rules_record = Some(fetched.clone());
         self.active_rules = Some(active_rules.clone());
         Some(Change::Rules(active_rules))
--- a/crates/indigospur-publish/tests/publish.rs
+++ b/crates/indigospur-publish/tests/publish.rs
@@ -143,7 +143,7 @@
     log.append(attempt(Chain::default(), 1).bytes());
     let peer = follower(&log);
     let mut starting = Follower::default();
-    starting.adopt(&peer.records(0));
+    starting.adopt(&peer.records(0), peer.has_gap());
     assert_eq!(version(&starting), Some(0));
     log.read(&mut starting);
     assert_eq!(version(&starting), Some(0));
@@ -167,7 +167,7 @@
     let old: Vec<FetchedRecord> = suspended.records(0);
     log.read(&mut suspended);
     assert_eq!(version(&suspended), version(&live));
-    live.adopt(&old);
+    live.adopt(&old, suspended.has_gap());
     assert_eq!(version(&suspended), version(&live));
 }
 
@@ -204,11 +204,11 @@
         assert_eq!((version(&behind), behind.accepted()), (None, 2));
         // A peer that missed them too can't fill the gap.
         assert_eq!(behind.fetch_offset(2), Some(0));
-        behind.adopt(&follower(&log).records(0));
+        behind.adopt(&follower(&log).records(0), true);
         let from = behind
             .fetch_offset(live.accepted())
             .expect("the gap is not filled yet");
-        behind.adopt(&live.records(from));
+        behind.adopt(&live.records(from), live.has_gap());
         assert_eq!(version(&behind), Some(0));
         assert_eq!(behind.fetch_offset(live.accepted()), None);
     }
@@ -235,18 +235,43 @@
     assert_eq!(version(&follower(&log)), Some(2));
 }
 
+/// The member list expired unread; the rule set was renewed since.
 #[test]
-fn a_daemon_that_missed_expired_records_has_no_gap_once_it_reads_a_rule_set() {
+fn a_daemon_that_missed_a_member_list_asks_for_it_although_it_has_read_a_rule_set() {
     let mut log = Log::new();
+    let mut live = Follower::default();
     log.append(members());
+    log.read(&mut live);
     log.now += RETENTION * 2;
     log.expire();
     log.append(attempt(Chain::default(), 1).bytes());
-    let late = follower(&log);
+    log.read(&mut live);
+    let mut late = follower(&log);
+    assert_eq!((version(&late), late.fetch_offset(2)), (Some(1), Some(0)));
+    assert_eq!(late.epoch_chain("contracts").head(), None);
+    late.adopt(&follower(&log).records(0), true);
+    assert_eq!(late.fetch_offset(2), Some(0), "the other one has a gap too");
+    late.adopt(&live.records(0), live.has_gap());
+    assert_eq!(late.epoch_chain("contracts").head(), Some(0));
     assert_eq!((version(&late), late.fetch_offset(2)), (Some(1), None));
     assert_eq!(late.fetch_offset(3), Some(2));
 }
 
+#[test]
+fn a_gap_counts_as_closed_if_the_other_daemons_have_it_too() {
+    let mut log = Log::new();
+    log.append(members());
+    log.now += RETENTION * 2;
+    log.expire();
+    log.append(attempt(Chain::default(), 1).bytes());
+    let mut late = follower(&log);
+    for _ in 0..3 {
+        assert_eq!(late.fetch_offset(2), Some(0));
+        late.adopt(&follower(&log).records(0), true);
+    }
+    assert_eq!((version(&late), late.fetch_offset(2)), (Some(1), None));
+}
+
 #[test]
 fn the_active_rule_set_outlives_the_retention_of_the_log() {
     let mut log = Log::new();
@@ -295,14 +320,16 @@
                     (0..rng.random_range(1..3)).for_each(|_| { log.append(bytes.clone()); });
                 }
                 1 => {
-                    let records = daemons[rng.random_range(0..4)].records(0);
-                    daemons[rng.random_range(0..4)].adopt(&records);
+                    let sender = &daemons[rng.random_range(0..4)];
+                    let (records, gap) = (sender.records(0), sender.has_gap());
+                    daemons[rng.random_range(0..4)].adopt(&records, gap);
                 }
                 2 => {
                     let index = rng.random_range(0..4);
                     daemons[index] = Follower::default();
-                    let records = daemons[(index + 1) % 4].records(0);
-                    daemons[index].adopt(&records);
+                    let sender = &daemons[(index + 1) % 4];
+                    let (records, gap) = (sender.records(0), sender.has_gap());
+                    daemons[index].adopt(&records, gap);
                     highest[index] = None;
                 }
                 _ => log.read(&mut daemons[rng.random_range(0..4)]),
