Log failed gossip exchanges, failed reads of the source and lost links

Each line has the error and how long it took. They are bounded by the rounds of gossip (a few a second), the backoff of reads and the number of links. No decision changes.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -153,13 +153,19 @@
     host: Option<&HostId>,
     message: Message,
 ) -> Option<Message> {
-    let answer = peers::gossip(daemon, address, message).await.ok();
-    if let (None, Some(host)) = (&answer, host) {
+    let started = Instant::now();
+    let error = match peers::gossip(daemon, address, message).await {
+        Ok(answer) => return Some(answer),
+        Err(error) => error,
+    };
+    let took_ms = started.elapsed().as_millis() as u64;
+    log::info!(address = &**address, error:debug, took_ms; "gossip exchange failed");
+    if let Some(host) = host {
         lock(&daemon.fleet)
             .members
             .record_failure(Instant::now(), host);
     }
-    answer
+    None
 }
 
 /// Merges a message from the daemon at `address` into this daemon's state and acts on the changes.
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -148,6 +148,8 @@
             log::info!(from:? = read.from; "the configuration source no longer holds the read position; the newest configuration is read");
             return;
         }
+        let took_ms = read.started.elapsed().as_millis() as u64;
+        log::info!(error:display, from:? = read.from, took_ms; "read of the configuration source failed");
         let was_available = std::mem::replace(&mut progress.available, false);
         // Reading can't continue from this position, but may from the newest configuration.
         if error == SourceError::Malformed {
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -85,7 +85,12 @@
             .await
             .ok_or(LinkError::Connect)?;
         let (sender, connection) = opened.map_err(|_| LinkError::Connect)?;
-        runtime::spawn(connection);
+        let peer: Arc<str> = address.into();
+        runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                log::info!(address = &*peer, error:debug; "connection to another daemon failed; calls on it are lost");
+            }
+        });
         let uri = format!("http://{address}")
             .parse()
             .map_err(|_| LinkError::Connect)?;
