--- a/crates/indigospur-test-support/src/fault_proxy.rs
+++ b/crates/indigospur-test-support/src/fault_proxy.rs
@@ -1,5 +1,6 @@
 //! TCP proxy in this process that injects faults into the connections it forwards.
 
+use socket2::{SockFilter, SockRef};
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -8,6 +9,8 @@
 use std::time::Duration;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Instruction of a socket filter that ends it; its operand is the number of bytes that are kept.
+const BPF_RETURN: u16 = 0x06;
 /// Bytes that identify the start of a response.
 const RESPONSE_START: &[u8] = b"HTTP/1.1";
 
@@ -117,8 +120,20 @@
         }
     }
 
-    /// Drops all further bytes of the open connections, which stay open, and returns their number.
-    /// New connections are not affected.
+    /// Lets the open connections go silent for good: they stay open, but this host no longer sends
+    /// or acknowledges anything on them. New connections are not affected.
+    ///
+    /// # Panics
+    /// The operating system refuses a socket filter.
+    pub fn silence_open_connections(&self) {
+        self.blackhole_open_connections();
+        for stream in lock(&self.state.streams).iter() {
+            silence(stream);
+        }
+    }
+
+    /// Drops all further bytes of the open connections, which stay open and acknowledge what they
+    /// receive, and returns their number. New connections are not affected.
     pub fn blackhole_open_connections(&self) -> usize {
         let mut connections = lock(&self.state.blackholed);
         connections.retain(|flags| Arc::strong_count(flags) > 1);
@@ -129,6 +144,18 @@
     }
 }
 
+/// Has the operating system drop all packets that arrive for a connection from now on, so that it
+/// acknowledges nothing.
+///
+/// # Panics
+/// The operating system refuses the filter.
+pub fn silence(stream: &TcpStream) {
+    let drop_all = SockFilter::new(BPF_RETURN, 0, 0, 0);
+    SockRef::from(stream)
+        .attach_filter(&[drop_all])
+        .expect("the system has socket filters");
+}
+
 /// Loopback address derived from the process ID. Other test processes use other addresses, so none
 /// of them takes a port on it while the port is closed.
 pub(crate) fn process_loopback() -> IpAddr {
--- a/crates/indigospur-test-support/src/lib.rs
+++ b/crates/indigospur-test-support/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use client::{Call, Response, get, post, request};
 pub use connection::{ClientBehaviour, Connection};
-pub use fault_proxy::{Direction, FaultProxy};
+pub use fault_proxy::{Direction, FaultProxy, silence};
 pub use node::{Node, ServicePlan, fetch_status, ready_members};
 pub use process::{Process, StartingProcess, program_path, signal, wait_for_main};
 pub use scripted_backend::{Script, ScriptedBackend};
