Notice silent connections to the store, backend servers and callers by TCP keep-alive

Callers saw: daemons that got a version late, since their long polls were dead (up to 20.8 s), and calls to backend servers that hung until their deadlines. Cause: a connection that went silent was noticed by the time-out of the request on it only, and there is none on an idle connection. Now the operating system probes each of them: 4 s for requests to the store, 2 s for the backend server on this host, 30 s for callers, who may read slowly. Ruled out: shorter long polls (calls to the store are priced and limited).

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use crate::http::{HttpError, HttpRequest, HttpResponse, connect, encode, read_response};
+use crate::silence;
 use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
 use std::sync::{Mutex, PoisonError};
@@ -155,7 +156,9 @@
             });
         }
         let reservation = self.reserve().ok_or(BackendError::NoConnection)?;
-        let connection = Connection::new(connect(&self.address).await?);
+        let stream = connect(&self.address).await?;
+        silence::BACKEND.apply(&stream);
+        let connection = Connection::new(stream);
         // From here on the `PooledConnection` counts as the open connection.
         std::mem::forget(reservation);
         Ok(PooledConnection {
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -4,6 +4,7 @@
 use crate::encode::append_field;
 use crate::head::{Framing, HeadError, ResponseHead};
 use crate::runtime;
+use crate::silence;
 use async_std::net::TcpStream;
 use indigospur_protocol::{Answer, Header};
 use std::net::SocketAddr;
@@ -191,7 +192,9 @@
     timeout: Duration,
 ) -> Result<Answer, HttpError> {
     let exchange = async {
-        let mut connection = Connection::new(connect(address).await?);
+        let stream = connect(address).await?;
+        silence::REQUEST.apply(&stream);
+        let mut connection = Connection::new(stream);
         write_request(&mut connection, message).await?;
         read_response(&mut connection, message.method).await
     };
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_server;
 pub mod runtime;
 mod service;
+mod silence;
 mod timer;
 
 pub use address::SharedAddress;
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -5,6 +5,7 @@
 use crate::head::{Framing, HeadError, RepeatedField, RequestHead};
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, ReceivedRequest};
+use crate::silence;
 use async_std::net::{TcpListener, TcpStream};
 use futures_lite::FutureExt;
 use indigospur_protocol::{Answer, Kind, Refusal};
@@ -128,6 +129,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:display; "failed to set TCP_NODELAY; small messages may be delayed");
     }
+    silence::CALLER.apply(&stream);
     let mut connection = Connection::new(stream);
     loop {
         match serve_request(&mut connection, service).await {
