Read the source again when a daemon becomes a watcher

Callers saw: a route that had been added was refused for up to 20.8 s if the watchers had left and the long poll of the daemon that took over was silent. Cause: the length of a read was decided as it starts; a daemon that became a watcher in the middle of a long one waited for its end.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -58,7 +58,7 @@
 /// Advances the failure detection of members.
 fn tick(daemon: &Daemon) {
     let changed = lock(&daemon.fleet).members.tick(Instant::now());
-    update_router(daemon, &changed);
+    apply_changes(daemon, &changed);
 }
 
 /// Joins the fleet by way of the daemon at `address`, unless that daemon is known already.
@@ -171,7 +171,7 @@
 /// Merges a message from the daemon at `address` into this daemon's state and acts on the changes.
 fn merge(daemon: &Arc<Daemon>, message: &Message, address: &Arc<str>) {
     let changed = lock(&daemon.fleet).merge(message);
-    update_router(daemon, &changed);
+    apply_changes(daemon, &changed);
     if changed.iter().any(|member| member.host == *daemon.host()) {
         backend::handle_new_incarnation(daemon);
         daemon.wake_gossip();
@@ -221,8 +221,11 @@
     lock(&daemon.fleet).answer(accepted, &request)
 }
 
-/// Updates the router with changed members.
-fn update_router(daemon: &Daemon, changed: &[Member]) {
+/// Updates the router, and this daemon's role as a reader of the source, with changed members.
+fn apply_changes(daemon: &Daemon, changed: &[Member]) {
+    if !changed.is_empty() {
+        source_reader::update_role(daemon);
+    }
     let mut router = lock(&daemon.router);
     for member in changed {
         router.update(member);
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -9,6 +9,7 @@
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::{self, BoxFuture};
 use rand::Rng;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -71,27 +72,52 @@
     });
     let mut backoff = Backoff::default();
     loop {
-        let read = async { Some(reader.read().await) };
-        match futures_lite::future::or(read, address_changed(&daemon)).await {
-            None => {
+        let read = async { Event::ReadEnded(reader.read().await) };
+        match futures_lite::future::or(read, interruption(&daemon)).await {
+            Event::AddressChanged => {
                 reader.restart();
                 reader.registration.restart();
             }
-            Some(Ok(())) => backoff = Backoff::default(),
-            Some(Err(SourceError::PositionExpired)) => {
+            Event::BecameWatcher | Event::ReadEnded(Ok(())) => backoff = Backoff::default(),
+            Event::ReadEnded(Err(SourceError::PositionExpired)) => {
                 // The source answers. A short wait bounds the calls if it expires all positions.
                 backoff = Backoff::default();
                 backoff.wait(&daemon).await;
             }
-            Some(Err(_)) => backoff.wait(&daemon).await,
+            Event::ReadEnded(Err(_)) => backoff.wait(&daemon).await,
         }
     }
 }
 
-/// Completes when the address of the source has changed.
-async fn address_changed<T>(daemon: &Daemon) -> Option<T> {
-    let _ = daemon.source_address_changed.1.recv().await;
-    None
+/// What ends the wait for a read.
+enum Event {
+    ReadEnded(Result<(), SourceError>),
+    /// The address of the source has changed.
+    AddressChanged,
+    /// This daemon has become a watcher, and its read may have gone silent.
+    BecameWatcher,
+}
+
+/// Completes when the next read must not wait for the present one.
+async fn interruption(daemon: &Daemon) -> Event {
+    let address_changed = async {
+        let _ = daemon.source_address_changed.1.recv().await;
+        Event::AddressChanged
+    };
+    let became_watcher = async {
+        let _ = daemon.became_watcher.1.recv().await;
+        Event::BecameWatcher
+    };
+    futures_lite::future::or(address_changed, became_watcher).await
+}
+
+/// Starts the next read at once if this daemon has become a watcher by a change of the member list.
+pub(crate) fn update_role(daemon: &Daemon) {
+    let watches = is_watcher(daemon);
+    let watched = daemon.watches_source.swap(watches, Ordering::Relaxed);
+    if watches && !watched {
+        let _ = daemon.became_watcher.0.try_send(());
+    }
 }
 
 impl Reader {
@@ -101,6 +127,8 @@
             let progress = lock(&self.progress);
             (progress.cursor.position(), progress.address_changes)
         };
+        // The wait of this read takes earlier changes of the role into account.
+        let _ = self.daemon.became_watcher.1.try_recv();
         let wait = from.map_or(Duration::ZERO, |_| change_wait(&self.daemon));
         let call = match from {
             Some(from) => self.source.changes(from, wait),
@@ -205,20 +233,23 @@
     }
 }
 
-/// Wait for a change in one read. The first members by host name that are ready, or wait for their
-/// backend server, are the watchers.
+/// Wait for a change in one read.
 fn change_wait(daemon: &Daemon) -> Duration {
+    let watches = is_watcher(daemon);
+    daemon.watches_source.store(watches, Ordering::Relaxed);
+    if watches { WATCHER_WAIT } else { DEFAULT_WAIT }
+}
+
+/// Whether this daemon is a watcher: one of the first members by host name that are ready, or wait for
+/// their backend server.
+fn is_watcher(daemon: &Daemon) -> bool {
     let fleet = lock(&daemon.fleet);
     let ready = fleet
         .members
         .all()
         .filter(|member| matches!(member.state, State::Ready | State::Waiting));
     let mut first = ready.take(WATCHER_COUNT);
-    if first.any(|member| member.host == *daemon.host()) {
-        WATCHER_WAIT
-    } else {
-        DEFAULT_WAIT
-    }
+    first.any(|member| member.host == *daemon.host())
 }
 
 /// Records a successful read; `was_available` says whether the one before succeeded.
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -107,6 +107,10 @@
     pub(crate) gossip_wake: (Sender<()>, Receiver<()>),
     /// Signals the reader of the source that its address has changed.
     pub(crate) source_address_changed: (Sender<()>, Receiver<()>),
+    /// Whether this daemon follows the source closely for the whole fleet.
+    pub(crate) watches_source: AtomicBool,
+    /// Signals the reader of the source that this daemon has begun to do so.
+    pub(crate) became_watcher: (Sender<()>, Receiver<()>),
     /// When the graceful shutdown began.
     draining_since: Mutex<Option<Instant>>,
     /// Running calls with a key, which continue when their callers disconnect.
@@ -191,6 +195,8 @@
             rng: Mutex::new(rng),
             gossip_wake: bounded(1),
             source_address_changed: bounded(1),
+            watches_source: AtomicBool::new(false),
+            became_watcher: bounded(1),
             draining_since: Mutex::default(),
             running_keys: AtomicUsize::new(0),
             next_token: AtomicU64::new(1),
