Send urgent changes to the next hosts in order, not mostly to unreachable ones

Callers saw: the last host had a version up to 1.9 s after the first, with the long polls silent (2 s are allowed from the acknowledgement). Cause: an urgent change went to three daemons chosen as for periodic rounds, which go in four of five cases to the one host that could not be reached last. One failed exchange, as on a silent connection, took most of every urgent round away from the others; and random choice alone misses one host in twenty. Now it goes to the next two hosts in the order of names, so each host is told by two others, and to three at random. Evidence: a property test in which each host passes a change on once fails with the old choice (a host is missed; 80 hosts take 7 steps, 640 more than 7) and passes now (3, 4 and 6 steps at 16, 80 and 640 hosts). Ruled out: more random peers only (six instead of three: 3 to 5 steps, but no host is certain to be told).

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -16,8 +16,6 @@
 /// Longest wait for answers to urgent rounds: the backend server waits a second for the
 /// acknowledgement that follows them.
 const URGENT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Rounds started at once after an urgent change, each with one daemon.
-const URGENT_FANOUT: usize = 3;
 
 /// Gossips about once a second, and at once after an urgent change, for as long as the daemon runs.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
@@ -29,8 +27,9 @@
         let urgent = runtime::timeout(pause, daemon.gossip_wake.1.recv())
             .await
             .is_some();
-        let count = if urgent { URGENT_FANOUT } else { 1 };
-        for _ in 0..count {
+        if urgent {
+            start_urgent_round(&daemon);
+        } else {
             runtime::spawn(round(daemon.clone()));
         }
         tick(&daemon);
@@ -40,12 +39,10 @@
 /// Gossips with a few daemons at once and waits until they have answered, or for
 /// [`URGENT_TIMEOUT`].
 pub(crate) async fn gossip_now(daemon: &Arc<Daemon>) {
-    let rounds: Vec<_> = (0..URGENT_FANOUT)
-        .map(|_| runtime::spawn(round(daemon.clone())))
-        .collect();
+    let exchanges = start_urgent_round(daemon);
     let answered = async {
-        for round in rounds {
-            round.await;
+        for exchange in exchanges {
+            exchange.await;
         }
     };
     if runtime::timeout(URGENT_TIMEOUT, answered).await.is_none() {
@@ -55,6 +52,20 @@
     }
 }
 
+/// Starts an exchange with each of the daemons that an urgent change is sent to.
+fn start_urgent_round(daemon: &Arc<Daemon>) -> Vec<runtime::JoinHandle<()>> {
+    let peers = {
+        let fleet = lock(&daemon.fleet);
+        let mut rng = lock(&daemon.rng);
+        fleet.members.choose_urgent_peers(&mut *rng)
+    };
+    let exchanges = peers.into_iter().map(|peer| {
+        let daemon = daemon.clone();
+        runtime::spawn(async move { exchange(&daemon, &peer.address, Some(&peer.host)).await })
+    });
+    exchanges.collect()
+}
+
 /// Advances the failure detection of members.
 fn tick(daemon: &Daemon) {
     let changed = lock(&daemon.fleet).members.tick(Instant::now());
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -18,6 +18,14 @@
 /// noticed.
 const ROUNDS_PER_DOWN_PEER: u32 = 8;
 
+/// Hosts that follow in the order of names among the peers of an urgent round. Each host follows as
+/// many others, so one of these may fail unnoticed without the change missing any other host.
+const URGENT_SUCCESSORS: usize = 2;
+/// Maximum number of successors, those counted that could not be reached last.
+const MAX_URGENT_SUCCESSORS: usize = 4;
+/// Further hosts of an urgent round, chosen at random; they bound the number of steps to the last host.
+const URGENT_RANDOM_PEERS: usize = 3;
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
@@ -210,6 +218,32 @@
         Some(candidates[rng.random_range(0..=last)].clone())
     }
 
+    /// Chooses the members to send an urgent change to: the next hosts in the order of names, beginning
+    /// again after the last, and some others at random. Hosts that are down are left out; those that
+    /// could not be reached last are sent the change too, but count as no successor.
+    pub fn choose_urgent_peers(&self, rng: &mut impl Rng) -> Vec<Member> {
+        let is_up = |member: &&Member| member.state != State::Down;
+        let after = self.all().filter(|member| member.host > self.me);
+        let before = self.all().filter(|member| member.host < self.me);
+        let mut others: Vec<&Member> = after.chain(before).filter(is_up).collect();
+        let is_reachable = |member: &&Member| !self.unreachable.contains_key(&member.host);
+        let reachable = others.iter().enumerate();
+        let mut reachable = reachable.filter(|(_, member)| is_reachable(member));
+        let successors = reachable
+            .nth(URGENT_SUCCESSORS - 1)
+            .map_or(others.len(), |(index, _)| index + 1)
+            .min(MAX_URGENT_SUCCESSORS);
+        let mut peers: Vec<Member> = others
+            .drain(..successors.min(others.len()))
+            .cloned()
+            .collect();
+        for _ in 0..URGENT_RANDOM_PEERS.min(others.len()) {
+            let index = rng.random_range(0..others.len());
+            peers.push(others.swap_remove(index).clone());
+        }
+        peers
+    }
+
     /// Records a successful exchange, which resets the failures of the host.
     pub fn record_success(&mut self, host: &str) {
         self.unreachable.remove(host);
--- a/crates/indigospur-members/tests/members/main.rs
+++ b/crates/indigospur-members/tests/members/main.rs
@@ -3,3 +3,4 @@
 mod fleet;
 mod gossip;
 mod restarts;
+mod urgent;
