Make calls that daemons answer at once again on a new connection after 200 ms

Callers saw: a late version on some hosts after connections had gone silent. Cause: idle connections between daemons are not checked. The first gossip exchange or fetch on a dead one waited for the HTTP/2 ping (0.5 to 1 s), failed and was not repeated. Now gossip and fetches, which may run twice, are sent again on a new connection after 200 ms without a reply; the first reply counts. The old connection takes no new calls, but those on it go on: a daemon that was only slow fails none. Ruled out: pings on idle connections (64 of them a daemon, twice a second each). The test failed before the repetition (Lost after 1 s).

--- a/crates/indigospur-daemon/src/peers.rs
+++ b/crates/indigospur-daemon/src/peers.rs
@@ -5,11 +5,13 @@
 use indigospur_once::HandOver;
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{RelayMessage, Reply};
-use indigospur_relay::{LinkError, runtime};
+use indigospur_relay::{Channel, LinkError, runtime};
 use prost::Message as _;
 use std::sync::Arc;
 use std::time::Duration;
 
+type PeerClient = peer::peer_client::PeerClient<Channel>;
+
 /// Time within which another daemon must answer a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,8 +60,11 @@
     with_timeout(async {
         let message = peer::GossipMessage::from(message);
         daemon.metrics.count_control_bytes(message.encoded_len());
-        let link = daemon.links.get(address).await?;
-        let answer = link.handle_reply(link.client().gossip(message).await)?;
+        let call = |mut client: PeerClient| {
+            let message = message.clone();
+            async move { client.gossip(message).await }
+        };
+        let answer = daemon.links.call_repeatable(address, call).await?;
         daemon.metrics.count_control_bytes(answer.encoded_len());
         Message::try_from(answer).map_err(|_| LinkError::Protocol)
     })
@@ -73,8 +78,9 @@
     from: u64,
 ) -> Result<peer::FetchReply, LinkError> {
     with_timeout(async {
-        let link = daemon.links.get(address).await?;
-        link.handle_reply(link.client().fetch(peer::FetchRequest { from }).await)
+        let call =
+            |mut client: PeerClient| async move { client.fetch(peer::FetchRequest { from }).await };
+        daemon.links.call_repeatable(address, call).await
     })
     .await
 }
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -20,7 +20,7 @@
 pub use address::SharedAddress;
 pub use backend::{BackendError, BackendPool, ResponseCheck, ResponseOwner};
 pub use http::{HttpError, HttpRequest, get, post, request};
-pub use link::{Link, LinkError};
+pub use link::{Channel, Link, LinkError};
 pub use links::LinkPool;
 pub use listener::serve_http;
 pub use log_client::{LogBatch, LogClient, LogError, LogRecord};
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -21,6 +21,9 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for the reply to the first call on a new connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the reply to a call that is answered at once; without it the connection counts as silent.
+/// A daemon whose quota of processor time is used up replies within 100 ms.
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// An offset that no log record reaches, so that the reply to a fetch is empty.
 const UNREACHED_OFFSET: u64 = u64::MAX;
 /// Maximum encoded size of a message, in either direction.
@@ -63,13 +66,23 @@
     }
 }
 
+/// What is known of the other side of a connection.
+#[derive(Debug, Default)]
+struct Activity {
+    /// Whether a call, other than a probe, got a reply.
+    has_replied: AtomicBool,
+    /// Whether a call that is answered at once got no reply. Never reset: the pool replaces the
+    /// connection.
+    is_silent: AtomicBool,
+}
+
 /// A connection to another daemon; clones share it.
 #[derive(Clone, Debug)]
 pub struct Link {
+    address: Arc<str>,
     client: PeerClient<Channel>,
     sender: SendRequest<Body>,
-    /// Whether a call on this connection got a reply.
-    has_replied: Arc<AtomicBool>,
+    activity: Arc<Activity>,
 }
 
 impl Link {
@@ -103,9 +116,10 @@
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
         let link = Link {
+            address: address.into(),
             client,
             sender,
-            has_replied: Arc::default(),
+            activity: Arc::default(),
         };
         link.probe().await?;
         Ok(link)
@@ -127,8 +141,17 @@
         }
     }
 
-    pub(crate) fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+    /// Whether the pool may hand the connection out: it is neither closed nor known to be silent.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && !self.activity.is_silent.load(Ordering::Relaxed)
+    }
+
+    /// Marks the connection as silent: calls on it may still get replies, but the pool opens a new one
+    /// for later calls.
+    pub(crate) fn mark_silent(&self) {
+        if !self.activity.is_silent.swap(true, Ordering::Relaxed) {
+            log::info!(address = &*self.address; "connection to another daemon is silent; a new one is opened for later calls");
+        }
     }
 
     /// Returns a generated client that sends its calls on this connection. Pass each outcome to
@@ -148,12 +171,12 @@
     ) -> Result<T, LinkError> {
         match reply {
             Ok(reply) => {
-                self.has_replied.store(true, Ordering::Relaxed);
+                self.activity.has_replied.store(true, Ordering::Relaxed);
                 Ok(reply.into_inner())
             }
             Err(status) if is_protocol_error(&status) => Err(LinkError::Protocol),
             Err(status) if is_unsent(&status) => Err(LinkError::Connect),
-            Err(_) if self.has_replied.load(Ordering::Relaxed) => Err(LinkError::Lost),
+            Err(_) if self.activity.has_replied.load(Ordering::Relaxed) => Err(LinkError::Lost),
             Err(_) => Err(LinkError::Mute),
         }
     }
--- a/crates/indigospur-relay/src/links.rs
+++ b/crates/indigospur-relay/src/links.rs
@@ -1,8 +1,9 @@
 //! The pool of connections to other daemons.
 
-use crate::link::{Link, LinkError};
+use crate::link::{Channel, Link, LinkError, SILENCE_TIMEOUT};
 use crate::runtime;
 use async_std::channel::{Receiver, bounded};
+use indigospur_protocol::wire::peer::peer_client::PeerClient;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
@@ -67,6 +68,40 @@
         pending.outcome().await
     }
 
+    /// Makes a call to the daemon at `address` that it answers at once and that may run more than once.
+    /// If there is no reply for [`SILENCE_TIMEOUT`], the call is made again on a new connection; the
+    /// first reply counts.
+    ///
+    /// # Errors
+    /// The call failed, on the new connection if there is one.
+    pub async fn call_repeatable<T, F>(
+        &self,
+        address: &Arc<str>,
+        call: impl Fn(PeerClient<Channel>) -> F,
+    ) -> Result<T, LinkError>
+    where
+        F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+    {
+        let link = self.get(address).await?;
+        let mut reply = Box::pin(async { link.handle_reply(call(link.client()).await) });
+        if let Some(outcome) = runtime::timeout(SILENCE_TIMEOUT, &mut reply).await {
+            return outcome;
+        }
+        link.mark_silent();
+        let repeated = async {
+            let link = self.get(address).await?;
+            link.handle_reply(call(link.client()).await)
+        };
+        // The first connection fails while the second call may still get its reply.
+        let first = async {
+            match reply.await {
+                Ok(reply) => Ok(reply),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        futures_lite::future::or(first, repeated).await
+    }
+
     /// Opens a connection in a task of its own, so that the attempt continues if the caller that
     /// started it is cancelled.
     fn open(&self, state: &mut State, address: &Arc<str>) -> PendingLink {
@@ -100,7 +135,7 @@
 impl State {
     fn open_link(&mut self, address: &str) -> Option<Link> {
         let pooled = self.links.get_mut(address)?;
-        if pooled.link.is_closed() {
+        if !pooled.link.is_usable() {
             return None;
         }
         pooled.last_used = Instant::now();
@@ -114,7 +149,7 @@
     }
 
     fn evict(&mut self) {
-        self.links.retain(|_, pooled| !pooled.link.is_closed());
+        self.links.retain(|_, pooled| pooled.link.is_usable());
         while self.links.len() >= MAX_LINKS {
             let oldest = self
                 .links
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -1,9 +1,10 @@
 //! Connections between daemons: the failure of one call must not affect the other calls.
 
-use async_std::channel::{Receiver, bounded};
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use indigospur_protocol::wire::peer;
-use indigospur_relay::{Link, LinkError, LinkPool, runtime, serve_peers};
+use indigospur_relay::{Channel, Link, LinkError, LinkPool, runtime, serve_peers};
+use indigospur_test_support::FaultProxy;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -11,20 +12,43 @@
 use std::time::Duration;
 use tonic::{Request, Response, Status};
 
+type PeerClient = peer::peer_client::PeerClient<Channel>;
+
 /// Calls that are cancelled before the server reads them.
 const CALLS: usize = 60;
 /// Calls that run concurrently.
 const MANY_CALLS: usize = 1_000;
 /// Time limit for all calls to start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Offset of the fetches of the tests, unlike those that check a new connection.
+const FETCH: u64 = 7;
 /// Size of an HTTP/2 RST_STREAM frame.
 const RST_STREAM_BYTES: usize = 13;
 
-/// A daemon that replies once its `gate` channel is closed.
+/// A daemon that replies to relayed calls, and to the first fetch of a test, once its `gate` channel is
+/// closed.
 struct GatedPeer {
     gate: Receiver<()>,
-    /// Calls started.
+    /// Relayed calls started.
     started: AtomicUsize,
+    /// Fetches from offset [`FETCH`].
+    fetches: AtomicUsize,
+}
+
+impl GatedPeer {
+    /// Serves the daemon on a free port. Returns its address and the sender that keeps its gate shut.
+    async fn start() -> (Arc<GatedPeer>, String, Sender<()>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("it listens").to_string();
+        let (gate_sender, gate) = bounded(1);
+        let peer = Arc::new(GatedPeer {
+            gate,
+            started: AtomicUsize::new(0),
+            fetches: AtomicUsize::new(0),
+        });
+        runtime::spawn(serve_peers(listener, peer.clone()));
+        (peer, address, gate_sender)
+    }
 }
 
 #[tonic::async_trait]
@@ -54,9 +78,12 @@
 
     async fn fetch(
         &self,
-        _: Request<peer::FetchRequest>,
+        request: Request<peer::FetchRequest>,
     ) -> Result<Response<peer::FetchReply>, Status> {
-        Err(Status::unimplemented(""))
+        if request.get_ref().from == FETCH && self.fetches.fetch_add(1, Ordering::Relaxed) == 0 {
+            let _ = self.gate.recv().await;
+        }
+        Ok(Response::new(peer::FetchReply::default()))
     }
 
     async fn hand_over(
@@ -190,14 +217,7 @@
 #[test]
 fn many_calls_cancelled_before_they_are_accepted_fail_no_other_call_on_the_connection() {
     runtime::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("it listens").to_string();
-        let (gate_sender, gate) = bounded(1);
-        let peer = Arc::new(GatedPeer {
-            gate,
-            started: AtomicUsize::new(0),
-        });
-        runtime::spawn(serve_peers(listener, peer.clone()));
+        let (peer, address, gate_sender) = GatedPeer::start().await;
         let proxy = HoldingProxy::start(address);
         let links = LinkPool::default();
         let link = links.get(&proxy.address.as_str().into()).await;
@@ -229,14 +249,7 @@
 #[test]
 fn a_call_on_a_closed_connection_is_reported_as_not_sent() {
     runtime::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("it listens").to_string();
-        let (gate_sender, gate) = bounded(1);
-        let peer = Arc::new(GatedPeer {
-            gate,
-            started: AtomicUsize::new(0),
-        });
-        runtime::spawn(serve_peers(listener, peer.clone()));
+        let (peer, address, gate_sender) = GatedPeer::start().await;
         let proxy = HoldingProxy::start(address);
         let link = LinkPool::default()
             .get(&proxy.address.as_str().into())
@@ -255,6 +268,46 @@
     });
 }
 
+async fn fetch(links: &LinkPool, address: &Arc<str>) -> Result<peer::FetchReply, LinkError> {
+    let request = peer::FetchRequest { from: FETCH };
+    let call = |mut client: PeerClient| async move { client.fetch(request).await };
+    links.call_repeatable(address, call).await
+}
+
+#[test]
+fn a_repeatable_call_on_a_connection_that_went_silent_is_answered_on_a_new_one() {
+    runtime::block_on(async {
+        let (_peer, target, gate_sender) = GatedPeer::start().await;
+        drop(gate_sender);
+        let proxy = FaultProxy::start();
+        proxy.set_target(&target);
+        let (links, address) = (LinkPool::default(), proxy.address.as_str().into());
+        for _ in 0..3 {
+            assert!(fetch(&links, &address).await.is_ok());
+            proxy.silence_open_connections();
+        }
+    });
+}
+
+#[test]
+fn a_call_in_progress_survives_a_slow_reply_to_another_on_its_connection() {
+    runtime::block_on(async {
+        let (peer, address, gate_sender) = GatedPeer::start().await;
+        let (links, address) = (LinkPool::default(), address.as_str().into());
+        let link = links.get(&address).await.expect("the daemon listens");
+        let running = runtime::spawn(relay(link));
+        wait_until(|| peer.started.load(Ordering::Relaxed) == 1).await;
+        assert!(fetch(&links, &address).await.is_ok());
+        assert_eq!(
+            peer.fetches.load(Ordering::Relaxed),
+            2,
+            "the first got no reply"
+        );
+        drop(gate_sender);
+        assert!(running.await.is_ok());
+    });
+}
+
 /// A suspended daemon: the operating system accepts connections, but nothing replies. Returns the
 /// address and the accepted connections.
 fn suspended_daemon() -> (Arc<str>, Arc<Mutex<Vec<TcpStream>>>) {
@@ -304,14 +357,7 @@
 #[test]
 fn a_daemon_accepts_a_thousand_concurrent_calls_on_one_connection() {
     runtime::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("it listens").to_string();
-        let (gate_sender, gate) = bounded(1);
-        let peer = Arc::new(GatedPeer {
-            gate,
-            started: AtomicUsize::new(0),
-        });
-        runtime::spawn(serve_peers(listener, peer.clone()));
+        let (peer, address, gate_sender) = GatedPeer::start().await;
         let link = LinkPool::default().get(&address.as_str().into()).await;
         let link = link.expect("the daemon listens");
         let calls: Vec<_> = (0..MANY_CALLS)
