Send calls again that a silent or broken connection did not deliver

A call written to a dead connection waited up to a second for the ping and failed as 'may have run'. Now a connection without a reply for 150 ms is probed; without an answer in 200 ms more it counts as silent, and later calls go on a new one. The sender revokes what it sent on the old one: the other daemon says, by way of the new connection, whether the call has arrived. If it has not, it refuses it should it still come, and the call is sent again. If it has, the sender goes on waiting as before, so a daemon that is only slow fails no call. The same is done for connections that are reset. Why it runs once: numbers of transmissions grow; what the receiver has forgotten counts as arrived, so no clock matters; only a connection to the same process is believed. The test a_call_sent_on_a_silent_connection_runs_once_and_is_answered failed before (502). A 502 remains where the call had arrived.

--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod ratio;
 mod request_counts;
+mod transmissions;
 
 pub use credit::Credit;
 pub use decision::{
@@ -15,3 +16,4 @@
 pub use ledger::{ClosedCall, Ledger, Token, add_work};
 pub use ratio::{RatioOptions, RetryRatio};
 pub use request_counts::RequestCounts;
+pub use transmissions::{SenderId, TransmissionNumber, Transmissions};
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -7,7 +7,7 @@
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
-use indigospur_budget::{Ledger, RatioOptions, RequestCounts, RetryRatio};
+use indigospur_budget::{Ledger, RatioOptions, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
@@ -115,6 +115,8 @@
     draining_since: Mutex<Option<Instant>>,
     /// Running calls with a key, which continue when their callers disconnect.
     pub(crate) running_keys: AtomicUsize,
+    /// Transmissions of calls from other daemons.
+    pub(crate) transmissions: Mutex<Transmissions>,
     next_token: AtomicU64,
     next_crash: AtomicU64,
 }
@@ -153,6 +155,7 @@
             leaving: false,
             rate_limit: None,
         };
+        let nonce = rng.random();
         let fleet = Fleet {
             members: Members::new(Instant::now(), me),
             suspects: Suspects::default(),
@@ -162,9 +165,9 @@
             dialect,
             source,
             incarnation,
-            nonce: rng.random(),
+            nonce,
             metrics: Metrics::new(),
-            links: LinkPool::default(),
+            links: LinkPool::new(nonce),
             log: LogClient::new(settings.log_address.clone()),
             callers: OnceLock::new(),
             backend: Mutex::default(),
@@ -199,6 +202,7 @@
             became_watcher: bounded(1),
             draining_since: Mutex::default(),
             running_keys: AtomicUsize::new(0),
+            transmissions: Mutex::default(),
             next_token: AtomicU64::new(1),
             next_crash: AtomicU64::new(0),
             host: settings.name.clone(),
@@ -384,6 +388,11 @@
         format!("{}-{:x}-{number:x}", self.host, self.nonce).into()
     }
 
+    /// Identifies this process to other daemons; drawn at its start.
+    pub(crate) fn process(&self) -> SenderId {
+        self.nonce
+    }
+
     /// A new identifier for a crash of the backend server, different after each start of the
     /// daemon.
     pub(crate) fn new_crash_id(&self) -> u64 {
--- a/crates/indigospur-daemon/src/peer_service.rs
+++ b/crates/indigospur-daemon/src/peer_service.rs
@@ -33,16 +33,30 @@
     peer::FetchReply {
         records: records.into_iter().collect(),
         gap: false,
+        process: daemon.process(),
     }
 }
 
+/// Refuses a transmission that arrives after its sender revoked it; the sender has sent the call again
+/// and does not read this reply.
+fn refuse_revoked(daemon: &Daemon, request: &peer::RelayRequest) -> Result<(), Status> {
+    let (sender, number) = (request.sender, request.transmission);
+    if number == 0 || lock(&daemon.transmissions).arrive(Instant::now(), sender, number) {
+        return Ok(());
+    }
+    log::info!(sender, transmission = number; "a call arrived after its sender had revoked it; it does not run");
+    Err(Status::aborted("the call was revoked"))
+}
+
 #[tonic::async_trait]
 impl peer::peer_server::Peer for PeerService {
     async fn relay(
         &self,
         request: Request<peer::RelayRequest>,
     ) -> Result<Response<peer::RelayReply>, Status> {
-        let message = RelayMessage::try_from(request.into_inner()).map_err(invalid)?;
+        let request = request.into_inner();
+        refuse_revoked(&self.0, &request)?;
+        let message = RelayMessage::try_from(request).map_err(invalid)?;
         let request_id = message.context.request_id.clone();
         let reply = if message.context.key.is_some() {
             let daemon = self.0.clone();
@@ -53,6 +67,18 @@
         Ok(Response::new(peer::RelayReply::new(&request_id, reply)))
     }
 
+    async fn revoke(
+        &self,
+        request: Request<peer::RevokeRequest>,
+    ) -> Result<Response<peer::RevokeReply>, Status> {
+        let peer::RevokeRequest {
+            sender,
+            transmission,
+        } = request.into_inner();
+        let revoked = lock(&self.0.transmissions).revoke(Instant::now(), sender, transmission);
+        Ok(Response::new(peer::RevokeReply { revoked }))
+    }
+
     async fn claim(
         &self,
         request: Request<peer::RelayRequest>,
@@ -87,7 +113,14 @@
         request: Request<peer::FetchRequest>,
     ) -> Result<Response<peer::FetchReply>, Status> {
         let now = Instant::now();
-        let from = request.into_inner().from;
+        let peer::FetchRequest {
+            from,
+            sender,
+            transmission,
+        } = request.into_inner();
+        if sender != 0 {
+            lock(&self.0.transmissions).register(sender, transmission);
+        }
         if self.0.source.is_some() {
             return Ok(Response::new(newest_after(&self.0, from)));
         }
@@ -105,6 +138,7 @@
         Ok(Response::new(peer::FetchReply {
             records: records.collect(),
             gap,
+            process: self.0.process(),
         }))
     }
 
--- a/crates/indigospur-daemon/src/peers.rs
+++ b/crates/indigospur-daemon/src/peers.rs
@@ -1,29 +1,108 @@
 //! Client of the gRPC service of other daemons.
 
 use crate::daemon::Daemon;
+use futures_lite::future::or;
 use indigospur_members::Message;
 use indigospur_once::HandOver;
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{RelayMessage, Reply};
-use indigospur_relay::{Channel, LinkError, runtime};
+use indigospur_relay::{Channel, Link, LinkError, runtime};
 use prost::Message as _;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Number of connections on which a call is sent to one upstream.
+const MAX_TRANSMISSIONS: usize = 3;
 
 type PeerClient = peer::peer_client::PeerClient<Channel>;
 
 /// Time within which another daemon must answer a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Relays a call to the upstream at `address`.
+/// Relays a call to the upstream at `address`. If its connection fails or goes silent before the other
+/// daemon has received the call, the call is sent again on a new one.
 pub(crate) async fn relay(
     daemon: &Daemon,
     address: &Arc<str>,
     message: &RelayMessage,
 ) -> Result<Reply, LinkError> {
-    let link = daemon.links.get(address).await?;
-    let received = link.client().relay(peer::RelayRequest::from(message)).await;
-    decode_reply(message, link.handle_reply(received)?)
+    let deadline = Instant::now() + message.context.remaining;
+    for _ in 0..MAX_TRANSMISSIONS {
+        let link = daemon.links.get(address).await?;
+        let now = Instant::now();
+        let mut request = peer::RelayRequest::from(message);
+        request.sender = daemon.process();
+        // The number is higher than the one that the connection was introduced with.
+        request.transmission = daemon.links.next_transmission();
+        if let Some(context) = &mut request.context {
+            let remaining = deadline.saturating_duration_since(now);
+            context.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
+        }
+        match transmit(daemon, address, &link, now, request).await {
+            Some(reply) => return decode_reply(message, reply?),
+            None => {
+                log::info!(request = &*message.context.request_id, address = &**address; "the connection failed before the other daemon received the call; sending it again");
+            }
+        }
+    }
+    Err(LinkError::Connect)
+}
+
+/// Sends a call on `link` and waits for its reply. Returns `None` if the connection failed or went
+/// silent, and the other daemon has not received the call and will not run it.
+async fn transmit(
+    daemon: &Daemon,
+    address: &Arc<str>,
+    link: &Link,
+    now: Instant,
+    request: peer::RelayRequest,
+) -> Option<Result<peer::RelayReply, LinkError>> {
+    let number = request.transmission;
+    let mut reply = Box::pin(async { link.handle_reply(link.client().relay(request).await) });
+    let silence = async {
+        link.silence(now).await;
+        None
+    };
+    match or(async { Some((&mut reply).await) }, silence).await {
+        Some(Err(error)) if may_have_run(error) => {
+            match Box::pin(revoke(daemon, address, link, number)).await {
+                true => None,
+                false => Some(Err(error)),
+            }
+        }
+        Some(outcome) => Some(outcome),
+        None => {
+            let revoked = async {
+                if !Box::pin(revoke(daemon, address, link, number)).await {
+                    std::future::pending::<()>().await;
+                }
+                None
+            };
+            or(revoked, async { Some(reply.await) }).await
+        }
+    }
+}
+
+fn may_have_run(error: LinkError) -> bool {
+    matches!(error, LinkError::Lost | LinkError::Mute)
+}
+
+/// Revokes a transmission that was sent on `link`, by way of a new connection to the same process.
+/// Returns whether the call has not run there and will not.
+async fn revoke(daemon: &Daemon, address: &Arc<str>, link: &Link, number: u64) -> bool {
+    let request = peer::RevokeRequest {
+        sender: daemon.process(),
+        transmission: number,
+    };
+    let exchange = with_timeout(async {
+        let new = daemon.links.get(address).await?;
+        if !new.is_same_process(link) {
+            return Ok(false);
+        }
+        let reply = new.handle_reply(new.client().revoke(request).await)?;
+        Ok(reply.revoked)
+    });
+    exchange.await.unwrap_or(false)
 }
 
 /// Sends a claim to the key's home at `address`.
@@ -78,8 +157,11 @@
     from: u64,
 ) -> Result<peer::FetchReply, LinkError> {
     with_timeout(async {
-        let call =
-            |mut client: PeerClient| async move { client.fetch(peer::FetchRequest { from }).await };
+        let request = peer::FetchRequest {
+            from,
+            ..peer::FetchRequest::default()
+        };
+        let call = |mut client: PeerClient| async move { client.fetch(request).await };
         daemon.links.call_repeatable(address, call).await
     })
     .await
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -175,6 +175,8 @@
             headers: call.headers.iter().map(Into::into).collect(),
             body: call.body.to_vec(),
             context: Some((&message.context).into()),
+            sender: 0,
+            transmission: 0,
         }
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -61,6 +61,26 @@
     pub body: ::prost::alloc::vec::Vec<u8>,
     #[prost(message, optional, tag = "6")]
     pub context: ::core::option::Option<Context>,
+    /// Random number that the sender's process drew at its start.
+    #[prost(fixed64, tag = "7")]
+    pub sender: u64,
+    /// Number of this transmission among all of the sender; zero if it can't be revoked.
+    #[prost(uint64, tag = "8")]
+    pub transmission: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RevokeRequest {
+    /// As in RelayRequest.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    #[prost(uint64, tag = "2")]
+    pub transmission: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RevokeReply {
+    /// Whether the transmission was not received and will be refused if it is.
+    #[prost(bool, tag = "1")]
+    pub revoked: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
@@ -221,6 +241,12 @@
     /// Lowest log offset of interest to the sender.
     #[prost(uint64, tag = "1")]
     pub from: u64,
+    /// As in RelayRequest, in the first message on a connection.
+    #[prost(fixed64, tag = "2")]
+    pub sender: u64,
+    /// Transmissions on this connection have this number at least.
+    #[prost(uint64, tag = "3")]
+    pub transmission: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LogRecord {
@@ -238,6 +264,9 @@
     /// Whether records expired before the sender could read them.
     #[prost(bool, tag = "2")]
     pub gap: bool,
+    /// Random number that the sender's process drew at its start.
+    #[prost(fixed64, tag = "3")]
+    pub process: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeyRecord {
@@ -374,6 +403,21 @@
                 .insert(GrpcMethod::new("indigospur.peer.v1.Peer", "Relay"));
             self.inner.unary(req, path, codec).await
         }
+        /// Revokes a transmission of a call that the receiver has not received: it will not run it then.
+        pub async fn revoke(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RevokeRequest>,
+        ) -> std::result::Result<tonic::Response<super::RevokeReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/indigospur.peer.v1.Peer/Revoke");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("indigospur.peer.v1.Peer", "Revoke"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks the home of an idempotency key to serialise the calls with that key and to have the call
         /// run at most once.
         pub async fn claim(
@@ -455,6 +499,11 @@
             &self,
             request: tonic::Request<super::RelayRequest>,
         ) -> std::result::Result<tonic::Response<super::RelayReply>, tonic::Status>;
+        /// Revokes a transmission of a call that the receiver has not received: it will not run it then.
+        async fn revoke(
+            &self,
+            request: tonic::Request<super::RevokeRequest>,
+        ) -> std::result::Result<tonic::Response<super::RevokeReply>, tonic::Status>;
         /// Asks the home of an idempotency key to serialise the calls with that key and to have the call
         /// run at most once.
         async fn claim(
@@ -587,6 +636,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/indigospur.peer.v1.Peer/Revoke" => {
+                    #[allow(non_camel_case_types)]
+                    struct RevokeSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::RevokeRequest> for RevokeSvc<T> {
+                        type Response = super::RevokeReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RevokeRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Peer>::revoke(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RevokeSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/indigospur.peer.v1.Peer/Claim" => {
                     #[allow(non_camel_case_types)]
                     struct ClaimSvc<T: Peer>(pub Arc<T>);
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -8,10 +8,10 @@
 use indigospur_protocol::wire::peer::FetchRequest;
 use indigospur_protocol::wire::peer::peer_client::PeerClient;
 use smol_hyper::rt::FuturesIo;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tonic::body::Body;
 use tonic::codegen::Service;
 
@@ -21,8 +21,10 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for the reply to the first call on a new connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for the reply to a call that is answered at once; without it the connection counts as silent.
-/// A daemon whose quota of processor time is used up replies within 100 ms.
+/// Time without a reply on a connection with calls in progress after which it is probed.
+const QUIET_TIME: Duration = Duration::from_millis(150);
+/// Time for the reply to a call that is answered at once, such as a probe; without it the connection
+/// counts as silent. A daemon whose quota of processor time is used up replies within 100 ms.
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// An offset that no log record reaches, so that the reply to a fetch is empty.
 const UNREACHED_OFFSET: u64 = u64::MAX;
@@ -66,27 +68,76 @@
     }
 }
 
+/// How a probe of a connection ended.
+enum ProbeOutcome {
+    /// The other daemon replied.
+    Replied {
+        /// Number that its process drew at its start; zero if it names none.
+        process: u64,
+    },
+    /// The connection failed or is closed.
+    Failed,
+    NoReply,
+}
+
 /// What is known of the other side of a connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Activity {
     /// Whether a call, other than a probe, got a reply.
     has_replied: AtomicBool,
+    /// When the last reply arrived, of a call or of a probe.
+    last_reply: Mutex<Instant>,
+    /// Held by the one call that probes the connection.
+    probing: async_std::sync::Mutex<()>,
     /// Whether a call that is answered at once got no reply. Never reset: the pool replaces the
     /// connection.
     is_silent: AtomicBool,
 }
 
+impl Activity {
+    fn new(now: Instant) -> Activity {
+        Activity {
+            has_replied: AtomicBool::new(false),
+            last_reply: Mutex::new(now),
+            probing: async_std::sync::Mutex::new(()),
+            is_silent: AtomicBool::new(false),
+        }
+    }
+
+    fn last_reply(&self) -> MutexGuard<'_, Instant> {
+        self.last_reply
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// When the connection is to be probed for a call that was sent at `sent`.
+    fn probe_due(&self, sent: Instant) -> Instant {
+        sent.max(*self.last_reply()) + QUIET_TIME
+    }
+}
+
 /// A connection to another daemon; clones share it.
 #[derive(Clone, Debug)]
 pub struct Link {
     address: Arc<str>,
     client: PeerClient<Channel>,
     sender: SendRequest<Body>,
+    /// Number that the other daemon's process drew at its start; zero if it names none.
+    process: u64,
     activity: Arc<Activity>,
 }
 
+/// What a connection tells the other daemon first.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Introduction {
+    /// Number that this process drew at its start; zero for one whose transmissions can't be revoked.
+    pub(crate) sender: u64,
+    /// Number that the next transmission of a call has at least.
+    pub(crate) transmission: u64,
+}
+
 impl Link {
-    pub(crate) async fn open(address: &str) -> Result<Link, LinkError> {
+    pub(crate) async fn open(address: &str, introduction: Introduction) -> Result<Link, LinkError> {
         let stream = connect(address).await.map_err(|_| LinkError::Connect)?;
         let handshake = http2::Builder::new(Executor)
             .timer(HyperTimer)
@@ -115,35 +166,78 @@
         )
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-        let link = Link {
+        let mut link = Link {
             address: address.into(),
             client,
             sender,
-            activity: Arc::default(),
+            process: 0,
+            activity: Arc::new(Activity::new(Instant::now())),
         };
-        link.probe().await?;
-        Ok(link)
+        // The operating system accepts connections even while the daemon is suspended, and a call
+        // sent then may run much later.
+        match link.probe(PROBE_TIMEOUT, Some(introduction)).await {
+            ProbeOutcome::Replied { process } => {
+                link.process = process;
+                Ok(link)
+            }
+            ProbeOutcome::Failed | ProbeOutcome::NoReply => Err(LinkError::Connect),
+        }
     }
 
-    /// Waits for a first reply of the other daemon. The operating system accepts connections even
-    /// while the daemon is suspended, and a call sent then may run much later.
-    async fn probe(&self) -> Result<(), LinkError> {
+    async fn probe(&self, timeout: Duration, introduction: Option<Introduction>) -> ProbeOutcome {
         let mut client = self.client();
         let reply = client.fetch(FetchRequest {
             from: UNREACHED_OFFSET,
+            sender: introduction.map_or(0, |introduction| introduction.sender),
+            transmission: introduction.map_or(0, |introduction| introduction.transmission),
         });
-        match runtime::timeout(PROBE_TIMEOUT, reply).await {
+        let process = match runtime::timeout(timeout, reply).await {
+            None => return ProbeOutcome::NoReply,
             Some(Err(status)) if std::error::Error::source(&status).is_some() => {
-                Err(LinkError::Connect)
+                return ProbeOutcome::Failed;
+            }
+            Some(Err(_)) => 0,
+            Some(Ok(reply)) => reply.into_inner().process,
+        };
+        *self.activity.last_reply() = Instant::now();
+        ProbeOutcome::Replied { process }
+    }
+
+    /// Whether both connections lead to the same process.
+    pub fn is_same_process(&self, other: &Link) -> bool {
+        self.process != 0 && self.process == other.process
+    }
+
+    /// Completes once the connection counts as silent, for a call that was sent at `sent`. Probes it
+    /// whenever no reply has arrived for [`QUIET_TIME`]. The call may still get its reply; the pool
+    /// opens a new connection for later ones.
+    pub async fn silence(&self, sent: Instant) {
+        loop {
+            runtime::sleep_until(self.activity.probe_due(sent)).await;
+            let _probing = self.activity.probing.lock().await;
+            if self.is_silent() {
+                return;
+            }
+            if self.activity.probe_due(sent) > Instant::now() {
+                continue;
+            }
+            // Boxed, as most calls get their reply before it is needed.
+            match Box::pin(self.probe(SILENCE_TIMEOUT, None)).await {
+                ProbeOutcome::Replied { .. } => {}
+                ProbeOutcome::NoReply => return self.mark_silent(),
+                // The calls on the connection fail too.
+                ProbeOutcome::Failed => std::future::pending().await,
             }
-            Some(_) => Ok(()),
-            None => Err(LinkError::Connect),
         }
     }
 
     /// Whether the pool may hand the connection out: it is neither closed nor known to be silent.
     pub(crate) fn is_usable(&self) -> bool {
-        !self.sender.is_closed() && !self.activity.is_silent.load(Ordering::Relaxed)
+        !self.sender.is_closed() && !self.is_silent()
+    }
+
+    fn is_silent(&self) -> bool {
+        self.activity.is_silent.load(Ordering::Relaxed)
     }
 
     /// Marks the connection as silent: calls on it may still get replies, but the pool opens a new one
@@ -172,6 +266,7 @@
         match reply {
             Ok(reply) => {
                 self.activity.has_replied.store(true, Ordering::Relaxed);
+                *self.activity.last_reply() = Instant::now();
                 Ok(reply.into_inner())
             }
             Err(status) if is_protocol_error(&status) => Err(LinkError::Protocol),
--- a/crates/indigospur-relay/src/links.rs
+++ b/crates/indigospur-relay/src/links.rs
@@ -1,10 +1,11 @@
 //! The pool of connections to other daemons.
 
-use crate::link::{Channel, Link, LinkError, SILENCE_TIMEOUT};
+use crate::link::{Channel, Introduction, Link, LinkError, SILENCE_TIMEOUT};
 use crate::runtime;
 use async_std::channel::{Receiver, bounded};
 use indigospur_protocol::wire::peer::peer_client::PeerClient;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
@@ -47,9 +48,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct LinkPool {
     state: Arc<Mutex<State>>,
+    /// Number that this process drew at its start; zero if its transmissions can't be revoked.
+    sender: u64,
+    last_transmission: Arc<AtomicU64>,
 }
 
 impl LinkPool {
+    /// Creates a pool for a process that drew the number `sender` at its start.
+    pub fn new(sender: u64) -> LinkPool {
+        LinkPool {
+            sender,
+            ..LinkPool::default()
+        }
+    }
+
+    /// Returns the number for the next transmission of a call, higher than all before.
+    pub fn next_transmission(&self) -> u64 {
+        self.last_transmission.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Returns the connection to the daemon at `address`, an `IP:port`, and opens one if none is
     /// open. Concurrent callers wait for the same attempt.
     ///
@@ -113,8 +130,13 @@
         };
         state.pending.insert(address.clone(), pending.clone());
         let (pool, address) = (self.clone(), address.clone());
+        // Calls that wait for this connection get their numbers later.
+        let introduction = Introduction {
+            sender: self.sender,
+            transmission: self.last_transmission.load(Ordering::Relaxed) + 1,
+        };
         runtime::spawn(async move {
-            let opened = Link::open(&address).await;
+            let opened = Link::open(&address, introduction).await;
             let mut state = pool.lock();
             state.pending.remove(&address);
             if let Ok(link) = &opened {
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -62,6 +62,13 @@
         Ok(Response::new(peer::RelayReply::default()))
     }
 
+    async fn revoke(
+        &self,
+        _: Request<peer::RevokeRequest>,
+    ) -> Result<Response<peer::RevokeReply>, Status> {
+        Err(Status::unimplemented(""))
+    }
+
     async fn claim(
         &self,
         _: Request<peer::RelayRequest>,
@@ -269,7 +276,10 @@
 }
 
 async fn fetch(links: &LinkPool, address: &Arc<str>) -> Result<peer::FetchReply, LinkError> {
-    let request = peer::FetchRequest { from: FETCH };
+    let request = peer::FetchRequest {
+        from: FETCH,
+        ..peer::FetchRequest::default()
+    };
     let call = |mut client: PeerClient| async move { client.fetch(request).await };
     links.call_repeatable(address, call).await
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,9 +1,13 @@
 //! Requests that crash backend servers, and connections between daemons that stop delivering bytes.
 
 use indigospur_test_support::{
-    Call, HostProxies, ServicePlan, Site, SitePlan, request, wait_until,
+    Call, Direction, HostProxies, Node, ServicePlan, Site, SitePlan, request, wait_until,
 };
 
+/// Calls of `/pay` run once at most.
+const UNSAFE_PAYMENTS: &str =
+    "[[rule]]\nname = \"payments\"\nwhen = { path = \"/pay*\" }\nthen = { idempotent = false }\n";
+
 fn start_site(upstreams: usize) -> Site {
     let plan = SitePlan {
         services: vec![ServicePlan::new("accounts", upstreams, &[])],
@@ -12,6 +16,23 @@
     Site::start(&plan).expect("the site starts")
 }
 
+/// A site of two hosts, each beside one backend server; links to the daemon beside `accounts` lead over
+/// the proxies.
+fn site_with_proxied_accounts() -> (Site, HostProxies) {
+    let proxies = HostProxies::start();
+    let plan = SitePlan {
+        services: vec![ServicePlan::new("quoting", 1, &[])],
+        rules: UNSAFE_PAYMENTS.to_owned(),
+        ..SitePlan::default()
+    };
+    let mut site = Site::start(&plan).expect("the site starts");
+    let accounts = ServicePlan::new("accounts", 1, &[]);
+    site.add_proxied_host(&proxies, "accounts-0", &accounts)
+        .expect("the host starts");
+    site.wait_until_ready();
+    (site, proxies)
+}
+
 #[test]
 fn a_request_that_crashes_backend_servers_is_blocked_and_others_are_served() {
     let mut site = start_site(3);
@@ -57,16 +78,7 @@
 
 #[test]
 fn a_silent_connection_is_replaced_and_its_host_stays_in_use() {
-    let proxies = HostProxies::start();
-    let plan = SitePlan {
-        services: vec![ServicePlan::new("quoting", 1, &[])],
-        ..SitePlan::default()
-    };
-    let mut site = Site::start(&plan).expect("the site starts");
-    let accounts = ServicePlan::new("accounts", 1, &[]);
-    site.add_proxied_host(&proxies, "accounts-0", &accounts)
-        .expect("the host starts");
-    site.wait_until_ready();
+    let (site, proxies) = site_with_proxied_accounts();
     let entry = site.nodes[0].caller_address();
     let call = Call {
         service: "accounts",
@@ -84,3 +96,53 @@
         assert_eq!(request(&entry, &call).status, 200);
     }
 }
+
+fn unsafe_call(path: &str) -> Call<'_> {
+    Call {
+        service: "accounts",
+        path,
+        ..Call::default()
+    }
+}
+
+fn runs_of(site: &Site, path: &str) -> usize {
+    let call = format!("GET {path}");
+    let runs = site.nodes.iter().flat_map(Node::journal);
+    runs.filter(|run| run["call"] == *call).count()
+}
+
+/// The other daemon receives nothing of the call, so it is sent again on a new connection. It must not
+/// be repeated on the grounds that it may be repeated: its rule says that it may not.
+#[test]
+fn a_call_sent_on_a_silent_connection_runs_once_and_is_answered() {
+    let (site, proxies) = site_with_proxied_accounts();
+    let entry = site.nodes[0].caller_address();
+    for number in 0..5 {
+        assert!(proxies.peers.blackhole_open_connections() > 0);
+        proxies.peers.silence_open_connections();
+        let path = format!("/pay?number={number}");
+        let response = request(&entry, &unsafe_call(&path));
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_eq!(runs_of(&site, &path), 1, "runs of {path}");
+    }
+}
+
+/// The other daemon has received the call, and its answer gets lost: the call may have run.
+#[test]
+fn a_call_whose_answer_is_lost_on_a_silent_connection_does_not_run_again() {
+    let (site, proxies) = site_with_proxied_accounts();
+    let entry = site.nodes[0].caller_address();
+    for number in 0..3 {
+        let path = format!("/pay?number={number}");
+        proxies.peers.blackhole_direction(Direction::ToClient);
+        let response = request(&entry, &unsafe_call(&path));
+        proxies.peers.heal();
+        assert_ne!(response.status, 200);
+        assert_ne!(response.ran, "no");
+        assert!(runs_of(&site, &path) <= 1, "runs of {path}");
+        let next = format!("/pay?next={number}");
+        wait_until("calls are answered again", || {
+            request(&entry, &unsafe_call(&next)).status == 200
+        });
+    }
+}
