Cancel calls from a daemon that has gone silent after 25 s, not 40

Cause: a daemon checks the connections that others opened to it every 20 s, and waited 20 s more (the library's default) for the answer. Calls that came on a dead one hold a slot until then, if their deadline is longer. Not shorter: a ping wakes the daemon for each of up to 64 idle connections, and a call ends at its deadline anyway.

--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -15,6 +15,8 @@
 
 /// Time without received data on a connection after which an HTTP/2 PING is sent.
 const PING_INTERVAL: Duration = Duration::from_secs(20);
+/// Time for the PING acknowledgement; without it the connection is closed and its calls are cancelled.
+const PING_TIMEOUT: Duration = Duration::from_secs(5);
 /// Value of `SETTINGS_MAX_CONCURRENT_STREAMS`. The sender's HTTP/2 library queues calls beyond it,
 /// where admission control doesn't see them and nobody knows that they have not run.
 const MAX_CONCURRENT_STREAMS: u32 = 65_536;
@@ -51,6 +53,7 @@
     let outcome = http2::Builder::new(Executor)
         .timer(HyperTimer)
         .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
         .serve_connection(FuturesIo::new(stream), service)
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -20,6 +20,8 @@
 const MANY_CALLS: usize = 1_000;
 /// Time limit for all calls to start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which a call whose sender has gone silent is cancelled.
+const SILENT_CALL_LIMIT: Duration = Duration::from_secs(30);
 /// Offset of the fetches of the tests, unlike those that check a new connection.
 const FETCH: u64 = 7;
 /// Size of an HTTP/2 RST_STREAM frame.
@@ -31,10 +33,21 @@
     gate: Receiver<()>,
     /// Relayed calls started.
     started: AtomicUsize,
+    /// Relayed calls that got their reply or were cancelled.
+    ended: AtomicUsize,
     /// Fetches from offset [`FETCH`].
     fetches: AtomicUsize,
 }
 
+/// Counts a relayed call as ended when it is dropped.
+struct Running<'a>(&'a AtomicUsize);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 impl GatedPeer {
     /// Serves the daemon on a free port. Returns its address and the sender that keeps its gate shut.
     async fn start() -> (Arc<GatedPeer>, String, Sender<()>) {
@@ -44,6 +57,7 @@
         let peer = Arc::new(GatedPeer {
             gate,
             started: AtomicUsize::new(0),
+            ended: AtomicUsize::new(0),
             fetches: AtomicUsize::new(0),
         });
         runtime::spawn(serve_peers(listener, peer.clone()));
@@ -58,6 +72,7 @@
         _: Request<peer::RelayRequest>,
     ) -> Result<Response<peer::RelayReply>, Status> {
         self.started.fetch_add(1, Ordering::Relaxed);
+        let _running = Running(&self.ended);
         let _ = self.gate.recv().await;
         Ok(Response::new(peer::RelayReply::default()))
     }
@@ -299,6 +314,25 @@
     });
 }
 
+/// The sender's end of the connection goes silent with the call; nobody waits for its reply.
+#[test]
+fn a_call_is_cancelled_at_the_receiver_if_its_connection_stays_silent() {
+    runtime::block_on(async {
+        let (peer, target, _gate_sender) = GatedPeer::start().await;
+        let proxy = FaultProxy::start();
+        proxy.set_target(&target);
+        let (links, address) = (LinkPool::default(), proxy.address.as_str().into());
+        let link = links.get(&address).await.expect("the daemon listens");
+        let call = runtime::spawn(relay(link));
+        wait_until(|| peer.started.load(Ordering::Relaxed) == 1).await;
+        proxy.silence_open_connections();
+        let ended = wait_until(|| peer.ended.load(Ordering::Relaxed) == 1);
+        let outcome = runtime::timeout(SILENT_CALL_LIMIT, ended).await;
+        assert!(outcome.is_some(), "the call still runs");
+        assert!(call.await.is_err());
+    });
+}
+
 #[test]
 fn a_call_in_progress_survives_a_slow_reply_to_another_on_its_connection() {
     runtime::block_on(async {
