--- a/crates/indigospur-soak/src/environment.rs
+++ b/crates/indigospur-soak/src/environment.rs
@@ -136,9 +136,7 @@
 
 pub(crate) fn apply_link_fault(proxy: &FaultProxy, fault: LinkFault) {
     match fault {
-        LinkFault::BlackholeOpen => {
-            proxy.blackhole_open_connections();
-        }
+        LinkFault::BlackholeOpen => proxy.silence_open_connections(),
         LinkFault::Blackhole => proxy.blackhole(),
         LinkFault::BlackholeToTarget => proxy.blackhole_direction(Direction::ToTarget),
         LinkFault::BlackholeToClient => proxy.blackhole_direction(Direction::ToClient),
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -64,7 +64,7 @@
 /// that opens them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
-    /// All bytes on the open connections are dropped for good; new connections work.
+    /// The open connections go silent for good, without acknowledgements; new connections work.
     BlackholeOpen,
     /// All bytes are dropped while the connections stay open.
     Blackhole,
