--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -150,10 +150,10 @@
         let mut progress = lock(&self.progress);
         let is_restored = read.address_changes == progress.address_changes
             && progress.cursor.advance(read.from, batch.next);
-        let era = progress.cursor.era();
+        // Under the lock, so that a change of the address does not come between the two.
+        self.registration.observe_era(progress.cursor.era());
         let was_available = std::mem::replace(&mut progress.available, true);
         drop(progress);
-        self.registration.observe_era(era);
         log_read(read.from, &batch, is_restored);
         record_success(&self.daemon, read.started, was_available);
         for body in batch.bodies {
