--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -1,6 +1,6 @@
 //! Results of calls, and the load reports that are returned with them.
 
-use crate::call::{Crash, Header};
+use crate::call::{Crash, Header, find_header};
 use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
 use std::sync::Arc;
@@ -21,8 +21,7 @@
     /// Value of the first header with this name, in lower case; `None` if there is none or it is not
     /// UTF-8.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|header| &*header.name == name)?;
-        std::str::from_utf8(&found.value).ok()
+        find_header(&self.headers, name)
     }
 }
 
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -20,6 +20,12 @@
     pub value: Arc<[u8]>,
 }
 
+/// Value of the first header with this name, in lower case; `None` if there is none or it is not UTF-8.
+pub fn find_header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|header| &*header.name == name)?;
+    std::str::from_utf8(&found.value).ok()
+}
+
 /// A call to a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -22,7 +22,9 @@
 
 pub use announcement::Announcement;
 pub use answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
-pub use call::{Call, Class, Context, Crash, Header, Rank, fingerprint, is_idempotent_method};
+pub use call::{
+    Call, Class, Context, Crash, Header, Rank, find_header, fingerprint, is_idempotent_method,
+};
 pub use convert::{RelayMessage, WireError};
 pub use epoch::{EpochRecord, MemberId};
 pub use ids::{Customer, Epoch, HostId, Incarnation, Key, RequestId, ServiceName, Version};
--- a/crates/indigospur-relay/src/service.rs
+++ b/crates/indigospur-relay/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::runtime::BoxFuture;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_protocol::{Answer, Header, Refusal};
+use indigospur_protocol::{Answer, Header, Refusal, find_header};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -54,8 +54,7 @@
 impl ReceivedRequest {
     /// Returns the first value of a field if it is UTF-8; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let field = self.headers.iter().find(|header| &*header.name == name)?;
-        std::str::from_utf8(&field.value).ok()
+        find_header(&self.headers, name)
     }
 }
 
