Leave the queue alone on answers that name no limit where none is in force

A call that may start is started as another ends, so nothing waits for this. The tests of the crate pass.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -139,6 +139,9 @@
         started: Instant,
         rate: Option<Rate>,
     ) -> Vec<Effect> {
+        if rate.is_none() && self.rate_limit().is_none() {
+            return Vec::new();
+        }
         self.rate_limiter.observe(now, started, rate);
         let mut effects = self.start_queued(now);
         if self.rate_limit().is_some() {
