--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -128,7 +128,7 @@
 }
 
 /// What a connection tells the other daemon first.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Introduction {
     /// Number that this process drew at its start; zero for one whose transmissions can't be revoked.
     pub(crate) sender: u64,
@@ -149,7 +149,8 @@
             .await
             .ok_or(LinkError::Connect)?;
         let (sender, connection) = opened.map_err(|_| LinkError::Connect)?;
-        let peer: Arc<str> = address.into();
+        let name: Arc<str> = address.into();
+        let peer = name.clone();
         runtime::spawn(async move {
             if let Err(error) = connection.await {
                 log::info!(address = &*peer, error:debug; "connection to another daemon failed; calls on it are lost");
@@ -167,7 +168,7 @@
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
         let mut link = Link {
-            address: address.into(),
+            address: name,
             client,
             sender,
             process: 0,
@@ -175,7 +176,7 @@
         };
         // The operating system accepts connections even while the daemon is suspended, and a call
         // sent then may run much later.
-        match link.probe(PROBE_TIMEOUT, Some(introduction)).await {
+        match link.probe(PROBE_TIMEOUT, introduction).await {
             ProbeOutcome::Replied { process } => {
                 link.process = process;
                 Ok(link)
@@ -184,12 +185,12 @@
         }
     }
 
-    async fn probe(&self, timeout: Duration, introduction: Option<Introduction>) -> ProbeOutcome {
+    async fn probe(&self, timeout: Duration, introduction: Introduction) -> ProbeOutcome {
         let mut client = self.client();
         let reply = client.fetch(FetchRequest {
             from: UNREACHED_OFFSET,
-            sender: introduction.map_or(0, |introduction| introduction.sender),
-            transmission: introduction.map_or(0, |introduction| introduction.transmission),
+            sender: introduction.sender,
+            transmission: introduction.transmission,
         });
         let process = match runtime::timeout(timeout, reply).await {
             None => return ProbeOutcome::NoReply,
@@ -222,7 +223,7 @@
                 continue;
             }
             // Boxed, as most calls get their reply before it is needed.
-            match Box::pin(self.probe(SILENCE_TIMEOUT, None)).await {
+            match Box::pin(self.probe(SILENCE_TIMEOUT, Introduction::default())).await {
                 ProbeOutcome::Replied { .. } => {}
                 ProbeOutcome::NoReply => return self.mark_silent(),
                 // The calls on the connection fail too.
