--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -68,7 +68,11 @@
             service: announcement.service.clone(),
             instance: announcement.instance.clone(),
             started_ms: announcement.started_ms,
-            pool: BackendPool::new(&announcement.address, announcement.connections),
+            pool: BackendPool::new(
+                &announcement.address,
+                announcement.connections,
+                daemon.body_memory.clone(),
+            ),
             slots,
             announced_rate: Mutex::new(AnnouncedRate { rate, at: None }),
             has_answered: AtomicBool::new(false),
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -15,7 +15,7 @@
     ServiceName, State,
 };
 use indigospur_publish::Follower;
-use indigospur_relay::{HttpService, LinkPool, LogClient};
+use indigospur_relay::{BodyMemory, HttpService, LinkPool, LogClient};
 use indigospur_routing::Router;
 use indigospur_rules::{RuleSet, TrafficSplit};
 use rand::Rng;
@@ -59,6 +59,8 @@
     /// Random number drawn at each start; makes tokens unique even if the clock is set back.
     nonce: u64,
     pub(crate) metrics: Metrics,
+    /// Memory for the bodies of messages from and to callers, daemons and the backend server.
+    pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) links: LinkPool,
     pub(crate) log: LogClient,
     /// The HTTP service for callers, once it is started.
@@ -161,13 +163,15 @@
             suspects: Suspects::default(),
             exchange: Exchange::default(),
         };
+        let body_memory = Arc::new(BodyMemory::new(settings.body_memory()));
         Arc::new(Daemon {
             dialect,
             source,
             incarnation,
             nonce,
             metrics: Metrics::new(),
-            links: LinkPool::new(nonce),
+            links: LinkPool::new(nonce, body_memory.clone()),
+            body_memory,
             log: LogClient::new(settings.log_address.clone()),
             callers: OnceLock::new(),
             backend: Mutex::default(),
@@ -235,6 +239,7 @@
         if before.log_address != settings.log_address {
             self.set_log_address(&settings.log_address);
         }
+        self.body_memory.set_limit(settings.body_memory());
         self.update_caller_bounds();
         if let Some(backend) = self.backend() {
             backend.slots.set_options(settings.admission());
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -100,9 +100,12 @@
             .clone()
             .unwrap_or_else(|| addresses.peers.as_str().into());
         let daemon = Daemon::new(self.settings, self.dialect, self.source, &advertised);
-        runtime::spawn(serve_peers(peers.0, Arc::new(PeerService(daemon.clone()))));
+        let memory = daemon.body_memory.clone();
+        let peer_service = Arc::new(PeerService(daemon.clone()));
+        runtime::spawn(serve_peers(peers.0, peer_service, memory.clone()));
         let bounds = daemon.settings().caller_bounds(None);
-        let callers = HttpService::new(bounds, caller_handler(&daemon), refusal_encoder(&daemon));
+        let callers = HttpService::new(bounds, caller_handler(&daemon), refusal_encoder(&daemon))
+            .with_memory(memory);
         let callers = daemon.callers.get_or_init(|| callers).clone();
         runtime::spawn(serve_http(calls.0, callers));
         let bounds = Bounds {
@@ -144,7 +147,8 @@
     let daemon = daemon.clone();
     Arc::new(move |refusal| {
         daemon.metrics.count_refusal(refusal.kind);
-        daemon.dialect.write_refusal(refusal)
+        let refusal = daemon.with_retry_advice(refusal.clone());
+        daemon.dialect.write_refusal(&refusal)
     })
 }
 
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -296,13 +296,19 @@
             Kind::LinkLost,
             "the connection to the upstream's daemon broke",
         ),
+        LinkError::Busy => (
+            AttemptResult::Replied,
+            Kind::Overloaded,
+            "the upstream's daemon has no memory for the message",
+        ),
         LinkError::Protocol => (
             AttemptResult::Failed,
             Kind::Internal,
             "the upstream's daemon does not understand",
         ),
     };
-    let credit_left = if error == LinkError::Connect { lent } else { 0 };
+    let is_unsent = matches!(error, LinkError::Connect | LinkError::Busy);
+    let credit_left = if is_unsent { lent } else { 0 };
     (
         attempt,
         Reply::refused(Refusal::new(kind, detail), credit_left),
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -15,6 +15,10 @@
 const DEFAULT_HEAD_BYTES: usize = 8 * 1_024;
 /// Largest head of a caller's request while no rule set is in force.
 const HEAD_BYTES_WITHOUT_RULES: usize = 64 * 1_024;
+/// Part of the host's memory that bodies may use. A body that is passed on is held up to four times at
+/// once: as received, as a message, encoded, and in the buffers of its connection.
+const BODY_MEMORY_DIVISOR: usize = 8;
+const MIB: usize = 1_024 * 1_024;
 const DAY: Duration = Duration::from_secs(24 * 3_600);
 
 /// Settings of a daemon. The key in the settings file is in parentheses.
@@ -47,6 +51,8 @@
     pub seeds: Vec<Arc<str>>,
     /// Largest request body of a call, in bytes (`limits.body`).
     pub max_body_bytes: u64,
+    /// Memory of the host that the daemon may use, in bytes (`limits.memory`, in MiB).
+    pub memory_bytes: usize,
     /// Maximum number of open connections of callers (`limits.connections`).
     pub max_connections: usize,
     /// Time for which a stopping daemon waits for calls in flight (`limits.shutdown`).
@@ -137,6 +143,11 @@
         self.shutdown_delay.min(self.shutdown_timeout / 2)
     }
 
+    /// Memory for the bodies of all messages together, in bytes.
+    pub(crate) fn body_memory(&self) -> usize {
+        self.memory_bytes / BODY_MEMORY_DIVISOR
+    }
+
     /// Admission options for a backend server that starts cold.
     pub(crate) fn admission(&self) -> Options {
         Options {
@@ -199,6 +210,7 @@
         max_body_bytes: limits
             .integer("body", 1_024..=MAX_BODY_BYTES)
             .unwrap_or(1_024 * 1_024),
+        memory_bytes: limits.integer("memory", 8..=1_048_576).unwrap_or(512) as usize * MIB,
         max_connections: limits.integer("connections", 1..=65_536).unwrap_or(4_096) as usize,
         shutdown_timeout: duration_or(&limits, "shutdown", SECOND..=SECOND * 3_600, SECOND * 30),
         target_wait: duration_or(
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -2,10 +2,11 @@
 
 use crate::connection::Connection;
 use crate::http::{HttpError, HttpRequest, HttpResponse, connect, encode, read_response};
+use crate::memory::{BodyMemory, HeldBody};
 use crate::silence;
 use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Margin before the end of the idle time that a backend server states. The connection is no longer
@@ -86,16 +87,19 @@
     address: String,
     /// Maximum number of open connections.
     max_connections: u32,
+    memory: Arc<BodyMemory>,
     state: Mutex<State>,
 }
 
 impl BackendPool {
     /// Creates a pool for the backend server at `address`, an `IP:port`, of at most `max_connections`
-    /// connections; zero counts as one.
-    pub fn new(address: &str, max_connections: u32) -> BackendPool {
+    /// connections; zero counts as one. Bodies of responses share `memory` with other users of it; a
+    /// response for which there is none left is invalid.
+    pub fn new(address: &str, max_connections: u32, memory: Arc<BodyMemory>) -> BackendPool {
         BackendPool {
             address: address.to_owned(),
             max_connections: max_connections.max(1),
+            memory,
             state: Mutex::default(),
         }
     }
@@ -140,7 +144,8 @@
         };
         // The backend server may respond before it has read the whole request, and never read the
         // rest.
-        let receiving = read_matching_response(connection, request.method, check);
+        let mut held = self.memory.hold();
+        let receiving = read_matching_response(connection, request.method, check, &mut held);
         let received = futures_lite::future::or(sending, receiving).await?;
         if received.keep_alive && sent {
             pooled.release(received.idle_timeout);
@@ -199,9 +204,10 @@
     connection: &mut Connection,
     method: &str,
     check: ResponseCheck<'_>,
+    held: &mut HeldBody,
 ) -> Result<HttpResponse, BackendError> {
     for _ in 0..=MAX_STALE_RESPONSES {
-        let received = read_response(connection, method).await?;
+        let received = read_response(connection, method, held).await?;
         if received.close_delimited && !check.close_delimited {
             return Err(BackendError::InvalidResponse);
         }
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -4,8 +4,10 @@
 //! that a backend server sent more than one response.
 
 use crate::head::{Framing, HeadError, RequestHead, ResponseHead};
+use crate::memory::{HeldBody, OutOfMemory};
 use crate::runtime;
 use async_std::net::TcpStream;
+use bytes::{Buf, BytesMut};
 use futures_lite::io::{AsyncRead, AsyncWriteExt};
 use std::io;
 use std::net::Shutdown;
@@ -17,11 +19,23 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Maximum size of a chunk header: the chunk size with its extensions.
 const MAX_CHUNK_HEADER_BYTES: usize = 1024;
+/// Maximum size of the framing of a chunked body, beyond [`MAX_FRAMING_RATIO`] times its content.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+/// Bytes of framing accepted for a byte of content. Chunks of one byte need five.
+const MAX_FRAMING_RATIO: usize = 16;
+/// Maximum number of line ends before a message.
+const MAX_EMPTY_LINE_BYTES: usize = 1024;
+/// Reads after which a task lets others run. A socket on which data arrives faster than it is read
+/// never makes its reader wait, and there may be only one executor thread.
+const READS_PER_TURN: u32 = 2;
 /// Maximum number of trailer fields after the last chunk.
 const MAX_TRAILER_FIELDS: usize = 32;
 /// Maximum size of a trailer section.
 const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
+/// Line end of HTTP/1.1.
+const CRLF: &[u8] = b"\r\n";
+
 /// Parses the head at the start of a buffer. Returns it with its length in bytes, or `None` if the
 /// buffer doesn't hold all of it yet.
 type ParseHead<T> = fn(&[u8]) -> Result<Option<(T, usize)>, HeadError>;
@@ -35,6 +49,14 @@
     Malformed,
     /// The body exceeds the limit.
     TooLarge,
+    /// There is no memory for the body.
+    OutOfMemory,
+}
+
+impl From<OutOfMemory> for BodyError {
+    fn from(_: OutOfMemory) -> Self {
+        BodyError::OutOfMemory
+    }
 }
 
 /// An HTTP/1.1 connection with its read buffer.
@@ -42,27 +64,35 @@
 pub(crate) struct Connection {
     stream: TcpStream,
     /// Bytes read from the socket that no message has consumed yet.
-    buffer: Vec<u8>,
+    buffer: BytesMut,
+    /// Reads left until the task lets others run.
+    reads_left: u32,
 }
 
 impl Connection {
     pub(crate) fn new(stream: TcpStream) -> Connection {
         Connection {
             stream,
-            buffer: Vec::new(),
+            buffer: BytesMut::new(),
+            reads_left: READS_PER_TURN,
         }
     }
 
-    /// Waits for the first byte of a message, after any empty lines. Returns false if the peer
-    /// closes the connection or it fails first.
+    /// Waits for the first byte of a message, after some empty lines. Returns false if the peer
+    /// closes the connection or it fails first, or if only empty lines arrive.
     pub(crate) async fn wait_for_message(&mut self) -> bool {
+        let mut total = 0;
         loop {
             let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
             let skipped = self.buffer.iter().take_while(is_line_end).count();
-            self.buffer.drain(..skipped);
+            self.buffer.advance(skipped);
             if !self.buffer.is_empty() {
                 return true;
             }
+            total += skipped;
+            if total > MAX_EMPTY_LINE_BYTES {
+                return false;
+            }
             if !matches!(self.fill().await, Ok(count) if count > 0) {
                 return false;
             }
@@ -89,7 +119,7 @@
         loop {
             let window = self.buffer.len().min(limit);
             if let Some((head, length)) = parse(&self.buffer[..window])? {
-                self.buffer.drain(..length);
+                self.buffer.advance(length);
                 return Ok(head);
             }
             if self.buffer.len() > limit {
@@ -102,12 +132,14 @@
         }
     }
 
-    /// Reads a body of at most `limit` bytes, not counting its framing.
+    /// Reads a body of at most `limit` bytes, not counting its framing. Its memory is counted in
+    /// `held`.
     pub(crate) async fn read_body(
         &mut self,
         framing: Framing,
         limit: u64,
-    ) -> Result<Vec<u8>, BodyError> {
+        held: &mut HeldBody,
+    ) -> Result<BytesMut, BodyError> {
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
         match framing {
             Framing::ContentLength(length) => {
@@ -115,49 +147,87 @@
                 if length > limit {
                     return Err(BodyError::TooLarge);
                 }
-                self.read_exact(length).await
+                self.read_exact(length, held).await
             }
-            Framing::Chunked => self.read_chunks(limit).await,
-            Framing::UntilClose => self.read_until_closed(limit).await,
+            Framing::Chunked => self.read_chunks(limit, held).await,
+            Framing::UntilClose => self.read_until_closed(limit, held).await,
         }
     }
 
-    async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, BodyError> {
+    async fn read_exact(
+        &mut self,
+        length: usize,
+        held: &mut HeldBody,
+    ) -> Result<BytesMut, BodyError> {
         while self.buffer.len() < length {
             self.fill_some().await?;
+            held.grow_to(self.buffer.len().min(length))?;
         }
         if self.buffer.len() == length {
             return Ok(std::mem::take(&mut self.buffer));
         }
-        Ok(self.buffer.drain(..length).collect())
+        Ok(self.buffer.split_to(length))
     }
 
-    async fn read_chunks(&mut self, limit: usize) -> Result<Vec<u8>, BodyError> {
-        let mut body = Vec::new();
+    async fn read_chunks(
+        &mut self,
+        limit: usize,
+        held: &mut HeldBody,
+    ) -> Result<BytesMut, BodyError> {
+        let mut body = BytesMut::new();
+        let mut framing = 0;
         loop {
-            let size = self.read_chunk_size().await?;
+            let (size, header) = self.read_chunk_header().await?;
             if size == 0 {
                 self.skip_trailers().await?;
                 return Ok(body);
             }
+            framing += header + CRLF.len();
+            if framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body.len() {
+                return Err(BodyError::Malformed);
+            }
             let size = usize::try_from(size).map_err(|_| BodyError::TooLarge)?;
             if size > limit.saturating_sub(body.len()) {
                 return Err(BodyError::TooLarge);
             }
-            let chunk = self.read_exact(size + 2).await?;
-            if !chunk.ends_with(b"\r\n") {
-                return Err(BodyError::Malformed);
+            self.read_chunk(size, &mut body, held).await?;
+        }
+    }
+
+    /// Appends the content of a chunk of `size` bytes to `body`, and reads the line end after it.
+    async fn read_chunk(
+        &mut self,
+        size: usize,
+        body: &mut BytesMut,
+        held: &mut HeldBody,
+    ) -> Result<(), BodyError> {
+        let end = body.len() + size;
+        while body.len() < end {
+            if self.buffer.is_empty() {
+                self.fill_some().await?;
             }
-            body.extend_from_slice(&chunk[..size]);
+            let count = self.buffer.len().min(end - body.len());
+            body.extend_from_slice(&self.buffer[..count]);
+            self.buffer.advance(count);
+            held.grow_to(body.len())?;
         }
+        while self.buffer.len() < CRLF.len() {
+            self.fill_some().await?;
+        }
+        if !self.buffer.starts_with(CRLF) {
+            return Err(BodyError::Malformed);
+        }
+        self.buffer.advance(CRLF.len());
+        Ok(())
     }
 
-    async fn read_chunk_size(&mut self) -> Result<u64, BodyError> {
+    /// Returns the size of the next chunk, and the length of its header.
+    async fn read_chunk_header(&mut self) -> Result<(u64, usize), BodyError> {
         loop {
             match httparse::parse_chunk_size(&self.buffer) {
                 Ok(httparse::Status::Complete((length, size))) => {
-                    self.buffer.drain(..length);
-                    return Ok(size);
+                    self.buffer.advance(length);
+                    return Ok((size, length));
                 }
                 Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_CHUNK_HEADER_BYTES => {
                     self.fill_some().await?;
@@ -172,7 +242,7 @@
             let mut fields = [httparse::EMPTY_HEADER; MAX_TRAILER_FIELDS];
             match httparse::parse_headers(&self.buffer, &mut fields) {
                 Ok(httparse::Status::Complete((length, _))) => {
-                    self.buffer.drain(..length);
+                    self.buffer.advance(length);
                     return Ok(());
                 }
                 Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_TRAILER_BYTES => {
@@ -184,11 +254,16 @@
     }
 
     /// Reads a close-delimited body. A connection that is reset leaves the body truncated.
-    async fn read_until_closed(&mut self, limit: usize) -> Result<Vec<u8>, BodyError> {
+    async fn read_until_closed(
+        &mut self,
+        limit: usize,
+        held: &mut HeldBody,
+    ) -> Result<BytesMut, BodyError> {
         loop {
             if self.buffer.len() > limit {
                 return Err(BodyError::TooLarge);
             }
+            held.grow_to(self.buffer.len())?;
             match self.fill().await {
                 Ok(0) => return Ok(std::mem::take(&mut self.buffer)),
                 Ok(_) => {}
@@ -207,6 +282,11 @@
     /// Reads from the socket into the buffer. Returns the number of bytes read, zero if the peer
     /// has closed its side.
     async fn fill(&mut self) -> io::Result<usize> {
+        if self.reads_left == 0 {
+            self.reads_left = READS_PER_TURN;
+            futures_lite::future::yield_now().await;
+        }
+        self.reads_left -= 1;
         futures_lite::future::poll_fn(|context| self.poll_fill(context)).await
     }
 
@@ -244,7 +324,7 @@
     /// Releases the memory of the buffer if it is empty, for the time that the connection is idle.
     pub(crate) fn shrink(&mut self) {
         if self.buffer.is_empty() {
-            self.buffer = Vec::new();
+            self.buffer = BytesMut::new();
         }
     }
 
@@ -267,6 +347,7 @@
             log::trace!(error:display; "failed to half-close a connection; closing it without draining");
             return;
         }
+        self.buffer = BytesMut::new();
         let drain = async {
             while matches!(self.fill().await, Ok(count) if count > 0) {
                 self.buffer.clear();
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -3,15 +3,19 @@
 use crate::connection::Connection;
 use crate::encode::append_field;
 use crate::head::{Framing, HeadError, ResponseHead};
+use crate::memory::{BodyMemory, HeldBody};
 use crate::runtime;
 use crate::silence;
 use async_std::net::TcpStream;
 use indigospur_protocol::{Answer, Header};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of interim responses before a final one. Their heads together have no other bound.
+const MAX_INTERIM_RESPONSES: u32 = 64;
 /// Maximum size of a response body.
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// Time for opening a TCP connection, and for an HTTP/2 handshake on it.
@@ -92,20 +96,25 @@
     Ok(())
 }
 
-/// Reads the final response to a request with this `method`.
+/// Reads the final response to a request with this `method`. The memory of its body is counted in
+/// `held`.
 ///
 /// # Errors
 /// The connection failed, or the response is invalid or truncated.
 pub(crate) async fn read_response(
     connection: &mut Connection,
     method: &str,
+    held: &mut HeldBody,
 ) -> Result<HttpResponse, HttpError> {
     let head = read_head(connection).await?;
     let framing = head
         .framing(method)
         .map_err(|_| HttpError::InvalidResponse)?;
-    let body = connection.read_body(framing, MAX_BODY_BYTES).await;
-    let body = body.map_err(|_| HttpError::InvalidResponse)?;
+    let body = connection.read_body(framing, MAX_BODY_BYTES, held).await;
+    let body = body.map_err(|error| {
+        log::debug!(error:debug; "response body is not accepted; the connection is closed");
+        HttpError::InvalidResponse
+    })?;
     let idle_timeout = idle_timeout(&head);
     let close_delimited = framing == Framing::UntilClose;
     Ok(HttpResponse {
@@ -115,14 +124,14 @@
         response: Answer {
             status: head.status,
             headers: head.fields.into_forwarded(),
-            body: body.into(),
+            body: (&body[..]).into(),
         },
     })
 }
 
-/// Reads the head of the final response, and skips any number of interim responses before it.
+/// Reads the head of the final response, and skips the interim responses before it.
 async fn read_head(connection: &mut Connection) -> Result<ResponseHead, HttpError> {
-    loop {
+    for _ in 0..=MAX_INTERIM_RESPONSES {
         let head = connection.read_response_head(MAX_HEAD_BYTES).await;
         let head = head.map_err(|error| match error {
             HeadError::Truncated => HttpError::ConnectionLost,
@@ -132,6 +141,8 @@
             return Ok(head);
         }
     }
+    log::debug!("too many interim responses; the connection is closed");
+    Err(HttpError::InvalidResponse)
 }
 
 /// Returns the idle time of N seconds that a `Keep-Alive: timeout=N` field states.
@@ -196,7 +207,8 @@
         silence::REQUEST.apply(&stream);
         let mut connection = Connection::new(stream);
         write_request(&mut connection, message).await?;
-        read_response(&mut connection, message.method).await
+        let mut held = Arc::new(BodyMemory::default()).hold();
+        read_response(&mut connection, message.method, &mut held).await
     };
     let response = runtime::timeout(timeout, exchange)
         .await
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -1,6 +1,8 @@
 //! HTTP/2 client for another daemon: one long-lived connection.
 
 use crate::http::{CONNECT_TIMEOUT, connect};
+use crate::memory::BodyMemory;
+use crate::metered::{CallMemory, Direction, ReceivedBody};
 use crate::runtime::{self, BoxFuture, Executor};
 use crate::timer::HyperTimer;
 use hyper::body::Incoming;
@@ -42,6 +44,8 @@
     /// The connection failed or timed out after earlier calls on it got replies. The call may have
     /// run.
     Lost,
+    /// The other daemon had no memory for the message. The call has not run.
+    Busy,
     /// The other daemon does not implement the call, or one side rejects a message as invalid.
     Protocol,
 }
@@ -50,10 +54,12 @@
 #[derive(Clone, Debug)]
 pub struct Channel {
     sender: SendRequest<Body>,
+    /// Memory for the bodies of replies.
+    memory: Arc<BodyMemory>,
 }
 
 impl Service<http::Request<Body>> for Channel {
-    type Response = http::Response<Incoming>;
+    type Response = http::Response<ReceivedBody<Incoming>>;
     type Error = hyper::Error;
     type Future = BoxFuture<Result<Self::Response, Self::Error>>;
 
@@ -64,7 +70,12 @@
     }
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
-        Box::pin(self.sender.send_request(request))
+        let reply = self.sender.send_request(request);
+        let memory = CallMemory::new(&self.memory);
+        Box::pin(async move {
+            let reply = reply.await?;
+            Ok(reply.map(|body| ReceivedBody::new(body, Direction::Reply, memory)))
+        })
     }
 }
 
@@ -137,7 +148,11 @@
 }
 
 impl Link {
-    pub(crate) async fn open(address: &str, introduction: Introduction) -> Result<Link, LinkError> {
+    pub(crate) async fn open(
+        address: &str,
+        introduction: Introduction,
+        memory: Arc<BodyMemory>,
+    ) -> Result<Link, LinkError> {
         let stream = connect(address).await.map_err(|_| LinkError::Connect)?;
         let handshake = http2::Builder::new(Executor)
             .timer(HyperTimer)
@@ -162,6 +177,7 @@
         let client = PeerClient::with_origin(
             Channel {
                 sender: sender.clone(),
+                memory,
             },
             uri,
         )
@@ -271,6 +287,7 @@
                 Ok(reply.into_inner())
             }
             Err(status) if is_protocol_error(&status) => Err(LinkError::Protocol),
+            Err(status) if is_busy(&status) => Err(LinkError::Busy),
             Err(status) if is_unsent(&status) => Err(LinkError::Connect),
             Err(_) if self.activity.has_replied.load(Ordering::Relaxed) => Err(LinkError::Lost),
             Err(_) => Err(LinkError::Mute),
@@ -283,6 +300,13 @@
     matches!(status.code(), InvalidArgument | Unimplemented)
 }
 
+/// Returns true if the other daemon replied that it has no memory for the message. An error of the
+/// connection may have the same code, but has a source.
+fn is_busy(status: &tonic::Status) -> bool {
+    let is_reply = std::error::Error::source(status).is_none();
+    is_reply && status.code() == tonic::Code::ResourceExhausted
+}
+
 /// Returns true if the connection was closed before the call was passed to it.
 fn is_unsent(status: &tonic::Status) -> bool {
     let first = std::error::Error::source(status);
--- a/crates/indigospur-relay/src/links.rs
+++ b/crates/indigospur-relay/src/links.rs
@@ -1,6 +1,7 @@
 //! The pool of connections to other daemons.
 
 use crate::link::{Channel, Introduction, Link, LinkError, SILENCE_TIMEOUT};
+use crate::memory::BodyMemory;
 use crate::runtime;
 use async_std::channel::{Receiver, bounded};
 use indigospur_protocol::wire::peer::peer_client::PeerClient;
@@ -51,13 +52,16 @@
     /// Number that this process drew at its start; zero if its transmissions can't be revoked.
     sender: u64,
     last_transmission: Arc<AtomicU64>,
+    memory: Arc<BodyMemory>,
 }
 
 impl LinkPool {
-    /// Creates a pool for a process that drew the number `sender` at its start.
-    pub fn new(sender: u64) -> LinkPool {
+    /// Creates a pool for a process that drew the number `sender` at its start. Bodies of replies
+    /// share `memory` with other users of it.
+    pub fn new(sender: u64, memory: Arc<BodyMemory>) -> LinkPool {
         LinkPool {
             sender,
+            memory,
             ..LinkPool::default()
         }
     }
@@ -136,7 +140,7 @@
             transmission: self.last_transmission.load(Ordering::Relaxed) + 1,
         };
         runtime::spawn(async move {
-            let opened = Link::open(&address, introduction).await;
+            let opened = Link::open(&address, introduction, pool.memory.clone()).await;
             let mut state = pool.lock();
             state.pending.remove(&address);
             if let Ok(link) = &opened {
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -3,10 +3,12 @@
 use crate::connection::{BodyError, Connection};
 use crate::encode::encode_response;
 use crate::head::{Framing, HeadError, RepeatedField, RequestHead};
+use crate::memory::HeldBody;
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, ReceivedRequest};
 use crate::silence;
 use async_std::net::{TcpListener, TcpStream};
+use bytes::BytesMut;
 use futures_lite::FutureExt;
 use indigospur_protocol::{Answer, Kind, Refusal};
 use std::io;
@@ -215,7 +217,8 @@
         WaitOutcome::Request => None,
         WaitOutcome::RequestWhileStopping(open) => Some(open),
     };
-    let Request { received, closes } = match read_request(connection, service.bounds()).await {
+    let mut held = service.memory().hold();
+    let Request { received, closes } = match read_request(connection, service, &mut held).await {
         Ok(request) => request,
         Err(ReadError::Disconnected) => return Ok(Disposition::Close),
         Err(ReadError::Refused(refusal, method)) => {
@@ -230,6 +233,7 @@
         return Ok(Disposition::Close);
     };
     let closes = closes || service.is_closing();
+    held.add_held(response.body.len());
     write_response(connection, &response, &method, closes).await?;
     Ok(if closes {
         Disposition::Close
@@ -253,7 +257,12 @@
     Refused(Refusal, Arc<str>),
 }
 
-async fn read_request(connection: &mut Connection, bounds: Bounds) -> Result<Request, ReadError> {
+async fn read_request(
+    connection: &mut Connection,
+    service: &HttpService,
+    held: &mut HeldBody,
+) -> Result<Request, ReadError> {
+    let bounds = service.bounds();
     let started = Instant::now();
     let head = runtime::timeout(
         bounds.message_timeout,
@@ -276,7 +285,11 @@
     };
     let refused = |refusal| ReadError::Refused(refusal, head.method.clone());
     let left = bounds.message_timeout.saturating_sub(started.elapsed());
-    let body = runtime::timeout(left, read_body(connection, &head, bounds)).await;
+    if matches!(head.framing, Framing::ContentLength(length) if !service.memory().has_room(length))
+    {
+        return Err(refused(out_of_memory()));
+    }
+    let body = runtime::timeout(left, read_body(connection, &head, bounds, held)).await;
     let body = body.unwrap_or_else(|| Err(request_timeout(bounds)));
     let body = body.map_err(refused)?;
     let method = head.method.clone();
@@ -287,7 +300,8 @@
     connection: &mut Connection,
     head: &RequestHead,
     bounds: Bounds,
-) -> Result<Vec<u8>, Refusal> {
+    held: &mut HeldBody,
+) -> Result<BytesMut, Refusal> {
     let truncated = || Refusal::new(Kind::BadRequest, "the body is not whole");
     if matches!(head.framing, Framing::ContentLength(length) if length > bounds.body_bytes) {
         return Err(body_too_large(bounds));
@@ -296,10 +310,13 @@
         let interim = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         interim.map_err(|_| truncated())?;
     }
-    let body = connection.read_body(head.framing, bounds.body_bytes).await;
+    let body = connection
+        .read_body(head.framing, bounds.body_bytes, held)
+        .await;
     body.map_err(|error| match error {
         BodyError::Truncated | BodyError::Malformed => truncated(),
         BodyError::TooLarge => body_too_large(bounds),
+        BodyError::OutOfMemory => out_of_memory(),
     })
 }
 
@@ -316,7 +333,12 @@
     Refusal::new(Kind::BodyTooLarge, detail)
 }
 
-fn build_request(head: RequestHead, body: Vec<u8>, started: Instant) -> Result<Request, Refusal> {
+fn out_of_memory() -> Refusal {
+    let detail = "the memory for bodies is used up by other messages";
+    Refusal::new(Kind::Overloaded, detail)
+}
+
+fn build_request(head: RequestHead, body: BytesMut, started: Instant) -> Result<Request, Refusal> {
     let bad_request = |detail| Refusal::new(Kind::BadRequest, detail);
     let host = match head.fields.single("host") {
         Ok(host) => host.unwrap_or_default(),
@@ -332,7 +354,7 @@
         method: head.method,
         path: head.target,
         headers: head.fields.into_forwarded(),
-        body: body.into(),
+        body: (&body[..]).into(),
         started,
     };
     Ok(Request {
--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -2,13 +2,17 @@
 
 use crate::link::MAX_MESSAGE_BYTES;
 use crate::listener::ACCEPT_RETRY_DELAY;
+use crate::memory::BodyMemory;
+use crate::metered::{CallMemory, Direction, ReceivedBody, SentBody};
 use crate::runtime::{self, Executor};
 use crate::timer::HyperTimer;
 use async_std::net::{TcpListener, TcpStream};
+use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use indigospur_protocol::wire::peer::peer_server::{Peer, PeerServer};
 use smol_hyper::rt::FuturesIo;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tonic::codegen::Service;
@@ -26,15 +30,15 @@
 const MAX_PENDING_RESETS: usize = 65_536;
 
 /// Serves connections from other daemons, for as long as the process runs. A connection that violates
-/// HTTP/2 is closed.
-pub async fn serve_peers<P: Peer>(listener: TcpListener, peer: Arc<P>) {
+/// HTTP/2 is closed. A message for which no `memory` is left is refused before its call begins.
+pub async fn serve_peers<P: Peer>(listener: TcpListener, peer: Arc<P>, memory: Arc<BodyMemory>) {
     let server = PeerServer::from_arc(peer)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                runtime::spawn(serve_connection(stream, server.clone()));
+                runtime::spawn(serve_connection(stream, server.clone(), memory.clone()));
             }
             Err(error) => {
                 log::warn!(error:display; "failed to accept a connection from another daemon; accepting resumes after a pause");
@@ -44,11 +48,21 @@
     }
 }
 
-async fn serve_connection<P: Peer>(stream: TcpStream, server: PeerServer<P>) {
+async fn serve_connection<P: Peer>(
+    stream: TcpStream,
+    server: PeerServer<P>,
+    memory: Arc<BodyMemory>,
+) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: http::Request<Incoming>| {
         let mut server = server.clone();
-        async move { server.call(request).await }
+        let memory = CallMemory::new(&memory);
+        async move {
+            let request =
+                request.map(|body| ReceivedBody::new(body, Direction::Request, memory.clone()));
+            let response = server.call(request).await?;
+            Ok::<_, Infallible>(response.map(|body| SentBody::new(body, memory)))
+        }
     });
     let outcome = http2::Builder::new(Executor)
         .timer(HyperTimer)
--- a/crates/indigospur-relay/src/service.rs
+++ b/crates/indigospur-relay/src/service.rs
@@ -1,5 +1,6 @@
 //! The service behind an HTTP/1.1 listener: its handler, its bounds and how it is stopped.
 
+use crate::memory::BodyMemory;
 use crate::runtime::BoxFuture;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_protocol::{Answer, Header, Refusal, find_header};
@@ -71,6 +72,7 @@
     handler: Handler,
     refusal_encoder: RefusalEncoder,
     bounds: Arc<Mutex<Bounds>>,
+    memory: Arc<BodyMemory>,
     /// Whether each response announces that its connection is closed.
     closing: Arc<AtomicBool>,
     /// Requests that were read and whose responses are not written yet. While the service stops,
@@ -97,12 +99,24 @@
             handler,
             refusal_encoder,
             bounds: Arc::new(Mutex::new(bounds)),
+            memory: Arc::default(),
             closing: Arc::default(),
             open_requests: Arc::default(),
             stop_signal: bounded(1),
         }
     }
 
+    /// Counts the bodies of requests and responses in `memory`. A request for whose body there is none
+    /// left is refused with `Kind::Overloaded`.
+    pub fn with_memory(mut self, memory: Arc<BodyMemory>) -> HttpService {
+        self.memory = memory;
+        self
+    }
+
+    pub(crate) fn memory(&self) -> &Arc<BodyMemory> {
+        &self.memory
+    }
+
     /// Replaces the bounds. They apply to requests and connections that arrive later; a changed
     /// idle time also applies to connections that are idle already, once their previous one has
     /// passed.
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -38,7 +38,7 @@
             }
         });
         ScriptedBackend {
-            pool: BackendPool::new(&address, 8),
+            pool: BackendPool::new(&address, 8, Arc::default()),
             connections,
         }
     }
--- a/crates/indigospur-relay/tests/http_server.rs
+++ b/crates/indigospur-relay/tests/http_server.rs
@@ -3,12 +3,12 @@
 
 use indigospur_protocol::{Answer, Refusal};
 use indigospur_relay::{
-    Bounds, Handler, HttpService, ReceivedRequest, RefusalEncoder, runtime, serve_http,
+    BodyMemory, Bounds, Handler, HttpService, ReceivedRequest, RefusalEncoder, runtime, serve_http,
 };
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time limit for each read.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -26,6 +26,11 @@
 /// Starts a service that responds with the body of the request, or "whole" if it has none, and
 /// status 200 or the one in the path `/status/N`. Returns the service and its address.
 fn serve(bounds: Bounds) -> (HttpService, String) {
+    serve_with(bounds, Arc::default())
+}
+
+/// As [`serve`], with a memory for bodies.
+fn serve_with(bounds: Bounds, memory: Arc<BodyMemory>) -> (HttpService, String) {
     let handler: Handler = Arc::new(|received: ReceivedRequest| {
         assert_ne!(
             &*received.path, "/early",
@@ -41,7 +46,7 @@
     });
     let refuse: RefusalEncoder =
         Arc::new(|refusal: &Refusal| response(refusal.kind.info().status, refusal.kind.name()));
-    let service = HttpService::new(bounds, handler, refuse);
+    let service = HttpService::new(bounds, handler, refuse).with_memory(memory);
     let listener = runtime::block_on(async_std::net::TcpListener::bind("127.0.0.1:0"));
     let listener = listener.expect("a port is free");
     let address = listener.local_addr().expect("it listens").to_string();
@@ -77,6 +82,14 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+fn wait_for(condition: impl Fn() -> bool) {
+    let give_up = Instant::now() + READ_TIMEOUT;
+    while !condition() {
+        assert!(give_up > Instant::now(), "the condition is not met in time");
+        std::thread::yield_now();
+    }
+}
+
 fn exchange(address: &str, bytes: &[u8]) -> String {
     let mut stream = connect(address);
     stream.write_all(bytes).expect("the server reads");
@@ -277,3 +290,53 @@
     let beyond = format!("GET /x HTTP/1.1\r\n{}", "a: b\r\n".repeat(3_000));
     assert!(exchange(&address, beyond.as_bytes()).starts_with("HTTP/1.1 431 "));
 }
+
+#[test]
+fn a_body_for_which_there_is_no_memory_is_refused_before_it_is_read() {
+    let memory = Arc::new(BodyMemory::new(1024 * 1024));
+    let bounds = Bounds {
+        body_bytes: 1024 * 1024,
+        ..Bounds::default()
+    };
+    let (_service, address) = serve_with(bounds, memory.clone());
+    let large = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\nexpect: 100-continue\r\n";
+    let large = format!("{large}connection: close\r\n\r\n");
+    let mut first = connect(&address);
+    first.write_all(large.as_bytes()).expect("the server reads");
+    read_through(&mut first, "100 Continue\r\n\r\n");
+    first.write_all(&[b'a'; 800_000]).expect("the server reads");
+    wait_for(|| memory.used() > 700_000);
+    let refused = exchange(&address, large.as_bytes());
+    assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+    assert!(refused.ends_with("overloaded"), "{refused}");
+    let small =
+        "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\nconnection: close\r\n\r\nsmall";
+    assert!(exchange(&address, small.as_bytes()).ends_with("small"));
+    // A body without a stated length is refused at the byte for which there is no room.
+    let mut chunked = connect(&address);
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    chunked
+        .write_all(head.as_bytes())
+        .expect("the server reads");
+    chunked.write_all(b"80000\r\n").expect("the server reads");
+    chunked
+        .write_all(&[b'b'; 0x80000])
+        .expect("the server reads");
+    let refused = read_through(&mut chunked, "overloaded");
+    assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+    first.write_all(&[b'a'; 100_000]).expect("the server reads");
+    let answered = read_all(&mut first);
+    assert!(
+        answered.starts_with("HTTP/1.1 200 "),
+        "the first request goes on"
+    );
+    wait_for(|| memory.used() == 0);
+}
+
+#[test]
+fn empty_lines_without_end_are_no_request() {
+    let (_service, address) = serve(Bounds::default());
+    let mut stream = connect(&address);
+    while stream.write_all(&[b'\n'; 512]).is_ok() {}
+    assert!(exchange(&address, LAST_REQUEST).ends_with("whole"));
+}
--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -3,7 +3,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use indigospur_protocol::wire::peer;
-use indigospur_relay::{Channel, Link, LinkError, LinkPool, runtime, serve_peers};
+use indigospur_relay::{BodyMemory, Channel, Link, LinkError, LinkPool, runtime, serve_peers};
 use indigospur_test_support::FaultProxy;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -24,6 +24,9 @@
 const SILENT_CALL_LIMIT: Duration = Duration::from_secs(30);
 /// Offset of the fetches of the tests, unlike those that check a new connection.
 const FETCH: u64 = 7;
+/// Body of a relayed call whose reply has more than [`LARGE_REPLY_BYTES`].
+const LARGE_REPLY: &[u8] = b"large";
+const LARGE_REPLY_BYTES: usize = 64 * 1024;
 /// Size of an HTTP/2 RST_STREAM frame.
 const RST_STREAM_BYTES: usize = 13;
 
@@ -51,6 +54,11 @@
 impl GatedPeer {
     /// Serves the daemon on a free port. Returns its address and the sender that keeps its gate shut.
     async fn start() -> (Arc<GatedPeer>, String, Sender<()>) {
+        GatedPeer::start_with(Arc::default()).await
+    }
+
+    /// As [`GatedPeer::start`], with a memory for bodies.
+    async fn start_with(memory: Arc<BodyMemory>) -> (Arc<GatedPeer>, String, Sender<()>) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("it listens").to_string();
         let (gate_sender, gate) = bounded(1);
@@ -60,7 +68,7 @@
             ended: AtomicUsize::new(0),
             fetches: AtomicUsize::new(0),
         });
-        runtime::spawn(serve_peers(listener, peer.clone()));
+        runtime::spawn(serve_peers(listener, peer.clone(), memory));
         (peer, address, gate_sender)
     }
 }
@@ -69,12 +77,16 @@
 impl peer::peer_server::Peer for GatedPeer {
     async fn relay(
         &self,
-        _: Request<peer::RelayRequest>,
+        request: Request<peer::RelayRequest>,
     ) -> Result<Response<peer::RelayReply>, Status> {
         self.started.fetch_add(1, Ordering::Relaxed);
         let _running = Running(&self.ended);
         let _ = self.gate.recv().await;
-        Ok(Response::new(peer::RelayReply::default()))
+        let mut reply = peer::RelayReply::default();
+        if request.get_ref().body == LARGE_REPLY {
+            reply.request_id = "x".repeat(LARGE_REPLY_BYTES);
+        }
+        Ok(Response::new(reply))
     }
 
     async fn revoke(
@@ -416,3 +428,49 @@
         }
     });
 }
+
+fn relay_request(body: &[u8]) -> peer::RelayRequest {
+    peer::RelayRequest {
+        body: body.to_vec(),
+        ..peer::RelayRequest::default()
+    }
+}
+
+#[test]
+fn a_message_for_which_there_is_no_memory_is_refused_and_its_call_does_not_start() {
+    runtime::block_on(async {
+        let memory = Arc::new(BodyMemory::new(256 * 1024));
+        let (peer, address, gate) = GatedPeer::start_with(memory.clone()).await;
+        drop(gate);
+        let pool = LinkPool::new(1, Arc::default());
+        let link = pool
+            .get(&address.as_str().into())
+            .await
+            .expect("it listens");
+        let large = link
+            .client()
+            .relay(relay_request(&[b'x'; 1024 * 1024]))
+            .await;
+        assert_eq!(link.handle_reply(large).err(), Some(LinkError::Busy));
+        assert_eq!(peer.started.load(Ordering::Relaxed), 0);
+        let small = link.client().relay(relay_request(b"small")).await;
+        assert!(link.handle_reply(small).is_ok(), "the link goes on");
+        assert_eq!(memory.used(), 0);
+    });
+}
+
+#[test]
+fn a_reply_for_which_there_is_no_memory_counts_as_one_that_may_have_run() {
+    runtime::block_on(async {
+        let (peer, address, gate) = GatedPeer::start().await;
+        drop(gate);
+        let pool = LinkPool::new(1, Arc::new(BodyMemory::new(0)));
+        let link = pool
+            .get(&address.as_str().into())
+            .await
+            .expect("it listens");
+        let large = link.client().relay(relay_request(LARGE_REPLY)).await;
+        assert_eq!(link.handle_reply(large).err(), Some(LinkError::Mute));
+        assert_eq!(peer.started.load(Ordering::Relaxed), 1);
+    });
+}
--- a/crates/indigospur-relay/tests/silent_connections.rs
+++ b/crates/indigospur-relay/tests/silent_connections.rs
@@ -63,7 +63,7 @@
 
 #[test]
 fn a_call_to_a_backend_server_fails_if_its_connection_goes_silent() {
-    let pool = BackendPool::new(&server_that_goes_silent_after(0), 8);
+    let pool = BackendPool::new(&server_that_goes_silent_after(0), 8, Arc::default());
     assert_eq!(call(&pool), Err(BackendError::ConnectionLost));
 }
 
@@ -86,7 +86,7 @@
     });
     let proxy = FaultProxy::start();
     proxy.set_target(&address.to_string());
-    let pool = BackendPool::new(&proxy.address, 8);
+    let pool = BackendPool::new(&proxy.address, 8, Arc::default());
     assert_eq!(call(&pool), Ok(200));
     proxy.silence_open_connections();
     assert_eq!(call(&pool), Err(BackendError::ConnectionLost));
--- a/crates/indigospur-test-support/src/scripted_backend.rs
+++ b/crates/indigospur-test-support/src/scripted_backend.rs
@@ -6,14 +6,60 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
-/// Answer to each request.
+/// Answer to each request, valid or not.
 #[derive(Clone, Debug)]
 pub enum Script {
     /// Writes the bytes and closes the connection.
     Close(Vec<u8>),
     /// Writes the bytes and keeps the connection open.
     Keep(Vec<u8>),
+    /// Writes `start`, then `repeated` again and again, with a pause before each, until the connection
+    /// is closed.
+    Endless {
+        /// Written once.
+        start: Vec<u8>,
+        /// Written without end.
+        repeated: Vec<u8>,
+        /// Time between two repetitions.
+        pause: Duration,
+    },
+}
+
+impl Script {
+    /// An answer that begins with `start` and goes on with `repeated` as fast as it is read.
+    pub fn endless(start: &str, repeated: &str) -> Script {
+        const WRITE_BYTES: usize = 4 * 1024;
+        Script::Endless {
+            start: start.into(),
+            repeated: repeated.repeat(WRITE_BYTES.div_ceil(repeated.len())).into(),
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// Writes the answer. Returns whether the connection is kept.
+    fn write(&self, stream: &mut TcpStream) -> bool {
+        match self {
+            Script::Keep(bytes) => stream.write_all(bytes).is_ok(),
+            Script::Close(bytes) => {
+                let _ = stream.write_all(bytes);
+                false
+            }
+            Script::Endless {
+                start,
+                repeated,
+                pause,
+            } => {
+                let mut open = stream.write_all(start).is_ok();
+                while open {
+                    thread::sleep(*pause);
+                    open = stream.write_all(repeated).is_ok();
+                }
+                false
+            }
+        }
+    }
 }
 
 /// Backend server that answers every request with the bytes of a [`Script`].
@@ -23,6 +69,7 @@
     script: Arc<Mutex<Script>>,
     requests: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    ended: Arc<AtomicUsize>,
 }
 
 impl ScriptedBackend {
@@ -40,14 +87,19 @@
             script: Arc::new(Mutex::new(script)),
             requests: Arc::default(),
             connections: Arc::default(),
+            ended: Arc::default(),
         };
         let (script, requests) = (backend.script.clone(), backend.requests.clone());
-        let connections = backend.connections.clone();
+        let (connections, ended) = (backend.connections.clone(), backend.ended.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 connections.fetch_add(1, Ordering::Relaxed);
                 let (script, requests) = (script.clone(), requests.clone());
-                thread::spawn(move || serve_connection(stream, &script, &requests));
+                let ended = ended.clone();
+                thread::spawn(move || {
+                    serve_connection(stream, &script, &requests);
+                    ended.fetch_add(1, Ordering::Relaxed);
+                });
             }
         });
         backend
@@ -55,13 +107,23 @@
 
     /// Announces the server once to the daemon at an admin address, with 8 slots and 8 connections.
     pub fn announce(&self, admin: &str, service: &str) {
+        self.announce_slots(admin, service, 8);
+    }
+
+    /// Announces the server once to the daemon at an admin address, with a connection for each slot.
+    pub fn announce_slots(&self, admin: &str, service: &str, slots: u32) {
         let body = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"slots\":8,\"connections\":8}}",
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"slots\":{slots},\"connections\":{slots}}}",
             self.address
         );
         post(admin, "/announce", &body);
     }
 
+    /// Address that the server listens on.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     /// Replaces the answer to later requests.
     pub fn set_script(&self, script: Script) {
         *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
@@ -72,6 +134,11 @@
         self.requests.load(Ordering::Relaxed)
     }
 
+    /// Number of connections that have ended.
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// Number of connections accepted so far.
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
@@ -85,8 +152,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        let (Script::Close(bytes) | Script::Keep(bytes)) = &script;
-        if stream.write_all(bytes).is_err() || matches!(script, Script::Close(_)) {
+        if !script.write(&mut stream) {
             break;
         }
     }
--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,134 @@
+//! Backend servers that send bytes without end, in daemons with little memory: calls to them fail,
+//! other calls on the same daemons are answered, and no daemon uses more memory than it has.
+
+use indigospur_test_support::{
+    Call, Process, Response, Script, ScriptedBackend, ServicePlan, Site, SitePlan, get, request,
+    wait_until,
+};
+use std::time::Duration;
+
+/// Memory of each host in the settings, in MiB.
+const MEMORY_MIB: u64 = 160;
+const SLOTS: u32 = 200;
+const DEADLINE_MS: u64 = 3_000;
+/// Calls to another service meanwhile.
+const OTHER_CALLS: usize = 10;
+
+/// Starts two hosts. The backend server of the first one is replaced by one that follows `script`.
+fn start_site(script: Script) -> (Site, ScriptedBackend) {
+    let services = ["accounts", "boards"].map(|name| ServicePlan::new(name, 1, &[]));
+    let mut site = Site::start(&SitePlan {
+        services: services.into(),
+        settings: format!("[limits]\nmemory = {MEMORY_MIB}\n"),
+        ..SitePlan::default()
+    })
+    .expect("the site starts");
+    let scripted = ScriptedBackend::start(script);
+    let node = site.node("accounts-0");
+    node.backend.kill();
+    let admin = node.admin_address();
+    wait_until("the daemon detects the loss of the backend server", || {
+        !get(&admin, "/status").body.contains("\"limit\":32")
+    });
+    scripted.announce_slots(&admin, "accounts", SLOTS);
+    let caller = site.node("boards-0").caller_address();
+    wait_until("the other daemon knows the backend server", || {
+        scripted.requests() > 0 || call(&caller, "accounts").kind != "no-upstream"
+    });
+    (site, scripted)
+}
+
+fn call(address: &str, service: &str) -> Response {
+    let call = Call {
+        service,
+        path: "/x",
+        deadline_ms: DEADLINE_MS,
+        ..Call::default()
+    };
+    request(address, &call)
+}
+
+/// Largest resident memory of a process so far, in MiB.
+fn peak_mib(process: &Process) -> u64 {
+    let path = format!("/proc/{}/status", process.id());
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
+    peak.expect("the system reports the peak") / 1_024
+}
+
+/// Fills all slots of a backend server that follows `script`, and checks what becomes of these calls,
+/// of other calls and of the daemons.
+fn assert_contained(name: &str, script: Script) {
+    let (mut site, scripted) = start_site(script);
+    let [near, far] = ["accounts-0", "boards-0"].map(|host| site.node(host).caller_address());
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..SLOTS)
+            .map(|_| scope.spawn(|| call(&far, "accounts")))
+            .collect();
+        wait_until("the backend server has calls", || scripted.requests() > 1);
+        for _ in 0..OTHER_CALLS {
+            let other = call(&near, "boards");
+            assert_eq!(other.status, 200, "{name}: {other:?}");
+        }
+        for call in calls {
+            let failed = call.join().expect("the call returns");
+            assert!(
+                [502, 503, 504].contains(&failed.status),
+                "{name}: {failed:?}"
+            );
+            assert!(
+                failed.status != 503 || failed.ran == "no",
+                "{name}: {failed:?}"
+            );
+            assert_ne!(failed.kind, "link-lost", "{name}: {failed:?}");
+        }
+    });
+    for host in ["accounts-0", "boards-0"] {
+        let peak = peak_mib(&site.node(host).daemon);
+        println!("{name}: {host} peaks at {peak} MiB");
+        assert!(peak <= MEMORY_MIB, "{name}: {host} peaks at {peak} MiB");
+    }
+}
+
+#[test]
+fn endless_interim_responses_hold_up_no_other_call() {
+    let interim = Script::endless("", "HTTP/1.1 102 Processing\r\n\r\n");
+    assert_contained("interim responses", interim);
+}
+
+#[test]
+fn an_endless_head_holds_up_no_other_call() {
+    assert_contained("head", Script::endless("HTTP/1.1 200 OK\r\n", "x: y\r\n"));
+}
+
+#[test]
+fn an_endless_body_stays_within_the_memory() {
+    assert_contained(
+        "body",
+        Script::endless("HTTP/1.1 200 OK\r\n\r\n", "content"),
+    );
+}
+
+#[test]
+fn endless_chunks_stay_within_the_memory() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    assert_contained("chunks", Script::endless(head, "8\r\ncontents\r\n"));
+}
+
+#[test]
+fn bytes_that_are_no_response_hold_up_no_other_call() {
+    assert_contained("junk", Script::endless("", "\u{1}junk\r\n"));
+}
+
+#[test]
+fn responses_that_come_to_a_crawl_stay_within_the_memory() {
+    let mut start = b"HTTP/1.1 200 OK\r\ncontent-length: 4194304\r\n\r\n".to_vec();
+    start.resize(4_000_000, b'x');
+    let crawling = Script::Endless {
+        start,
+        repeated: b"x".into(),
+        pause: Duration::from_millis(50),
+    };
+    assert_contained("crawl", crawling);
+}
