--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -5,6 +5,8 @@
     Call, Process, Response, Script, ScriptedBackend, ServicePlan, Site, SitePlan, get, request,
     wait_until,
 };
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Memory of each host in the settings, in MiB.
@@ -132,3 +134,68 @@
     };
     assert_contained("crawl", crawling);
 }
+
+/// Sends a request with a body of `length` bytes and returns the status of the response; zero if the
+/// connection ends without one.
+fn upload(address: &str, length: usize) -> u16 {
+    let head = format!(
+        "POST /x HTTP/1.1\r\nhost: accounts\r\nindigospur-service: accounts\r\nconnection: close\r\n\
+         indigospur-deadline-ms: 20000\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    // A refused request is not read to its end.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(&vec![b'x'; length]);
+    let mut response = Vec::new();
+    let _ = stream.read_to_end(&mut response);
+    let response = String::from_utf8_lossy(&response);
+    let status = response
+        .strip_prefix("HTTP/1.1 ")
+        .and_then(|rest| rest.get(..3));
+    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn large_bodies_of_many_callers_stay_within_the_memory() {
+    const LARGE: usize = 4_000_000;
+    const SMALL: usize = 10_000;
+    let services = ["accounts", "boards"].map(|name| ServicePlan::new(name, 1, &[]));
+    let mut site = Site::start(&SitePlan {
+        services: services.into(),
+        settings: format!("[limits]\nmemory = {MEMORY_MIB}\nbody = 4194304\n"),
+        ..SitePlan::default()
+    })
+    .expect("the site starts");
+    let far = site.node("boards-0").caller_address();
+    let statuses = std::thread::scope(|scope| {
+        let uploads: Vec<_> = (0..100)
+            .map(|_| scope.spawn(|| upload(&far, LARGE)))
+            .collect();
+        for _ in 0..OTHER_CALLS {
+            assert_eq!(upload(&far, SMALL), 200, "small bodies get through");
+        }
+        let statuses = uploads
+            .into_iter()
+            .map(|upload| upload.join().expect("it returns"));
+        statuses.collect::<Vec<u16>>()
+    });
+    let count = |status: u16| statuses.iter().filter(|other| **other == status).count();
+    println!(
+        "answered {}, refused {}, of {}",
+        count(200),
+        count(503),
+        statuses.len()
+    );
+    assert!(count(200) > 0, "{statuses:?}");
+    // A caller that is still sending may miss the refusal.
+    assert_eq!(
+        count(200) + count(503) + count(0),
+        statuses.len(),
+        "{statuses:?}"
+    );
+    for host in ["accounts-0", "boards-0"] {
+        let peak = peak_mib(&site.node(host).daemon);
+        println!("uploads: {host} peaks at {peak} MiB");
+        assert!(peak <= MEMORY_MIB, "{host} peaks at {peak} MiB");
+    }
+}
