Let deadlines pass while the host is suspended

What callers could see: a call that waited for a slot, or between two upstreams, in a daemon whose host was suspended for seconds went to the backend server with the time it had before: work for a caller that had given up, and an unsafe call run on a permission that had run out. Cause: the monotonic clock stands still in a suspension.

A deadline now remembers how long the host had been suspended when it was set, and the time since then counts (boot time less monotonic time). A call whose slot comes at or after its deadline is refused as not run. Not covered: timers that run while the host is suspended still fire late, and a message that waited in the socket of a suspended host counts from its receipt.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -3,6 +3,7 @@
 use crate::backend::{self, Backend};
 use crate::backend_status;
 use crate::daemon::{Daemon, lock};
+use crate::deadline::{Deadline, Moment};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
 use crate::slots::Slot;
 use indigospur_admission::{AdmissionRefusal, Arrival, Completion};
@@ -63,19 +64,24 @@
 
 async fn admit(daemon: &Arc<Daemon>, backend: &Arc<Backend>, message: RelayMessage) -> Reply {
     let retries = message.context.retries;
-    let deadline = Instant::now() + message.context.remaining;
+    let now = Moment::now();
+    let deadline = Deadline::after(now, message.context.remaining);
     let suspect = match SuspectGuard::start(daemon, message.context.digest) {
         Ok(suspect) => suspect,
         Err(refusal) => return Reply::refused(refusal, retries),
     };
     let slot = backend
         .slots
-        .acquire(arrival(daemon, &message.context, deadline))
+        .acquire(arrival(daemon, &message.context, deadline.instant(now)))
         .await;
     let slot = match slot {
         Ok(slot) => slot,
         Err(refused) => return Reply::refused(shed_refusal(refused), retries),
     };
+    if deadline.remaining(Moment::now()).is_zero() {
+        let detail = "the deadline passed before the call got its slot";
+        return Reply::refused(Refusal::new(Kind::DeadlineWaiting, detail), retries);
+    }
     if let Err(refusal) = record_key(daemon, &message.context) {
         return Reply::refused(refusal, retries);
     }
@@ -154,7 +160,7 @@
     backend: &Arc<Backend>,
     message: RelayMessage,
     mut slot: Slot,
-    deadline: Instant,
+    deadline: Deadline,
 ) -> Reply {
     let started = Instant::now();
     let context = message.context.clone();
@@ -197,12 +203,13 @@
     message: &RelayMessage,
     token: &str,
     slot: &Slot,
-    deadline: Instant,
+    deadline: Deadline,
 ) -> CallEnd {
+    let now = Moment::now();
     let head = daemon.dialect.write_request(&OutgoingCall {
         message,
         token,
-        remaining: deadline.saturating_duration_since(Instant::now()),
+        remaining: deadline.remaining(now),
         instance: &backend.instance,
     });
     let call = &message.call;
@@ -224,7 +231,7 @@
         }
     };
     let deadline_passed = async {
-        runtime::sleep_until(deadline).await;
+        runtime::sleep_until(deadline.instant(now)).await;
         CallEnd::DeadlinePassed
     };
     let preempted = async { CallEnd::Preempted(slot.preempted().await) };
--- a/crates/indigospur-daemon/src/keyed.rs
+++ b/crates/indigospur-daemon/src/keyed.rs
@@ -2,6 +2,7 @@
 //! home, and the home sends the call to an executor.
 
 use crate::daemon::{Daemon, lock};
+use crate::deadline::{Deadline, Moment};
 use crate::{outbound, peers};
 use async_std::channel::{Receiver, bounded};
 use indigospur_once::{ClaimOutcome, executor_candidates, home_of};
@@ -23,14 +24,14 @@
 
 /// Sends a claim to the key's home, and to the new home if it has changed meanwhile.
 pub(crate) async fn send(daemon: &Arc<Daemon>, message: RelayMessage, key: &Key) -> Reply {
-    let deadline = Instant::now() + message.context.remaining;
+    let deadline = Deadline::after(Moment::now(), message.context.remaining);
     let retries = message.context.retries;
     for _ in 0..MAX_CLAIM_ATTEMPTS {
         let Some(home) = find_home(daemon, &message.call.service, key) else {
             return Reply::refused(home_unavailable(daemon, &message.call.service), retries);
         };
         let mut message = message.clone();
-        message.context.remaining = deadline.saturating_duration_since(Instant::now());
+        message.context.remaining = deadline.remaining(Moment::now());
         let reply = claim_at(daemon, message, key, &home).await;
         let home_changed =
             matches!(&reply.outcome, Outcome::Refused(refusal) if refusal.kind == Kind::StaleEpoch);
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod control;
 mod daemon;
+mod deadline;
 mod dialect;
 mod error;
 mod handle;
@@ -30,6 +31,7 @@
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
+pub use deadline::{Deadline, Moment};
 pub use dialect::{
     AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
     RequestHead,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -1,6 +1,7 @@
 //! Sends calls to upstreams, and retries them at other upstreams where a retry is allowed.
 
 use crate::daemon::{Daemon, lock};
+use crate::deadline::{Deadline, Moment};
 use crate::{inbound, peers};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry, is_passed_over,
@@ -35,7 +36,7 @@
     attempts: u32,
     free_failovers: u32,
     free_sheds: u32,
-    deadline: Instant,
+    deadline: Deadline,
     crashes: Vec<Crash>,
     work: Vec<Work>,
 }
@@ -64,7 +65,7 @@
         attempts: 0,
         free_failovers: MAX_FREE_FAILOVERS,
         free_sheds: MAX_FREE_SHEDS,
-        deadline: Instant::now() + message.context.remaining,
+        deadline: Deadline::after(Moment::now(), message.context.remaining),
         crashes: Vec::new(),
         work: Vec::new(),
     };
@@ -191,7 +192,7 @@
     let lent = progress.credit.lend();
     message.context.retries = lent.left();
     message.context.attempt = progress.attempts;
-    message.context.remaining = progress.deadline.saturating_duration_since(Instant::now());
+    message.context.remaining = progress.deadline.remaining(Moment::now());
     message.context.crashes = lock(&daemon.fleet)
         .suspects
         .crashes_of(message.context.digest);
@@ -341,7 +342,7 @@
     }
     let options = RetryOptions {
         idempotent: message.context.idempotent,
-        remaining: progress.deadline.saturating_duration_since(Instant::now()),
+        remaining: progress.deadline.remaining(Moment::now()),
         expected: lock(&daemon.router).expected_service_time(service),
         free_failovers: progress.free_failovers,
         free_sheds: progress.free_sheds,
--- a/crates/indigospur-daemon/src/peers.rs
+++ b/crates/indigospur-daemon/src/peers.rs
@@ -1,6 +1,7 @@
 //! Client of the gRPC service of other daemons.
 
 use crate::daemon::Daemon;
+use crate::deadline::{Deadline, Moment};
 use futures_lite::future::or;
 use indigospur_members::Message;
 use indigospur_once::HandOver;
@@ -26,7 +27,7 @@
     address: &Arc<str>,
     message: &RelayMessage,
 ) -> Result<Reply, LinkError> {
-    let deadline = Instant::now() + message.context.remaining;
+    let deadline = Deadline::after(Moment::now(), message.context.remaining);
     for _ in 0..MAX_TRANSMISSIONS {
         let link = daemon.links.get(address).await?;
         let now = Instant::now();
@@ -35,7 +36,7 @@
         // The number is higher than the one that the connection was introduced with.
         request.transmission = daemon.links.next_transmission();
         if let Some(context) = &mut request.context {
-            let remaining = deadline.saturating_duration_since(now);
+            let remaining = deadline.remaining(Moment::now());
             context.remaining_micros = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
         }
         match transmit(daemon, address, &link, now, request).await {
--- a/crates/indigospur-relay/src/runtime.rs
+++ b/crates/indigospur-relay/src/runtime.rs
@@ -4,6 +4,7 @@
 use crate::timer::Sleep;
 use async_global_executor::GlobalExecutorConfig;
 use futures_lite::FutureExt;
+use rustix::time::{ClockId, clock_gettime};
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -58,6 +59,15 @@
     })
 }
 
+/// Returns the time for which the host has been suspended since it started. The clock of `Instant`
+/// stands still meanwhile.
+pub fn suspended_time() -> Duration {
+    let elapsed = |clock: ClockId| Duration::try_from(clock_gettime(clock)).unwrap_or_default();
+    // Read in this order, the difference is never below the true one.
+    let monotonic = elapsed(ClockId::Monotonic);
+    elapsed(ClockId::Boottime).saturating_sub(monotonic)
+}
+
 /// Completes after `duration`.
 pub async fn sleep(duration: Duration) {
     Sleep::until(Instant::now() + duration).await;
