Keep a quarter of the memory for bodies to responses

Requests that fill the memory would have failed the responses to calls that run already. They may fill three quarters. The test of the listener fails without it: the response finds no room.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Connection;
 use crate::http::{HttpError, HttpRequest, HttpResponse, connect, encode, read_response};
-use crate::memory::{BodyMemory, HeldBody};
+use crate::memory::{BodyMemory, HeldBody, MessageKind};
 use crate::silence;
 use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
@@ -144,7 +144,7 @@
         };
         // The backend server may respond before it has read the whole request, and never read the
         // rest.
-        let mut held = self.memory.hold();
+        let mut held = self.memory.hold(MessageKind::Response);
         let receiving = read_matching_response(connection, request.method, check, &mut held);
         let received = futures_lite::future::or(sending, receiving).await?;
         if received.keep_alive && sent {
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -3,7 +3,7 @@
 use crate::connection::Connection;
 use crate::encode::append_field;
 use crate::head::{Framing, HeadError, ResponseHead};
-use crate::memory::{BodyMemory, HeldBody};
+use crate::memory::{BodyMemory, HeldBody, MessageKind};
 use crate::runtime;
 use crate::silence;
 use async_std::net::TcpStream;
@@ -207,7 +207,7 @@
         silence::REQUEST.apply(&stream);
         let mut connection = Connection::new(stream);
         write_request(&mut connection, message).await?;
-        let mut held = Arc::new(BodyMemory::default()).hold();
+        let mut held = Arc::new(BodyMemory::default()).hold(MessageKind::Response);
         read_response(&mut connection, message.method, &mut held).await
     };
     let response = runtime::timeout(timeout, exchange)
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -1,8 +1,8 @@
 //! HTTP/2 client for another daemon: one long-lived connection.
 
 use crate::http::{CONNECT_TIMEOUT, connect};
-use crate::memory::BodyMemory;
-use crate::metered::{CallMemory, Direction, ReceivedBody};
+use crate::memory::{BodyMemory, MessageKind};
+use crate::metered::{CallMemory, ReceivedBody};
 use crate::runtime::{self, BoxFuture, Executor};
 use crate::timer::HyperTimer;
 use hyper::body::Incoming;
@@ -71,10 +71,10 @@
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
         let reply = self.sender.send_request(request);
-        let memory = CallMemory::new(&self.memory);
+        let memory = CallMemory::new(&self.memory, MessageKind::Response);
         Box::pin(async move {
             let reply = reply.await?;
-            Ok(reply.map(|body| ReceivedBody::new(body, Direction::Reply, memory)))
+            Ok(reply.map(|body| ReceivedBody::new(body, MessageKind::Response, memory)))
         })
     }
 }
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -4,7 +4,7 @@
 use crate::connections::{ConnectionId, ConnectionTable, Phase};
 use crate::encode::encode_response;
 use crate::head::{Framing, HeadError, RepeatedField, RequestHead};
-use crate::memory::HeldBody;
+use crate::memory::{HeldBody, MessageKind};
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, ReceivedRequest};
 use crate::silence;
@@ -256,7 +256,7 @@
         Some(WaitOutcome::RequestWhileStopping(request)) => Some(request),
     };
     open.start_phase(Phase::Receiving);
-    let mut held = service.memory().hold();
+    let mut held = service.memory().hold(MessageKind::Request);
     let read = open.unless_closed(read_request(connection, service, &mut held));
     let read = read.await;
     open.start_phase(Phase::Answering);
--- a/crates/indigospur-relay/src/memory.rs
+++ b/crates/indigospur-relay/src/memory.rs
@@ -7,6 +7,17 @@
 /// up the memory. The number of small ones is bounded by the numbers of connections and slots.
 const UNCOUNTED_BYTES: usize = 16 * 1024;
 
+/// Part of the memory, in percent, that bodies of requests may fill. The rest is for the responses to
+/// requests that run already.
+const REQUEST_PERCENT: usize = 75;
+
+/// The message that a body belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MessageKind {
+    Request,
+    Response,
+}
+
 /// The memory for bodies is used up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct OutOfMemory;
@@ -46,17 +57,26 @@
         self.used.load(Ordering::Relaxed)
     }
 
-    /// Returns true if a body of `bytes` could be held now.
+    fn limit_for(&self, kind: MessageKind) -> usize {
+        let limit = self.limit.load(Ordering::Relaxed);
+        match kind {
+            MessageKind::Request => limit / 100 * REQUEST_PERCENT,
+            MessageKind::Response => limit,
+        }
+    }
+
+    /// Returns true if the body of a request, of `bytes`, could be held now.
     pub(crate) fn has_room(&self, bytes: u64) -> bool {
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES as u64);
-        let limit = self.limit.load(Ordering::Relaxed);
+        let limit = self.limit_for(MessageKind::Request);
         counted <= limit.saturating_sub(self.used()) as u64
     }
 
     /// Starts holding a body, of no bytes yet.
-    pub(crate) fn hold(self: &Arc<Self>) -> HeldBody {
+    pub(crate) fn hold(self: &Arc<Self>, kind: MessageKind) -> HeldBody {
         HeldBody {
             memory: self.clone(),
+            kind,
             counted: 0,
         }
     }
@@ -66,6 +86,8 @@
 #[derive(Debug)]
 pub(crate) struct HeldBody {
     memory: Arc<BodyMemory>,
+    /// Kind of the message that grows.
+    kind: MessageKind,
     counted: usize,
 }
 
@@ -77,7 +99,7 @@
             return Ok(());
         };
         let used = self.memory.used.fetch_add(added, Ordering::Relaxed) + added;
-        if used > self.memory.limit.load(Ordering::Relaxed) {
+        if used > self.memory.limit_for(self.kind) {
             self.memory.used.fetch_sub(added, Ordering::Relaxed);
             return Err(OutOfMemory);
         }
--- a/crates/indigospur-relay/src/metered.rs
+++ b/crates/indigospur-relay/src/metered.rs
@@ -1,6 +1,6 @@
 //! Bodies of HTTP/2 messages between daemons, counted in the memory for bodies.
 
-use crate::memory::{BodyMemory, HeldBody, OutOfMemory};
+use crate::memory::{BodyMemory, HeldBody, MessageKind, OutOfMemory};
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -16,8 +16,8 @@
 pub(crate) struct CallMemory(Arc<Mutex<HeldBody>>);
 
 impl CallMemory {
-    pub(crate) fn new(memory: &Arc<BodyMemory>) -> CallMemory {
-        CallMemory(Arc::new(Mutex::new(memory.hold())))
+    pub(crate) fn new(memory: &Arc<BodyMemory>, kind: MessageKind) -> CallMemory {
+        CallMemory(Arc::new(Mutex::new(memory.hold(kind))))
     }
 
     fn with<T>(&self, update: impl FnOnce(&mut HeldBody) -> T) -> T {
@@ -25,23 +25,14 @@
     }
 }
 
-/// Which message of a call a body belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Direction {
-    Request,
-    Reply,
-}
-
-impl Direction {
-    /// Returns the error of a body for which there is no memory. That of a request reaches its sender,
-    /// who may conclude that the call has not run; that of a reply must not look the same.
-    fn out_of_memory(self) -> Box<dyn std::error::Error + Send + Sync> {
-        match self {
-            Direction::Request => {
-                Status::resource_exhausted("no memory is left for the message").into()
-            }
-            Direction::Reply => "no memory is left for the reply".into(),
+/// Returns the error of a body for which there is no memory. That of a request reaches its sender, who
+/// may conclude that the call has not run; that of a response must not look the same.
+fn out_of_memory(kind: MessageKind) -> Box<dyn std::error::Error + Send + Sync> {
+    match kind {
+        MessageKind::Request => {
+            Status::resource_exhausted("no memory is left for the message").into()
         }
+        MessageKind::Response => "no memory is left for the reply".into(),
     }
 }
 
@@ -49,16 +40,16 @@
 #[derive(Debug)]
 pub struct ReceivedBody<B> {
     inner: B,
-    direction: Direction,
+    kind: MessageKind,
     received: usize,
     memory: CallMemory,
 }
 
 impl<B> ReceivedBody<B> {
-    pub(crate) fn new(inner: B, direction: Direction, memory: CallMemory) -> ReceivedBody<B> {
+    pub(crate) fn new(inner: B, kind: MessageKind, memory: CallMemory) -> ReceivedBody<B> {
         ReceivedBody {
             inner,
-            direction,
+            kind,
             received: 0,
             memory,
         }
@@ -87,8 +78,8 @@
         match self.memory.with(|held| held.grow_to(received)) {
             Ok(()) => Poll::Ready(Some(Ok(frame))),
             Err(OutOfMemory) => {
-                log::warn!(direction:debug = self.direction, received; "no memory is left for a message of another daemon; its call fails");
-                Poll::Ready(Some(Err(self.direction.out_of_memory())))
+                log::warn!(kind:debug = self.kind, received; "no memory is left for a message of another daemon; its call fails");
+                Poll::Ready(Some(Err(out_of_memory(self.kind))))
             }
         }
     }
--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -2,8 +2,8 @@
 
 use crate::link::MAX_MESSAGE_BYTES;
 use crate::listener::ACCEPT_RETRY_DELAY;
-use crate::memory::BodyMemory;
-use crate::metered::{CallMemory, Direction, ReceivedBody, SentBody};
+use crate::memory::{BodyMemory, MessageKind};
+use crate::metered::{CallMemory, ReceivedBody, SentBody};
 use crate::runtime::{self, Executor};
 use crate::timer::HyperTimer;
 use async_std::net::{TcpListener, TcpStream};
@@ -56,10 +56,10 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request: http::Request<Incoming>| {
         let mut server = server.clone();
-        let memory = CallMemory::new(&memory);
+        let memory = CallMemory::new(&memory, MessageKind::Request);
         async move {
             let request =
-                request.map(|body| ReceivedBody::new(body, Direction::Request, memory.clone()));
+                request.map(|body| ReceivedBody::new(body, MessageKind::Request, memory.clone()));
             let response = server.call(request).await?;
             Ok::<_, Infallible>(response.map(|body| SentBody::new(body, memory)))
         }
