Soak: large bodies, and answers without end from backend servers and the log

Callers with a key send 200 kB now and then; links to the backend server and to the log answer with interim responses or a body without end. The bound that the soak sets on bodies rises accordingly.

--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -14,6 +14,10 @@
 
 /// Pause between two requests of a caller, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 5..40;
+/// Share of the requests with a key that have a large body.
+const LARGE_SHARE: f64 = 0.1;
+/// Size of a large body; below the bound that the soak sets now and then.
+const LARGE_BODY_BYTES: usize = 200_000;
 /// Share of the requests that must run at most once.
 const KEYED_SHARE: f64 = 0.3;
 
@@ -117,6 +121,8 @@
     query: String,
     /// Idempotency key; empty for a request that may run more than once.
     key: String,
+    /// Size of its body, beyond the few bytes that every request with a key has.
+    extra_bytes: usize,
 }
 
 struct Caller {
@@ -160,7 +166,17 @@
         } else {
             format!("n={number}")
         };
-        Request { number, query, key }
+        let extra_bytes = if !key.is_empty() && self.rng.random_bool(LARGE_SHARE) {
+            LARGE_BODY_BYTES
+        } else {
+            0
+        };
+        Request {
+            number,
+            query,
+            key,
+            extra_bytes,
+        }
     }
 
     /// Sends a request to the daemon of a random host; a retry sends the same key.
@@ -169,7 +185,12 @@
             let hosts = lock(&shared.hosts);
             hosts[self.rng.random_range(0..hosts.len())].clone()
         };
-        let Request { number, query, key } = request;
+        let Request {
+            number,
+            query,
+            key,
+            extra_bytes,
+        } = request;
         let keyed = !key.is_empty();
         let (service, path) = if keyed {
             ("contracts", format!("/sign?{query}"))
@@ -181,6 +202,7 @@
             path: &path,
             key,
             deadline_ms: DEADLINE.as_millis() as u64,
+            extra_bytes: *extra_bytes,
             ..Call::default()
         };
         let sent = shared.elapsed();
--- a/crates/indigospur-soak/src/environment.rs
+++ b/crates/indigospur-soak/src/environment.rs
@@ -10,9 +10,9 @@
 /// Delay of each chunk of bytes on a delayed link, in each direction.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 /// Section that is added to a settings file and removed again, with the limit on bodies in bytes.
-const BODY_LIMIT: &str = "[limits]\nbody = 2048\n";
+const BODY_LIMIT: &str = "[limits]\nbody = 262144\n";
 /// Size in bytes of a body above `BODY_LIMIT` and below the default limit.
-const LARGE_BODY_BYTES: usize = 3_000;
+const LARGE_BODY_BYTES: usize = 300_000;
 
 impl Soak {
     pub(crate) fn proxy(&self, index: usize, link: Link) -> &FaultProxy {
@@ -147,6 +147,8 @@
             proxy.close_open_connections();
         }
         LinkFault::Corrupt => proxy.corrupt_responses(),
+        LinkFault::FloodInterim => proxy.flood_responses(b"HTTP/1.1 102 Processing\r\n\r\n"),
+        LinkFault::FloodBody => proxy.flood_responses(b"HTTP/1.1 200 OK\r\n\r\n"),
     }
 }
 
--- a/crates/indigospur-soak/src/faults.rs
+++ b/crates/indigospur-soak/src/faults.rs
@@ -80,6 +80,10 @@
     Refuse,
     /// Answers are corrupted. Not on links between daemons, whose protocol is not HTTP/1.1.
     Corrupt,
+    /// Answers consist of interim responses (1xx) without end. Not on links between daemons.
+    FloodInterim,
+    /// Answers have a body without a length and without an end. Not on links between daemons.
+    FloodBody,
 }
 
 /// Fault of the platform's log, for all daemons.
@@ -177,7 +181,7 @@
     Fault::Signal("PIPE"),
     Fault::Signal("ALRM"),
 ];
-const UNPLANNED: [Fault; 39] = [
+const UNPLANNED: [Fault; 42] = [
     Fault::KillDaemon,
     Fault::KillDaemon,
     Fault::KillDuringStart,
@@ -212,6 +216,9 @@
     Fault::Link(Link::Backend, LinkFault::Delay),
     Fault::Link(Link::Backend, LinkFault::Refuse),
     Fault::Link(Link::Backend, LinkFault::Corrupt),
+    Fault::Link(Link::Backend, LinkFault::FloodInterim),
+    Fault::Link(Link::Backend, LinkFault::FloodBody),
+    Fault::Link(Link::Log, LinkFault::FloodBody),
     Fault::Log(LogFault::Down),
     Fault::Log(LogFault::Slow),
     Fault::Log(LogFault::LoseAnswers),
--- a/crates/indigospur-test-support/src/client.rs
+++ b/crates/indigospur-test-support/src/client.rs
@@ -31,6 +31,8 @@
     pub key: &'a str,
     /// Deadline in milliseconds; zero for none.
     pub deadline_ms: u64,
+    /// Bytes that are added to the body of a call with a key.
+    pub extra_bytes: usize,
 }
 
 /// Time limit of a whole exchange, from connecting to the end of the body.
@@ -73,6 +75,11 @@
         .collect()
 }
 
+/// Body of a call with a key.
+pub(crate) fn call_body(call: &Call<'_>) -> String {
+    format!("body{}", "x".repeat(call.extra_bytes))
+}
+
 /// Makes a call through the daemon at `address` on a new connection.
 pub fn request(address: &str, call: &Call<'_>) -> Response {
     let url = format!("http://{address}{}", call.path);
@@ -95,7 +102,7 @@
             .fold(request, |request, (name, value)| {
                 request.header(name, value)
             })
-            .send("body"),
+            .send(&call_body(call)),
     )
 }
 
--- a/crates/indigospur-test-support/src/connection.rs
+++ b/crates/indigospur-test-support/src/connection.rs
@@ -1,6 +1,6 @@
 //! Keep-alive HTTP/1.1 connection with control over how bytes are sent and read.
 
-use crate::client::{Call, Response, call_headers};
+use crate::client::{Call, Response, call_body, call_headers};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
@@ -108,9 +108,9 @@
 
 fn encode_request(address: &str, call: &Call<'_>) -> Vec<u8> {
     let (method, body) = if call.key.is_empty() {
-        ("GET", "")
+        ("GET", String::new())
     } else {
-        ("POST", "body")
+        ("POST", call_body(call))
     };
     let mut text = format!("{method} {} HTTP/1.1\r\nhost: {address}\r\n", call.path);
     for (name, value) in call_headers(call) {
--- a/crates/indigospur-test-support/src/fault_proxy.rs
+++ b/crates/indigospur-test-support/src/fault_proxy.rs
@@ -42,6 +42,8 @@
     drops: [AtomicBool; 2],
     delay_ms: AtomicU64,
     corrupts: AtomicBool,
+    /// Bytes that replace each response, without end; empty if responses are forwarded.
+    flood: Mutex<&'static [u8]>,
     refuses: AtomicBool,
 }
 
@@ -92,6 +94,7 @@
         }
         self.state.delay_ms.store(0, Ordering::Relaxed);
         self.state.corrupts.store(false, Ordering::Relaxed);
+        *lock(&self.state.flood) = &[];
         self.state.refuses.store(false, Ordering::Relaxed);
     }
 
@@ -106,6 +109,11 @@
         self.state.corrupts.store(true, Ordering::Relaxed);
     }
 
+    /// Answers each request with `bytes`, repeated until the client closes the connection.
+    pub fn flood_responses(&self, bytes: &'static [u8]) {
+        *lock(&self.state.flood) = bytes;
+    }
+
     /// Refuses new connections by closing the listening socket; open connections continue.
     pub fn refuse_connections(&self) {
         self.state.refuses.store(true, Ordering::Relaxed);
@@ -241,6 +249,11 @@
         if corrupts && bytes[..count].starts_with(RESPONSE_START) {
             bytes[..RESPONSE_START.len()].fill(b'?');
         }
+        let flood = *lock(&state.flood);
+        if direction == Direction::ToClient && !flood.is_empty() {
+            while to.write_all(flood).is_ok() {}
+            break;
+        }
         if !is_blackholed() && to.write_all(&bytes[..count]).is_err() {
             break;
         }
