Take request bodies of up to 12 MiB

Uploads beyond 4 MB got 413, which callers don't repeat, though the users' configuration allows 64 MB. The bound was that of a message between daemons (8 MiB, now 16).

--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -10,7 +10,7 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Largest request body that a message between daemons can carry.
-const MAX_BODY_BYTES: u64 = 4 * 1_024 * 1_024;
+const MAX_BODY_BYTES: u64 = 12 * 1_024 * 1_024;
 /// Largest head of a caller's request if the rule set gives no bound.
 const DEFAULT_HEAD_BYTES: usize = 8 * 1_024;
 /// Largest head of a caller's request while no rule set is in force.
--- a/crates/indigospur-relay/src/link.rs
+++ b/crates/indigospur-relay/src/link.rs
@@ -31,7 +31,7 @@
 /// An offset that no log record reaches, so that the reply to a fetch is empty.
 const UNREACHED_OFFSET: u64 = u64::MAX;
 /// Maximum encoded size of a message, in either direction.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call to another daemon got no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/indigospur-stand-ins/src/backend_server.rs
+++ b/crates/indigospur-stand-ins/src/backend_server.rs
@@ -22,7 +22,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
-const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -155,6 +155,26 @@
     status.and_then(|status| status.parse().ok()).unwrap_or(0)
 }
 
+#[test]
+fn the_largest_body_that_the_settings_allow_is_passed_on_whole() {
+    const LARGEST: usize = 12 * 1_024 * 1_024;
+    let services = ["accounts", "boards"].map(|name| ServicePlan::new(name, 1, &[]));
+    let mut site = Site::start(&SitePlan {
+        services: services.into(),
+        settings: format!("[limits]\nmemory = {MEMORY_MIB}\nbody = {LARGEST}\n"),
+        ..SitePlan::default()
+    })
+    .expect("the site starts");
+    let far = site.node("boards-0").caller_address();
+    assert_eq!(upload(&far, LARGEST), 200);
+    assert_eq!(upload(&far, LARGEST + 1), 413);
+    for host in ["accounts-0", "boards-0"] {
+        let peak = peak_mib(&site.node(host).daemon);
+        println!("largest body: {host} peaks at {peak} MiB");
+        assert!(peak <= MEMORY_MIB, "{host} peaks at {peak} MiB");
+    }
+}
+
 #[test]
 fn large_bodies_of_many_callers_stay_within_the_memory() {
     const LARGE: usize = 4_000_000;
