--- a/crates/indigospur-protocol/src/kind.rs
+++ b/crates/indigospur-protocol/src/kind.rs
@@ -118,6 +118,10 @@
     RateLimited,
     /// The method of the request is not one that the daemon handles.
     MethodNotImplemented,
+    /// The request has no key, or one that no workspace holds.
+    Unauthenticated,
+    /// The workspace has used up its quota.
+    OverQuota,
 }
 
 /// Properties of a refusal kind.
@@ -430,6 +434,24 @@
         false,
         false,
     ),
+    info(
+        Kind::Unauthenticated,
+        "unauthenticated",
+        401,
+        Ran::No,
+        Never,
+        false,
+        false,
+    ),
+    info(
+        Kind::OverQuota,
+        "over-quota",
+        429,
+        Ran::No,
+        Later,
+        false,
+        false,
+    ),
 ];
 
 impl Kind {
--- /dev/null
+++ b/crates/indigospur-quota/src/lib.rs
@@ -0,0 +1,1 @@
+//! Quotas of workspaces over all hosts.
--- a/crates/indigospur-rules/src/lib.rs
+++ b/crates/indigospur-rules/src/lib.rs
@@ -8,6 +8,7 @@
 mod set;
 mod split;
 mod treatment;
+mod workspace;
 
 pub use check::check_rule;
 pub use condition::{CallAttributes, Condition};
@@ -16,3 +17,4 @@
 pub use set::{CallerLimits, Decision, Rule, RuleParts, RuleSet};
 pub use split::TrafficSplit;
 pub use treatment::{Action, ShedOrder, Target, Treatment};
+pub use workspace::{KeyDigest, Quota, Workspace, Workspaces};
--- a/crates/indigospur-rules/src/parse.rs
+++ b/crates/indigospur-rules/src/parse.rs
@@ -5,6 +5,7 @@
 use crate::pattern::Pattern;
 use crate::set::{CallerLimits, Rule, RuleParts, RuleSet};
 use crate::treatment::{Action, ShedOrder, Target};
+use crate::workspace::Workspaces;
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_protocol::Class;
 use std::sync::Arc;
@@ -47,6 +48,7 @@
         rules,
         refuse_unmatched,
         callers,
+        workspaces: Workspaces::default(),
     };
     document.into_problems().into_result(RuleSet::new(parts))
 }
--- a/crates/indigospur-rules/src/set.rs
+++ b/crates/indigospur-rules/src/set.rs
@@ -3,6 +3,7 @@
 use crate::condition::{CallAttributes, Condition};
 use crate::pattern::Pattern;
 use crate::treatment::{Action, Treatment};
+use crate::workspace::Workspaces;
 use indigospur_protocol::Class;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     pub refuse_unmatched: bool,
     /// Limits on callers.
     pub callers: CallerLimits,
+    /// Workspaces and their keys; empty if callers need no key.
+    pub workspaces: Workspaces,
 }
 
 /// A validated rule set, indexed by host and service.
@@ -60,6 +63,8 @@
     pub refuse_unmatched: bool,
     /// Limits on callers.
     pub callers: CallerLimits,
+    /// Workspaces and their keys; empty if callers need no key.
+    pub workspaces: Workspaces,
     /// Indexes of the rules that can match each host name that a rule gives exactly, in order.
     by_host: HashMap<Arc<str>, Vec<usize>>,
     /// Indexes of the rules that can match each service that a rule gives exactly, on hosts that
@@ -104,6 +109,7 @@
             rules,
             refuse_unmatched,
             callers,
+            workspaces,
         } = parts;
         let indexes = |accepts: &dyn Fn(&Condition) -> bool| -> Vec<usize> {
             let numbered = rules.iter().enumerate();
@@ -131,6 +137,7 @@
             default_class,
             refuse_unmatched,
             callers,
+            workspaces,
             by_host,
             by_service,
             unindexed,
