Read sockets only once the operating system reports data

Streams remember that they are drained and wait for readiness before the next read. An idle connection to the backend server is checked by one read that does not register with the reactor, and not checked again when it is released, since it is checked when it is taken.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -246,7 +246,9 @@
     }
 
     fn release(mut self, stated: Option<Duration>) {
-        let Some(mut connection) = self.connection.take_if(|connection| connection.is_idle())
+        let Some(mut connection) = self
+            .connection
+            .take_if(|connection| connection.is_drained())
         else {
             return;
         };
--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -6,7 +6,7 @@
 use crate::head::{Framing, HeadError, RequestHead, ResponseHead};
 use crate::memory::{HeldBody, OutOfMemory};
 use crate::runtime;
-use async_std::net::TcpStream;
+use crate::stream::Stream;
 use bytes::{Buf, BytesMut};
 use futures_lite::io::{AsyncRead, AsyncWriteExt};
 use std::io;
@@ -80,7 +80,7 @@
 /// An HTTP/1.1 connection with its read buffer.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    stream: TcpStream,
+    stream: Stream,
     /// Bytes read from the socket that no message has consumed yet.
     buffer: BytesMut,
     /// Reads left until the task lets others run.
@@ -88,7 +88,7 @@
 }
 
 impl Connection {
-    pub(crate) fn new(stream: TcpStream) -> Connection {
+    pub(crate) fn new(stream: Stream) -> Connection {
         Connection {
             stream,
             buffer: BytesMut::new(),
@@ -330,8 +330,15 @@
 
     /// Returns true if the connection is open and the peer has sent nothing after its last message.
     pub(crate) fn is_idle(&mut self) -> bool {
-        let mut context = Context::from_waker(std::task::Waker::noop());
-        self.buffer.is_empty() && self.poll_fill(&mut context).is_pending()
+        let mut byte = [0];
+        let nothing_arrived = |read: io::Result<usize>| matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        self.buffer.is_empty() && nothing_arrived(self.stream.try_read(&mut byte))
+    }
+
+    /// Returns true if no bytes after the last message have been read. More may have arrived: see
+    /// [`Connection::is_idle`].
+    pub(crate) fn is_drained(&self) -> bool {
+        self.buffer.is_empty()
     }
 
     /// Waits until the peer closes the connection or it fails. Data that the peer sends meanwhile
@@ -360,7 +367,7 @@
     }
 
     /// Returns a second handle to the socket, to write a message while this one reads.
-    pub(crate) fn writer(&self) -> TcpStream {
+    pub(crate) fn writer(&self) -> Stream {
         self.stream.clone()
     }
 
--- a/crates/indigospur-relay/src/http.rs
+++ b/crates/indigospur-relay/src/http.rs
@@ -6,7 +6,7 @@
 use crate::memory::{BodyMemory, HeldBody, MessageKind};
 use crate::runtime;
 use crate::silence;
-use async_std::net::TcpStream;
+use crate::stream::Stream;
 use indigospur_protocol::{Answer, Header};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -70,13 +70,13 @@
 /// # Errors
 /// `HttpError::Connect` if the address is invalid, or the connection is refused or not open within
 /// `CONNECT_TIMEOUT`.
-pub(crate) async fn connect(address: &str) -> Result<TcpStream, HttpError> {
+pub(crate) async fn connect(address: &str) -> Result<Stream, HttpError> {
     let address: SocketAddr = address.parse().map_err(|_| HttpError::Connect)?;
-    let stream = runtime::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = runtime::timeout(CONNECT_TIMEOUT, Stream::connect(address)).await;
     let stream = stream
         .ok_or(HttpError::Connect)?
         .map_err(|_| HttpError::Connect)?;
-    stream.set_nodelay(true).map_err(|_| HttpError::Connect)?;
+    stream.set_nodelay().map_err(|_| HttpError::Connect)?;
     Ok(stream)
 }
 
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod runtime;
 mod service;
 mod silence;
+mod stream;
 mod timer;
 
 pub use address::SharedAddress;
--- a/crates/indigospur-relay/src/listener.rs
+++ b/crates/indigospur-relay/src/listener.rs
@@ -8,8 +8,9 @@
 use crate::runtime;
 use crate::service::{Bounds, HttpService, OpenRequest, ReceivedRequest};
 use crate::silence;
+use crate::stream::{Acceptor, Stream};
 use async_std::channel::Receiver;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use bytes::BytesMut;
 use futures_lite::FutureExt;
 use indigospur_protocol::{Answer, Kind, Refusal};
@@ -39,9 +40,9 @@
 /// Accepts the next connection. Returns `None` once the service has stopped listening and no
 /// connection is pending.
 async fn accept(
-    listener: &TcpListener,
+    listener: &Acceptor,
     service: &HttpService,
-) -> Option<io::Result<(TcpStream, IpAddr)>> {
+) -> Option<io::Result<(Stream, IpAddr)>> {
     let accepted = async { Some(listener.accept().await) };
     let stopped = async {
         service.wait_stopped().await;
@@ -53,13 +54,20 @@
         // still pending when the listener is closed are reset.
         None => futures_lite::future::poll_once(listener.accept()).await?,
     };
-    Some(accepted.map(|(stream, peer)| (stream, peer.ip())))
+    Some(accepted)
 }
 
 /// Serves connections until the service stops listening and the pending connections are accepted.
 /// Open connections are served on in their own tasks. The handler's future is dropped if its caller
 /// closes the connection.
 pub async fn serve_http(listener: TcpListener, service: HttpService) {
+    let listener = match Acceptor::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error:display; "the port for callers can't be served");
+            return;
+        }
+    };
     let table: Arc<Mutex<ConnectionTable>> = Arc::default();
     loop {
         let (stream, address) = match accept(&listener, &service).await {
@@ -143,7 +151,7 @@
 }
 
 /// Refuses the first request on a connection beyond the bound, then closes the connection.
-async fn refuse_connection(stream: TcpStream, service: &HttpService) {
+async fn refuse_connection(stream: Stream, service: &HttpService) {
     let mut connection = Connection::new(stream);
     let bounds = service.bounds();
     let head = connection.read_request_head(bounds.head_bytes);
@@ -161,8 +169,8 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, service: &HttpService, open: &OpenConnection) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve_connection(stream: Stream, service: &HttpService, open: &OpenConnection) {
+    if let Err(error) = stream.set_nodelay() {
         log::debug!(error:display; "failed to set TCP_NODELAY; small messages may be delayed");
     }
     silence::CALLER.apply(&stream);
--- a/crates/indigospur-relay/src/peer_server.rs
+++ b/crates/indigospur-relay/src/peer_server.rs
@@ -5,8 +5,9 @@
 use crate::memory::{BodyMemory, MessageKind};
 use crate::metered::{CallMemory, ReceivedBody, SentBody};
 use crate::runtime::{self, Executor};
+use crate::stream::{Acceptor, Stream};
 use crate::timer::HyperTimer;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -35,6 +36,13 @@
     let server = PeerServer::from_arc(peer)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let listener = match Acceptor::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error:display; "the port for other daemons can't be served");
+            return;
+        }
+    };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -48,12 +56,8 @@
     }
 }
 
-async fn serve_connection<P: Peer>(
-    stream: TcpStream,
-    server: PeerServer<P>,
-    memory: Arc<BodyMemory>,
-) {
-    let _ = stream.set_nodelay(true);
+async fn serve_connection<P: Peer>(stream: Stream, server: PeerServer<P>, memory: Arc<BodyMemory>) {
+    let _ = stream.set_nodelay();
     let service = service_fn(move |request: http::Request<Incoming>| {
         let mut server = server.clone();
         let memory = CallMemory::new(&memory, MessageKind::Request);
--- a/crates/indigospur-relay/src/silence.rs
+++ b/crates/indigospur-relay/src/silence.rs
@@ -1,7 +1,7 @@
 //! Bounds the time until a connection that has gone silent is closed. Something on its path may have
 //! lost track of it: nothing is received on it any more, not even a reset, while new connections work.
 
-use async_std::net::TcpStream;
+use crate::stream::Stream;
 use socket2::{SockRef, TcpKeepalive};
 use std::time::Duration;
 
@@ -45,7 +45,7 @@
 impl SilenceLimit {
     /// Has the operating system fail the connection once it is silent for this long. Without the
     /// support of the operating system, only the timeouts of requests apply.
-    pub(crate) fn apply(self, stream: &TcpStream) {
+    pub(crate) fn apply(self, stream: &Stream) {
         let keep_alive = TcpKeepalive::new()
             .with_time(self.idle)
             .with_interval(self.probe_interval)
--- /dev/null
+++ b/crates/indigospur-relay/src/stream.rs
@@ -0,0 +1,138 @@
+//! TCP streams that are read only once the operating system reports data.
+//!
+//! A task that waits for several things polls its stream each time it wakes, and mostly finds nothing
+//! to read. Under load these reads were two thirds of all reads and the largest group of system calls
+//! of a daemon.
+
+use async_io::Async;
+use async_std::net::TcpListener;
+use futures_lite::io::{AsyncRead, AsyncWrite};
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+/// A TCP connection. Clones share the socket; only one of them may read.
+#[derive(Clone, Debug)]
+pub(crate) struct Stream {
+    socket: Arc<Async<TcpStream>>,
+    /// Whether the last read took all data that had arrived, so that the next one waits for the
+    /// operating system to report more.
+    is_drained: bool,
+}
+
+impl Stream {
+    fn new(socket: Async<TcpStream>) -> Stream {
+        Stream {
+            socket: Arc::new(socket),
+            is_drained: false,
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// The connection is refused or can't be opened.
+    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Stream> {
+        Async::<TcpStream>::connect(address).await.map(Stream::new)
+    }
+
+    /// Sends small writes at once rather than to wait for more.
+    pub(crate) fn set_nodelay(&self) -> io::Result<()> {
+        self.socket.get_ref().set_nodelay(true)
+    }
+
+    /// Closes the connection in one or both directions, for all clones.
+    pub(crate) fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+        self.socket.get_ref().shutdown(how)
+    }
+
+    /// Reads what has arrived, without waiting.
+    ///
+    /// # Errors
+    /// `WouldBlock` if nothing has arrived; else the connection failed.
+    pub(crate) fn try_read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let read = self.socket.get_ref().read(buffer);
+        self.is_drained = match &read {
+            Ok(count) => *count > 0 && *count < buffer.len(),
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        };
+        read
+    }
+}
+
+impl AsFd for Stream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.socket.get_ref().as_fd()
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if self.is_drained {
+                ready!(self.socket.poll_readable(context))?;
+            }
+            match self.try_read(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.socket.get_ref().write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(self.socket.poll_writable(context))?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// A listening socket that accepts [`Stream`]s.
+#[derive(Debug)]
+pub(crate) struct Acceptor {
+    socket: Async<std::net::TcpListener>,
+}
+
+impl Acceptor {
+    pub(crate) fn new(listener: TcpListener) -> io::Result<Acceptor> {
+        let listener = std::net::TcpListener::from(OwnedFd::from(listener));
+        let socket = Async::new(listener)?;
+        Ok(Acceptor { socket })
+    }
+
+    /// Waits for the next connection.
+    ///
+    /// # Errors
+    /// It can't be accepted, for example because no file descriptor is free.
+    pub(crate) async fn accept(&self) -> io::Result<(Stream, IpAddr)> {
+        let (socket, peer) = self.socket.accept().await?;
+        Ok((Stream::new(socket), peer.ip()))
+    }
+}
