Read callers' credentials, and decide who a caller is by them

Requests had no credential that the daemon could look at.

Spaces in a key are malformed: a key is one token of printable ASCII, and two comma-joined credentials would otherwise read as one key. Answers of status 401 name the scheme in WWW-Authenticate, as RFC 9110 asks.

A configuration whose workspaces are all invalid still needs keys (Workspaces::require_keys): taking it for one without workspaces would open every rule to everyone.

Nothing calls the decision yet. Table tests: crates/indigospur-daemon/tests/authentication.rs.

--- a/crates/indigospur-daemon/src/builtin_dialect.rs
+++ b/crates/indigospur-daemon/src/builtin_dialect.rs
@@ -1,5 +1,6 @@
 //! The built-in HTTP conventions, whose headers begin with `indigospur-`.
 
+use crate::authentication::Credential;
 use crate::dialect::{
     AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
     RequestHead,
@@ -15,6 +16,8 @@
 const MAX_NAME_BYTES: usize = 128;
 /// Status by which a backend server refuses a call for overload.
 const SHED_STATUS: u16 = 503;
+/// Authentication scheme of callers' keys.
+const KEY_SCHEME: &str = "Bearer";
 
 /// The built-in HTTP conventions, used unless an embedding program sets others.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +38,7 @@
                 .header(headers::IDEMPOTENCY_KEY)
                 .or_else(|| received.header(headers::REQUEST_ID))
                 .map(Arc::from),
+            credential: Credential::read(&received.headers, KEY_SCHEME),
         };
         received
             .headers
@@ -42,6 +46,15 @@
         Ok(head)
     }
 
+    fn set_workspace(&self, fields: &mut Vec<Header>, workspace: Option<&str>) {
+        let removed = [headers::AUTHORIZATION, headers::WORKSPACE];
+        fields.retain(|header| !removed.contains(&&*header.name));
+        fields.extend(workspace.map(|name| Header {
+            name: headers::WORKSPACE.into(),
+            value: name.as_bytes().into(),
+        }));
+    }
+
     fn call_token(&self, _message: &RelayMessage, new_token: Arc<str>) -> Arc<str> {
         new_token
     }
@@ -119,6 +132,9 @@
             let seconds = after.as_secs() + u64::from(after.subsec_nanos() > 0);
             fields.push((headers::RETRY_AFTER, seconds.to_string()));
         }
+        if refusal.kind == Kind::Unauthenticated {
+            fields.push((headers::WWW_AUTHENTICATE, KEY_SCHEME.to_owned()));
+        }
         let headers = fields.into_iter().map(|(name, value)| Header {
             name: name.into(),
             value: value.into_bytes().into(),
--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -3,6 +3,7 @@
 //! A dialect only translates between the types of the daemon and HTTP; the daemon makes all
 //! decisions.
 
+use crate::authentication::Credential;
 use indigospur_protocol::{
     Answer, Customer, Header, Key, Kind, Rate, Refusal, RelayMessage, RequestId, ServiceName,
 };
@@ -41,6 +42,8 @@
     /// Idempotency key, if the request has one; not validated yet. Used only where a rule asks for
     /// at-most-once execution.
     pub key: Option<Key>,
+    /// Credential of the caller. Used only where the rule set has workspaces.
+    pub credential: Credential,
 }
 
 /// A call about to be sent to the backend server.
@@ -118,12 +121,16 @@
     }
 
     /// Reads the head of a caller's request, and removes from it the headers that are not passed
-    /// on.
+    /// on. Leaves the headers that carry a key, which are passed on unless the rule set has workspaces.
     ///
     /// # Errors
     /// The refusal of a request whose head is invalid.
     fn read_call(&self, received: &mut ReceivedRequest) -> Result<CallHead, Refusal>;
 
+    /// Removes all headers that carry a key or name a workspace, and adds the name of the request's
+    /// workspace if it has one. Called only if the rule set has workspaces.
+    fn set_workspace(&self, headers: &mut Vec<Header>, workspace: Option<&str>);
+
     /// Chooses the token that identifies a running call; `new_token` is one that is unique among
     /// all daemons.
     fn call_token(&self, message: &RelayMessage, new_token: Arc<str>) -> Arc<str>;
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! with the other daemons on members, rule sets and idempotency keys.
 
 mod admin;
+mod authentication;
 mod backend;
 mod backend_status;
 mod builtin_dialect;
@@ -28,6 +29,7 @@
 mod signals;
 mod slots;
 
+pub use authentication::{AuthenticationError, CallerIdentity, Credential};
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
--- a/crates/indigospur-protocol/src/headers.rs
+++ b/crates/indigospur-protocol/src/headers.rs
@@ -2,6 +2,13 @@
 
 /// Name of the service that is called.
 pub const SERVICE: &str = "indigospur-service";
+/// Name of the workspace whose key the caller sent; set by the daemon on callers' requests where the rule
+/// set has workspaces.
+pub const WORKSPACE: &str = "indigospur-workspace";
+/// Credential of a caller.
+pub const AUTHORIZATION: &str = "authorization";
+/// Authentication scheme that a caller is to use, on refusals of status 401.
+pub const WWW_AUTHENTICATE: &str = "www-authenticate";
 /// Customer on whose behalf the call is made.
 pub const CUSTOMER: &str = "indigospur-customer";
 /// Time for which the caller waits for the answer, in milliseconds.
