Refuse callers without a known key where the rule set has workspaces

A caller's request on a rule that is not public is answered unauthenticated unless its key is known. The workspace's name becomes the customer, and set_workspace puts it on the request. A call with a parent reference needs no key, also if its parent is not known here; it loses the headers and gets none.

A customer that only the request names is ignored where there are workspaces: it could be the name of one, and would get its class and its share of the queues.

Classes: RuleSet::decide gives a first call the class of its customer's workspace, and a nested call that of its parent. The lower of the parent's and the rule's class, as without workspaces, would raise the calls of a workspace of class 2 to class 0 on a rule of class 0. Ruled out: the class in the daemon only, since `indigospur explain` would then show another class than the daemon uses.

--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -1,6 +1,7 @@
 //! Turns a caller's request into a call: finds its parent call, applies the rules and builds its
 //! context.
 
+use crate::authentication::CallerIdentity;
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
 use indigospur_admission::IngressRequest;
@@ -67,9 +68,16 @@
     let rules = daemon.rules();
     let rules =
         rules.ok_or_else(|| Refusal::new(Kind::NotReady, "no rule set is known here yet"))?;
-    let origin = identify(daemon, &head, parent)?;
+    let is_nested = !matches!(head.parent, ParentRef::Absent);
+    let caller = CallerIdentity::new(&rules.workspaces, head.credential, is_nested);
+    let origin = identify(daemon, &head, parent, &caller)?;
     *request_id = origin.request_id.clone();
     let (rule, treatment) = decide(&rules, received, &head, &origin)?;
+    authorize(&origin.request_id, rule.as_deref(), &caller, &treatment)?;
+    if !rules.workspaces.is_empty() {
+        let name = caller.workspace().map(|workspace| &*workspace.name);
+        daemon.dialect.set_workspace(&mut received.headers, name);
+    }
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     if !origin.in_chain {
         admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment)?;
@@ -98,6 +106,7 @@
     daemon: &Daemon,
     head: &CallHead,
     parent: Option<Token>,
+    caller: &CallerIdentity,
 ) -> Result<RequestOrigin, Refusal> {
     let parent_context = parent
         .as_deref()
@@ -110,10 +119,14 @@
         return Err(Refusal::new(Kind::TooDeep, detail));
     }
     let request_id = choose_request_id(daemon, head, parent_context.as_ref());
-    let customer = match (&parent_context, &head.customer) {
+    let customer = match (&parent_context, caller) {
         (Some(context), _) => context.customer.clone(),
-        (None, Some(customer)) => customer.clone(),
-        (None, None) => ANONYMOUS.into(),
+        (None, CallerIdentity::Workspace(workspace)) => workspace.name.clone(),
+        (None, CallerIdentity::Unchecked) => {
+            head.customer.clone().unwrap_or_else(|| ANONYMOUS.into())
+        }
+        // A customer that only the request names could be the name of a workspace.
+        (None, CallerIdentity::Nested | CallerIdentity::Unknown(_)) => ANONYMOUS.into(),
     };
     let attempt = match parent_context {
         Some(_) => 0,
@@ -155,6 +168,23 @@
     Ok((rule, decision.treatment))
 }
 
+/// Refuses a request that needs a known key and has none.
+fn authorize(
+    request: &RequestId,
+    rule: Option<&str>,
+    caller: &CallerIdentity,
+    treatment: &Treatment,
+) -> Result<(), Refusal> {
+    caller.authorize(treatment.public).map_err(|error| {
+        let rule = rule.unwrap_or("(none)");
+        log::info!(
+            request = &**request, rule, reason:% = error;
+            "request not authenticated; its rule needs the key of a workspace"
+        );
+        Refusal::new(Kind::Unauthenticated, error.to_string())
+    })
+}
+
 /// Time left until the earlier of the caller's deadline and the treatment's, `elapsed` after the
 /// request began to arrive.
 fn remaining_time(
--- a/crates/indigospur-rules/src/condition.rs
+++ b/crates/indigospur-rules/src/condition.rs
@@ -15,7 +15,8 @@
     pub method: &'a str,
     /// Path of the URL, without the query.
     pub path: &'a str,
-    /// Customer on whose behalf the call is made.
+    /// Customer on whose behalf the call is made. Where the rule set has workspaces, a name of one means
+    /// that the caller has its key.
     pub customer: &'a str,
     /// Class of the parent call; `None` for the first call of a chain.
     pub parent_class: Option<Class>,
--- a/crates/indigospur-rules/src/parse.rs
+++ b/crates/indigospur-rules/src/parse.rs
@@ -174,6 +174,7 @@
         waits: then.boolean("waits"),
         targets: read_targets(&then),
         objective: then.duration("objective", Duration::from_millis(1)..=MAX_DEADLINE),
+        public: then.boolean("public").unwrap_or(false),
     };
     then.finish();
     action
--- a/crates/indigospur-rules/src/set.rs
+++ b/crates/indigospur-rules/src/set.rs
@@ -147,7 +147,10 @@
 
     /// Decides on a call by the first rule that matches, or by the defaults if none does.
     ///
-    /// A call never gets a class that is shed before that of its parent call.
+    /// A call never gets a class that is shed before that of its parent call. Where the rule set has
+    /// workspaces, a first call gets the class of its customer's workspace, if that has one, and a
+    /// nested call that of its parent: the class of a rule would otherwise raise the calls made for a
+    /// workspace above the workspace's own class.
     pub fn decide(&self, call: &CallAttributes<'_>) -> Decision {
         let by_host = self.by_host.get(call.host);
         let candidates = by_host
@@ -158,9 +161,14 @@
             .find(|index| self.rules[**index].when.matches(call));
         let action = found.map_or_else(Action::default, |index| self.rules[*index].then.clone());
         let mut treatment = Treatment::new(&action, self.default_class, call.idempotent);
-        if let Some(parent_class) = call.parent_class {
-            treatment.class = treatment.class.min(parent_class);
-        }
+        let workspace = self.workspaces.get(call.customer);
+        treatment.class = match call.parent_class {
+            Some(parent_class) if self.workspaces.is_empty() => treatment.class.min(parent_class),
+            Some(parent_class) => parent_class,
+            None => workspace
+                .and_then(|workspace| workspace.class)
+                .unwrap_or(treatment.class),
+        };
         Decision {
             rule: found.copied(),
             treatment,
--- a/crates/indigospur-rules/src/treatment.rs
+++ b/crates/indigospur-rules/src/treatment.rs
@@ -61,6 +61,8 @@
     pub targets: Arc<[Target]>,
     /// Target latency: the time within which a reply has its full value.
     pub objective: Option<Duration>,
+    /// Whether callers need no key, where the rule set has workspaces.
+    pub public: bool,
 }
 
 /// How a call is treated: class, deadline, retries and targets.
@@ -89,6 +91,8 @@
     pub targets: Arc<[Target]>,
     /// Target latency: the time within which a reply has its full value; at most the deadline.
     pub objective: Duration,
+    /// Whether the caller needs no key, where the rule set has workspaces.
+    pub public: bool,
 }
 
 impl Treatment {
@@ -109,6 +113,7 @@
             waits: action.waits.unwrap_or(false),
             targets: action.targets.clone(),
             objective: action.objective.unwrap_or(deadline).min(deadline),
+            public: action.public,
         }
     }
 
