--- a/crates/indigospur-daemon/src/builtin_dialect.rs
+++ b/crates/indigospur-daemon/src/builtin_dialect.rs
@@ -49,10 +49,7 @@
     fn set_workspace(&self, fields: &mut Vec<Header>, workspace: Option<&str>) {
         let removed = [headers::AUTHORIZATION, headers::WORKSPACE];
         fields.retain(|header| !removed.contains(&&*header.name));
-        fields.extend(workspace.map(|name| Header {
-            name: headers::WORKSPACE.into(),
-            value: name.as_bytes().into(),
-        }));
+        fields.extend(workspace.map(|name| Header::new(headers::WORKSPACE, name)));
     }
 
     fn call_token(&self, _message: &RelayMessage, new_token: Arc<str>) -> Arc<str> {
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -20,6 +20,16 @@
     pub value: Arc<[u8]>,
 }
 
+impl Header {
+    /// Creates a header from its name, in lower case, and its value.
+    pub fn new(name: &str, value: &str) -> Header {
+        Header {
+            name: name.into(),
+            value: value.as_bytes().into(),
+        }
+    }
+}
+
 /// Value of the first header with this name, in lower case; `None` if there is none or it is not UTF-8.
 pub fn find_header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
     let found = headers.iter().find(|header| &*header.name == name)?;
--- a/platform/src/percent_encoding.rs
+++ b/crates/indigospur-relay/src/percent_encoding.rs
@@ -1,7 +1,7 @@
 //! Percent-encoding of text in paths and queries.
 
 /// Encodes all bytes except the unreserved characters of RFC 3986.
-pub(crate) fn percent_encode(text: &str) -> String {
+pub fn percent_encode(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len());
     for byte in text.bytes() {
         match byte {
@@ -15,7 +15,7 @@
 
 /// Decodes one path segment. Returns `None` if it contains a slash, an incomplete escape sequence or
 /// invalid UTF-8.
-pub(crate) fn percent_decode(segment: &str) -> Option<String> {
+pub fn percent_decode(segment: &str) -> Option<String> {
     let mut bytes = Vec::with_capacity(segment.len());
     let mut rest = segment.as_bytes();
     while let [byte, tail @ ..] = rest {
