Read workspaces and public rules from TOML, and show them in check and explain

[[workspace]] has name, class, keys (digests), rate and burst; then.public = true needs no key. Problems have their places. A value in `keys` that is no digest is reported by its position only, since it could be the key itself; Reader::strings would show it.

`check` lists the workspaces and `explain` shows that of the customer, whether the rule is public and whether the caller is refused for its key; neither shows digests. Without workspaces both print what they printed before, apart from new fields of the JSON.

--- a/crates/indigospur-command/src/commands/check.rs
+++ b/crates/indigospur-command/src/commands/check.rs
@@ -4,6 +4,7 @@
 use crate::example::Example;
 use crate::format::{Formats, load_rules};
 use crate::output::Output;
+use crate::workspace_report::WorkspaceReport;
 use bpaf::Bpaf;
 use serde::Serialize;
 
@@ -29,24 +30,30 @@
     file: &'a str,
     rules: usize,
     classes: Vec<String>,
+    workspaces: Vec<WorkspaceReport<'a>>,
 }
 
 impl Check {
     pub(crate) fn run(self, formats: Formats<'_>) -> Result<Output, ToolError> {
         let rules = load_rules(&self.file, formats)?;
         let classes: Vec<String> = rules.classes.iter().map(ToString::to_string).collect();
-        let text = format!(
+        let mut text = format!(
             "{}: ok, {} rules, classes {}",
             self.file,
             rules.rules.len(),
             classes.join(", ")
         );
+        let workspaces = WorkspaceReport::all(&rules);
+        for workspace in &workspaces {
+            text.push_str(&format!("\n  workspace {}", workspace.describe()));
+        }
         Ok(Output::new(
             text,
             &CheckReport {
                 file: &self.file,
                 rules: rules.rules.len(),
                 classes,
+                workspaces,
             },
         ))
     }
--- a/crates/indigospur-command/src/commands/explain.rs
+++ b/crates/indigospur-command/src/commands/explain.rs
@@ -4,6 +4,7 @@
 use crate::example::Example;
 use crate::format::{Formats, load_rules};
 use crate::output::Output;
+use crate::workspace_report::WorkspaceReport;
 use bpaf::Bpaf;
 use indigospur_document::format_duration;
 use indigospur_protocol::is_idempotent_method;
@@ -36,7 +37,8 @@
     /// Path of the call's URL, without the query
     #[bpaf(argument("PATH"), fallback("/".to_owned()), display_fallback)]
     path: String,
-    /// Customer on whose behalf the call is made
+    /// Customer on whose behalf the call is made; the workspace whose key the caller sends, if the rule
+    /// set has workspaces
     #[bpaf(argument("NAME"), fallback("anonymous".to_owned()), display_fallback)]
     customer: String,
     /// Class of the parent call; without it, the call is the first of its chain
@@ -66,6 +68,12 @@
     idempotent: bool,
     at_most_once: bool,
     waits: bool,
+    /// Whether the caller needs no key, where the rule set has workspaces.
+    public: bool,
+    /// Workspace that the call is made for; a nested call inherits it.
+    workspace: Option<WorkspaceReport<'a>>,
+    /// Whether the call is refused because it needs the key of a workspace.
+    unauthenticated: bool,
     /// Names of the rules before the matching one, or of all rules if none matches.
     passed_over: Vec<&'a str>,
 }
@@ -87,7 +95,14 @@
             idempotent: is_idempotent_method(&self.method),
             attempt: self.attempt,
         });
-        let explanation = explain_decision(&rules, &decision);
+        let mut explanation = explain_decision(&rules, &decision);
+        let workspace = rules.workspaces.get(&self.customer);
+        explanation.unauthenticated = !rules.workspaces.is_empty()
+            && self.above.is_none()
+            && workspace.is_none()
+            && !explanation.public
+            && !explanation.refused;
+        explanation.workspace = workspace.map(|workspace| WorkspaceReport::new(&rules, workspace));
         Ok(Output::new(describe(&explanation), &explanation))
     }
 }
@@ -110,6 +125,9 @@
         idempotent: treatment.idempotent,
         at_most_once: treatment.at_most_once,
         waits: treatment.waits,
+        public: treatment.public,
+        workspace: None,
+        unauthenticated: false,
         passed_over: rules.rules[..match_index]
             .iter()
             .map(|rule| &*rule.name)
@@ -127,6 +145,14 @@
         0 => String::new(),
         _ => format!("\n  service {}", explanation.services.join(", ")),
     };
+    let workspace = match &explanation.workspace {
+        Some(workspace) => format!("\n  workspace {}", workspace.describe()),
+        None if explanation.unauthenticated => {
+            "\n  no workspace; the call is refused, as its caller needs a key".to_owned()
+        }
+        None if explanation.public => "\n  public; its caller needs no key".to_owned(),
+        None => String::new(),
+    };
     let passed_over = match explanation.passed_over.len() {
         0 => String::new(),
         _ => format!(
@@ -135,7 +161,7 @@
         ),
     };
     format!(
-        "{rule}{passed_over}{}\n  class {}\n  deadline {}\n  objective {}\n  retries {}\n  idempotent {}\n  at most once {}\n  waits {}",
+        "{rule}{passed_over}{workspace}{}\n  class {}\n  deadline {}\n  objective {}\n  retries {}\n  idempotent {}\n  at most once {}\n  waits {}",
         services,
         explanation.class,
         explanation.deadline,
--- a/crates/indigospur-command/src/lib.rs
+++ b/crates/indigospur-command/src/lib.rs
@@ -7,6 +7,7 @@
 mod format;
 mod output;
 mod run;
+mod workspace_report;
 
 pub use commands::examples;
 pub use error::ToolError;
--- a/crates/indigospur-document/src/reader.rs
+++ b/crates/indigospur-document/src/reader.rs
@@ -153,6 +153,24 @@
         }
     }
 
+    /// Reads a finite number of at least zero, with or without a fraction, if present.
+    pub fn amount(&self, key: &str) -> Option<f64> {
+        let value = self.read(key)?;
+        let number: Option<f64> = match value.get_ref() {
+            DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str().parse().ok(),
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            _ => None,
+        };
+        let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+        number.or_else(|| {
+            self.reject_value(
+                key,
+                value.get_ref(),
+                "expected a finite number from zero on",
+            )
+        })
+    }
+
     /// Reads a duration within `range`, if present.
     pub fn duration(&self, key: &str, range: RangeInclusive<Duration>) -> Option<Duration> {
         let value = self.read(key)?;
@@ -171,6 +189,40 @@
         }
     }
 
+    /// Reads a list of strings and converts each; empty if the key is absent. A value that `convert`
+    /// rejects is reported without showing it, since it could be a secret in place of what is expected.
+    pub fn secrets<T>(
+        &self,
+        key: &str,
+        allowed: &str,
+        convert: impl Fn(&str) -> Option<T>,
+    ) -> Vec<T> {
+        let Some(value) = self.read(key) else {
+            return Vec::new();
+        };
+        let DeValue::Array(items) = value.get_ref() else {
+            self.reject(key, "not a list", allowed);
+            return Vec::new();
+        };
+        let converted = items.iter().enumerate().map(|(index, item)| {
+            let converted = match item.get_ref() {
+                DeValue::String(text) => convert(text),
+                _ => None,
+            };
+            if converted.is_none() {
+                let found = format!("entry {} of the list is not allowed", index + 1);
+                self.document.report(
+                    self.key_path(key),
+                    item.span().start,
+                    found,
+                    allowed.to_owned(),
+                );
+            }
+            converted
+        });
+        converted.flatten().collect()
+    }
+
     /// Reads a non-empty string or a list of them; empty if the key is absent.
     pub fn strings(&self, key: &str) -> Vec<Arc<str>> {
         let Some(value) = self.read(key) else {
--- a/crates/indigospur-rules/src/parse.rs
+++ b/crates/indigospur-rules/src/parse.rs
@@ -5,7 +5,7 @@
 use crate::pattern::Pattern;
 use crate::set::{CallerLimits, Rule, RuleParts, RuleSet};
 use crate::treatment::{Action, ShedOrder, Target};
-use crate::workspace::Workspaces;
+use crate::workspace::{KeyDigest, Quota, Workspace, Workspaces};
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_protocol::Class;
 use std::sync::Arc;
@@ -40,6 +40,7 @@
     let rules = read_rules(&root, &classes);
     let refuse_unmatched = read_unmatched(&root);
     let callers = read_callers(root.table("callers"));
+    let workspaces = read_workspaces(&root, &classes);
     root.finish();
     let default_class = default_class.unwrap_or_else(|| fallback_class(&classes));
     let parts = RuleParts {
@@ -48,7 +49,7 @@
         rules,
         refuse_unmatched,
         callers,
-        workspaces: Workspaces::default(),
+        workspaces,
     };
     document.into_problems().into_result(RuleSet::new(parts))
 }
@@ -146,6 +147,45 @@
     rules
 }
 
+fn read_workspaces(root: &Reader<'_>, classes: &[Arc<str>]) -> Workspaces {
+    let mut workspaces = Workspaces::default();
+    for reader in root.tables("workspace") {
+        let name = reader.required_string("name");
+        if !name.is_empty() && !Workspace::is_valid_name(&name) {
+            let allowed = "give a name without control characters and outer white space";
+            reader.reject("name", "the name can't be sent in a header", allowed);
+        }
+        let allowed = "expected a list of digests: sha256: and 64 hexadecimal digits each";
+        let keys = reader.secrets("keys", allowed, KeyDigest::from_text);
+        let is_new = workspaces.get(&name).is_none();
+        let workspace = Workspace {
+            class: read_class(&reader, "class", classes),
+            quota: read_quota(&reader),
+            name,
+        };
+        if !is_new {
+            let found = format!("duplicate workspace name \"{}\"", workspace.name);
+            reader.reject("name", found, "give each workspace a unique name");
+        } else if !workspaces.insert(workspace, keys) {
+            let found = "a key of this workspace is a key of an earlier one as well";
+            reader.reject("keys", found, "list each key for one workspace only");
+        }
+        reader.finish();
+    }
+    workspaces
+}
+
+/// Reads the limit on the requests of a workspace; without a rate, or with a rate of zero, there is none.
+fn read_quota(workspace: &Reader<'_>) -> Option<Quota> {
+    let rate = workspace.amount("rate");
+    let burst = workspace.amount("burst").unwrap_or(0.0);
+    if workspace.contains("burst") && !workspace.contains("rate") {
+        workspace.reject("burst", "there is no rate", "set rate too, or remove burst");
+    }
+    let rate = rate.filter(|rate| *rate > 0.0)?;
+    Some(Quota { rate, burst })
+}
+
 fn read_condition(when: Reader<'_>, classes: &[Arc<str>]) -> Condition {
     let condition = Condition {
         services: patterns(&when, "service"),
--- a/crates/indigospur-rules/tests/workspaces.rs
+++ b/crates/indigospur-rules/tests/workspaces.rs
@@ -2,8 +2,8 @@
 
 use indigospur_protocol::Class;
 use indigospur_rules::{
-    Action, CallAttributes, CallerLimits, Condition, KeyDigest, Pattern, Rule, RuleParts, RuleSet,
-    Workspace, Workspaces,
+    Action, CallAttributes, CallerLimits, Condition, KeyDigest, Pattern, Quota, Rule, RuleParts,
+    RuleSet, Workspace, Workspaces, parse,
 };
 
 fn workspace(name: &str, class: Option<Class>) -> Workspace {
@@ -180,3 +180,127 @@
         assert!(KeyDigest::from_text(invalid).is_none(), "{invalid}");
     }
 }
+
+/// A rule set with two workspaces, the second on line 6; `second` are further lines of that.
+fn toml(second: &str) -> String {
+    let digest = |key: &str| KeyDigest::of(key.as_bytes()).to_text();
+    format!(
+        "[[workspace]]\nname = \"norte\"\nkeys = [\"{}\",\n\"{}\"]\n\n[[workspace]]\nname = \"sul\"\n{second}\n\
+         [[rule]]\nname = \"health\"\nwhen.path = \"/health\"\nthen.public = true\n",
+        digest("n-1"),
+        digest("n-2")
+    )
+}
+
+#[test]
+fn workspaces_and_public_rules_are_read_from_toml() {
+    let digest = KeyDigest::of(b"s").to_text();
+    let text = toml(&format!(
+        "keys = [\"{digest}\"]\nclass = \"background\"\nrate = 2.5\nburst = 10"
+    ));
+    let rules = parse("rules.toml", &text).expect("the rule set is valid");
+    let found = rules.workspaces.find(&KeyDigest::of(b"s"));
+    let expected = Workspace {
+        name: "sul".into(),
+        class: Some(2),
+        quota: Some(Quota {
+            rate: 2.5,
+            burst: 10.0,
+        }),
+    };
+    assert_eq!(found.map(|found| &**found), Some(&expected));
+    for key in [b"n-1", b"n-2"] {
+        let found = rules.workspaces.find(&KeyDigest::of(key));
+        let found = found.expect("the key is listed");
+        assert_eq!(
+            (&*found.name, found.class, found.quota),
+            ("norte", None, None)
+        );
+    }
+    assert!(rules.rules[0].then.public);
+    let without = parse("rules.toml", "[[rule]]\nname = \"a\"\n").expect("it is valid");
+    assert!(without.workspaces.is_empty() && !without.rules[0].then.public);
+}
+
+#[test]
+fn a_rate_of_zero_means_no_limit_and_a_limit_needs_no_burst() {
+    for (second, expected) in [
+        ("", None),
+        ("rate = 0", None),
+        ("rate = 0.0\nburst = 5", None),
+        ("rate = 7", Some((7.0, 0.0))),
+    ] {
+        let rules = parse("rules.toml", &toml(second)).expect("the rule set is valid");
+        let sul = rules.workspaces.get("sul").expect("it is listed");
+        let quota = sul.quota.map(|quota| (quota.rate, quota.burst));
+        assert_eq!(quota, expected, "{second}");
+    }
+}
+
+#[test]
+fn invalid_workspaces_are_reported_with_their_place_and_without_keys() {
+    let shared = KeyDigest::of(b"n-1").to_text();
+    let shared = format!("keys = [\"{shared}\"]");
+    let cases = [
+        (
+            "rate = -1",
+            "rules.toml:8: workspace[2].rate: -1 is not allowed",
+        ),
+        (
+            "rate = inf",
+            "rules.toml:8: workspace[2].rate: inf is not allowed",
+        ),
+        ("rate = nan", "workspace[2].rate: "),
+        ("rate = \"10\"", "workspace[2].rate: "),
+        (
+            "rate = 1\nburst = -0.5",
+            "rules.toml:9: workspace[2].burst: -0.5 is not",
+        ),
+        (
+            "burst = 5",
+            "rules.toml:8: workspace[2].burst: there is no rate",
+        ),
+        (
+            "class = \"x\"",
+            "rules.toml:8: workspace[2].class: unknown class",
+        ),
+        (
+            "keys = \"secret\"",
+            "rules.toml:8: workspace[2].keys: not a list",
+        ),
+        (
+            "keys = [\"secret\"]",
+            "rules.toml:8: workspace[2].keys: entry 1 of the list",
+        ),
+        ("keys = [\"sha256:secret\"]", "workspace[2].keys: entry 1"),
+        (
+            "keys = [\n5432101]",
+            "rules.toml:9: workspace[2].keys: entry 1",
+        ),
+        (
+            &shared,
+            "rules.toml:8: workspace[2].keys: a key of this workspace is",
+        ),
+        ("kyes = []", "rules.toml:8: workspace[2].kyes: unknown key"),
+        (
+            "[[workspace]]\nname = \"norte\"",
+            "rules.toml:9: workspace[3].name: duplicate workspace name \"norte\"",
+        ),
+        (
+            "[[workspace]]\nname = \"a\\nb\"",
+            "rules.toml:9: workspace[3].name: the name can't be sent",
+        ),
+        ("[[workspace]]\nkeys = []", "workspace[3].name: missing"),
+    ];
+    for (second, expected) in cases {
+        let problems = parse("rules.toml", &toml(second)).expect_err(second);
+        let text = problems.to_string();
+        assert_eq!(problems.0.len(), 1, "{second}: {text}");
+        assert!(text.contains(expected), "{second}: {text}");
+        assert!(
+            !text.contains("secret") && !text.contains("5432101"),
+            "{text}"
+        );
+        assert!(!text.contains(&shared[9..25]), "{text}");
+    }
+}
