Refuse unknown keys at a daemon that is cut off as not run

A host that has contact with nothing keeps its configuration, and would answer 401 to every request with a key that was added since, and 404 on routes that were: wrong answers that callers don't send elsewhere. Once it has heard neither from another daemon nor from the log or source for 2.5 s, the time in which a version must be in force, it answers not-ready (503, not run) instead. Missing and malformed keys are still answered 401, known keys are served. Only where the rule set has workspaces and other daemons are known.

Ruled out: the age of the last read of the source, since all daemons but three wait 20 s in one read, and an outage of the source alone is no reason to doubt the configuration. Open: hosts that are cut off together have contact with each other.

--- a/crates/indigospur-daemon/src/authentication.rs
+++ b/crates/indigospur-daemon/src/authentication.rs
@@ -1,7 +1,7 @@
 //! Decides which workspace a request belongs to, and whether it may run without a key.
 
 use displaydoc::Display;
-use indigospur_protocol::{Header, headers};
+use indigospur_protocol::{Header, Kind, headers};
 use indigospur_rules::{KeyDigest, Workspace, Workspaces};
 use std::sync::Arc;
 
@@ -54,6 +54,17 @@
 
 impl std::error::Error for AuthenticationError {}
 
+impl AuthenticationError {
+    /// The refusal kind. A daemon that is cut off can't tell a wrong key from one that was added
+    /// meanwhile, and has the caller try another host.
+    pub fn kind(self, is_cut_off: bool) -> Kind {
+        match self {
+            AuthenticationError::UnknownKey if is_cut_off => Kind::NotReady,
+            _ => Kind::Unauthenticated,
+        }
+    }
+}
+
 /// On whose behalf a request is made, as far as keys tell.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerIdentity {
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{log_reader, source_reader};
 use crate::daemon::{Daemon, Fleet, lock};
+use crate::deadline::Moment;
 use crate::{backend, backend_status, peers};
 use indigospur_members::Message;
 use indigospur_protocol::{HostId, Member};
@@ -181,6 +182,7 @@
 
 /// Merges a message from the daemon at `address` into this daemon's state and acts on the changes.
 fn merge(daemon: &Arc<Daemon>, message: &Message, address: &Arc<str>) {
+    lock(&daemon.last_contact).record(Moment::now());
     let changed = lock(&daemon.fleet).merge(message);
     apply_changes(daemon, &changed);
     if changed.iter().any(|member| member.host == *daemon.host()) {
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{epochs, gossip};
 use crate::daemon::{Daemon, lock};
+use crate::deadline::Moment;
 use crate::peers;
 use indigospur_protocol::State;
 use indigospur_publish::{Body, Change, FetchedRecord, Link, Record, STREAM};
@@ -68,6 +69,7 @@
         .collect();
     let changes = lock(&daemon.follower).read(batch.first, &records);
     apply(daemon, changes);
+    lock(&daemon.last_contact).record(Moment::now());
     *lock(&daemon.last_log_read) = Some(started);
     if let Some(once) = lock(&daemon.once).as_mut() {
         once.renew_lease(started);
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -3,6 +3,7 @@
 use crate::configuration::{ConfigurationBatch, ConfigurationSource, SourceError};
 use crate::control::registration::Registration;
 use crate::daemon::{Daemon, lock};
+use crate::deadline::Moment;
 use crate::peers;
 use indigospur_protocol::State;
 use indigospur_publish::{Cursor, Position};
@@ -254,6 +255,7 @@
 
 /// Records a successful read; `was_available` says whether the one before succeeded.
 fn record_success(daemon: &Daemon, started: Instant, was_available: bool) {
+    lock(&daemon.last_contact).record(Moment::now());
     let before = lock(&daemon.last_log_read).replace(started);
     if !was_available {
         let age = before.map_or(0, |at| at.elapsed().as_millis() as u64);
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::configuration::{ConfigurationSource, NewestConfiguration};
+use crate::contact::LastContact;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -89,6 +90,8 @@
     pub(crate) newest: Mutex<NewestConfiguration>,
     /// Start of the last read of the log that succeeded.
     pub(crate) last_log_read: Mutex<Option<Instant>>,
+    /// Last contact with another daemon, the log or the source.
+    pub(crate) last_contact: Mutex<LastContact>,
     pub(crate) rules: Mutex<Option<Arc<RuleSet>>>,
     /// The settings in force.
     settings: Mutex<Arc<Settings>>,
@@ -187,6 +190,7 @@
             follower: Mutex::default(),
             newest: Mutex::default(),
             last_log_read: Mutex::default(),
+            last_contact: Mutex::default(),
             rules: Mutex::default(),
             traffic_split: Mutex::default(),
             epochs: Mutex::default(),
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod builtin_dialect;
 mod caller;
 mod configuration;
+mod contact;
 mod control;
 mod daemon;
 mod deadline;
@@ -33,6 +34,7 @@
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
+pub use contact::LastContact;
 pub use deadline::{Deadline, Moment};
 pub use dialect::{
     AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -72,8 +72,14 @@
     let caller = CallerIdentity::new(&rules.workspaces, head.credential, is_nested);
     let origin = identify(daemon, &head, parent, &caller)?;
     *request_id = origin.request_id.clone();
-    let (rule, treatment) = decide(&rules, received, &head, &origin)?;
-    authorize(&origin.request_id, rule.as_deref(), &caller, &treatment)?;
+    let (rule, treatment) = decide(daemon, &rules, received, &head, &origin)?;
+    authorize(
+        daemon,
+        &origin.request_id,
+        rule.as_deref(),
+        &caller,
+        &treatment,
+    )?;
     if !rules.workspaces.is_empty() {
         let name = caller.workspace().map(|workspace| &*workspace.name);
         daemon.dialect.set_workspace(&mut received.headers, name);
@@ -144,6 +150,7 @@
 
 /// The name of the rule that matches the request, if any, and the resulting treatment.
 fn decide(
+    daemon: &Daemon,
     rules: &RuleSet,
     received: &ReceivedRequest,
     head: &CallHead,
@@ -162,14 +169,20 @@
     });
     let rule = decision.rule.map(|index| rules.rules[index].name.clone());
     if rules.refuse_unmatched && rule.is_none() {
+        // A daemon that is cut off can't tell a wrong path from one that was added meanwhile.
+        let kind = match !rules.workspaces.is_empty() && daemon.is_cut_off() {
+            true => Kind::NotReady,
+            false => Kind::NoRoute,
+        };
         let detail = format!("no rule allows {}{path}", received.host);
-        return Err(Refusal::new(Kind::NoRoute, detail));
+        return Err(Refusal::new(kind, detail));
     }
     Ok((rule, decision.treatment))
 }
 
 /// Refuses a request that needs a known key and has none.
 fn authorize(
+    daemon: &Daemon,
     request: &RequestId,
     rule: Option<&str>,
     caller: &CallerIdentity,
@@ -177,11 +190,12 @@
 ) -> Result<(), Refusal> {
     caller.authorize(treatment.public).map_err(|error| {
         let rule = rule.unwrap_or("(none)");
+        let is_cut_off = daemon.is_cut_off();
         log::info!(
-            request = &**request, rule, reason:% = error;
+            request = &**request, rule, reason:% = error, is_cut_off;
             "request not authenticated; its rule needs the key of a workspace"
         );
-        Refusal::new(Kind::Unauthenticated, error.to_string())
+        Refusal::new(error.kind(is_cut_off), error.to_string())
     })
 }
 
--- a/crates/indigospur-daemon/tests/authentication.rs
+++ b/crates/indigospur-daemon/tests/authentication.rs
@@ -1,9 +1,10 @@
 //! Reading of credentials, and the decision whether a request may run without a known key.
 
-use indigospur_daemon::{AuthenticationError, CallerIdentity, Credential};
-use indigospur_protocol::Header;
+use indigospur_daemon::{AuthenticationError, CallerIdentity, Credential, LastContact, Moment};
+use indigospur_protocol::{Header, Kind};
 use indigospur_rules::{KeyDigest, Workspace, Workspaces};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 fn header(name: &str, value: &[u8]) -> Header {
     Header {
@@ -132,3 +133,35 @@
     assert!(workspace.is_some());
     assert!(!format!("{caller:?}").contains("norte-1"));
 }
+
+/// A host that is cut off would answer 401 to every request with a key that was added since.
+#[test]
+fn only_an_unknown_key_at_a_daemon_that_is_cut_off_is_refused_as_not_ready() {
+    use AuthenticationError::{MalformedKey, NoKey, UnknownKey};
+    for (error, expected) in [
+        (NoKey, Kind::Unauthenticated),
+        (MalformedKey, Kind::Unauthenticated),
+        (UnknownKey, Kind::NotReady),
+    ] {
+        assert_eq!(error.kind(true), expected, "{error:?}");
+        assert_eq!(error.kind(false), Kind::Unauthenticated, "{error:?}");
+    }
+}
+
+#[test]
+fn contact_is_lost_when_nothing_was_heard_for_as_long_as_a_version_takes_to_be_in_force() {
+    let start = Instant::now();
+    let after = |millis, suspended| Moment {
+        instant: start + Duration::from_millis(millis),
+        suspended: Duration::from_millis(suspended),
+    };
+    let mut contact = LastContact::default();
+    assert!(contact.is_lost(after(0, 0)), "there was none yet");
+    contact.record(after(0, 0));
+    assert!(!contact.is_lost(after(2_499, 0)));
+    assert!(contact.is_lost(after(2_500, 0)));
+    contact.record(after(2_000, 0));
+    assert!(!contact.is_lost(after(4_499, 0)));
+    // A host that was suspended has missed what others heard meanwhile.
+    assert!(contact.is_lost(after(2_001, 60_000)));
+}
