Serve pipelined requests of a connection concurrently, in one task

The next request of a connection was read only after the response before it was written. Now the first that arrives while another is handled hands the connection to PipelinedConnection, which reads, runs handlers and writes in the same task in the order that Pipeline decides, until all are answered. A connection with one request at a time takes the path that it took before.

Requests count from their first byte, also if it lay in the buffer behind others (Arrivals). Bodies, heads and finished responses of requests behind others count wholly as body memory: 32 a connection times the 16 KiB that are not counted otherwise would be 128 MiB on 256 connections. A body for which there is no memory, and 100 Continue, wait until all earlier requests are answered. Each handler is polled only if it was woken itself, or each wake-up would poll up to 32 of them with their sockets. Ruled out: a spawned task a request (more wake-ups, and cancelling needs the handles), one poll of all futures.

A stop now also counts once the service has stopped listening, and a connection that is closed for a stop, or with unread bytes, is drained: closing it resets it, and a response may be lost. A closed connection is not noticed while 8 KiB behind 32 requests are unread, as before behind one.

--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -2,10 +2,12 @@
 //! between daemons, and the async runtime that both run on.
 
 mod address;
+mod arrivals;
 mod backend;
 mod connection;
 mod connections;
 mod encode;
+mod handling;
 mod head;
 mod http;
 mod link;
@@ -14,10 +16,15 @@
 mod log_client;
 mod memory;
 mod metered;
+mod parts;
 mod peer_server;
 mod pipeline;
+mod pipelined;
+mod receiving;
+mod request;
 pub mod runtime;
 mod service;
+mod serving;
 mod silence;
 mod timer;
 
--- a/crates/indigospur-relay/src/memory.rs
+++ b/crates/indigospur-relay/src/memory.rs
@@ -72,11 +72,30 @@
         counted <= limit.saturating_sub(self.used()) as u64
     }
 
+    /// Returns true if `bytes` more could be held for requests that a caller sends behind others.
+    pub(crate) fn has_free(&self, bytes: usize) -> bool {
+        bytes
+            <= self
+                .limit_for(MessageKind::Request)
+                .saturating_sub(self.used())
+    }
+
     /// Starts holding a body, of no bytes yet.
     pub(crate) fn hold(self: &Arc<Self>, kind: MessageKind) -> HeldBody {
+        self.hold_beyond(kind, UNCOUNTED_BYTES)
+    }
+
+    /// As [`BodyMemory::hold`], but counts all bytes: for messages whose number is not bounded by
+    /// connections and slots.
+    pub(crate) fn hold_whole(self: &Arc<Self>, kind: MessageKind) -> HeldBody {
+        self.hold_beyond(kind, 0)
+    }
+
+    fn hold_beyond(self: &Arc<Self>, kind: MessageKind, uncounted: usize) -> HeldBody {
         HeldBody {
             memory: self.clone(),
             kind,
+            uncounted,
             counted: 0,
         }
     }
@@ -88,13 +107,15 @@
     memory: Arc<BodyMemory>,
     /// Kind of the message that grows.
     kind: MessageKind,
+    /// Bytes of each body that are not counted.
+    uncounted: usize,
     counted: usize,
 }
 
 impl HeldBody {
     /// Sets the size of the body to `bytes`, if it has grown.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
-        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let counted = bytes.saturating_sub(self.uncounted);
         let Some(added) = counted.checked_sub(self.counted).filter(|added| *added > 0) else {
             return Ok(());
         };
@@ -109,7 +130,7 @@
 
     /// Adds a body of `bytes` that is held already, whether or not there is room for it.
     pub(crate) fn add_held(&mut self, bytes: usize) {
-        let added = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let added = bytes.saturating_sub(self.uncounted);
         self.memory.used.fetch_add(added, Ordering::Relaxed);
         self.counted += added;
     }
--- a/crates/indigospur-relay/src/service.rs
+++ b/crates/indigospur-relay/src/service.rs
@@ -48,7 +48,8 @@
     pub headers: Vec<Header>,
     /// Content, without its framing.
     pub body: Arc<[u8]>,
-    /// When its first byte had arrived.
+    /// When its first byte was read from the connection, perhaps behind other requests whose
+    /// responses come first.
     pub started: Instant,
 }
 
@@ -146,8 +147,9 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
+    /// Returns true if connections are closed after the last request that was read.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.closing.load(Ordering::Relaxed) || self.stop_signal.1.is_closed()
     }
 
     /// Waits until the service stops listening.
