--- a/crates/indigospur-relay/src/pipelined.rs
+++ b/crates/indigospur-relay/src/pipelined.rs
@@ -223,7 +223,6 @@
 
     fn add(&mut self, request: Request, held: HeldBody) {
         let Request { received, closes } = request;
-        let closes = closes || self.service.is_stopping();
         let concurrency = Concurrency::of_method(&received.method);
         let Some(number) = self.pipeline.add(concurrency, closes) else {
             // A stop was noticed while the request arrived: it counts as not read.
--- a/crates/indigospur-relay/tests/pipelined/order.rs
+++ b/crates/indigospur-relay/tests/pipelined/order.rs
@@ -3,7 +3,8 @@
 
 use crate::support::{Caller, Server, get, gets, ok, request, wait_for};
 use indigospur_relay::{Bounds, MAX_PIPELINED};
-use std::time::Instant;
+use std::io::Write;
+use std::time::{Duration, Instant};
 
 #[test]
 fn six_gets_run_together_and_are_answered_in_order() {
@@ -103,6 +104,30 @@
     assert_eq!(started, ["/gate/1", "/gate/2", "/last", "/last"]);
 }
 
+#[test]
+fn requests_that_are_never_read_cost_no_response_before_them() {
+    let server = Server::start();
+    let last = request("GET", "/last", "connection: close\r\n", "");
+    let behind = get("/never").repeat(10_000);
+    for before in [&["/gate/1", "/x"][..], &[]] {
+        let mut caller = Caller::connect(&server);
+        let mut sender = caller.stream.try_clone().expect("a descriptor is free");
+        let bytes = gets(before) + &last + &behind;
+        // The server need not take all of them.
+        let sending = std::thread::spawn(move || sender.write_all(bytes.as_bytes()));
+        wait_for(|| server.started().contains(&"/last".to_owned()));
+        server.open_gate("/gate/1");
+        for path in before {
+            assert_eq!(caller.response(), ok(path, false));
+        }
+        assert_eq!(caller.response(), ok("/last", true));
+        assert_eq!(caller.rest(), "", "closed without a reset");
+        drop(caller);
+        let _ = sending.join().expect("no panic");
+    }
+    assert!(!server.started().contains(&"/never".to_owned()));
+}
+
 #[test]
 fn a_request_that_is_refused_unread_is_answered_behind_the_others_and_closes() {
     let server = Server::start();
@@ -250,6 +275,26 @@
     assert!(last.path == "/alone" && last.started > arrived);
 }
 
+#[test]
+fn a_request_does_not_count_from_the_bytes_of_one_before_it() {
+    let server = Server::start();
+    let mut caller = Caller::connect(&server);
+    let first = request("GET", "/1", &format!("x: {}\r\n", "y".repeat(80)), "");
+    let (last, pieces) = first.as_bytes().split_last().expect("a request");
+    for piece in pieces {
+        caller
+            .stream
+            .write_all(&[*piece])
+            .expect("the server reads");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let behind = Instant::now();
+    caller.send(&(char::from(*last).to_string() + &get("/2")));
+    assert_eq!(caller.responses(2).len(), 2);
+    let starts = server.starts();
+    assert!(starts[0].started < behind && starts[1].started >= behind);
+}
+
 #[test]
 fn a_handler_that_panics_costs_no_other_request() {
     let server = Server::start();
