--- a/crates/indigospur-relay/src/pipelined.rs
+++ b/crates/indigospur-relay/src/pipelined.rs
@@ -12,7 +12,7 @@
 use crate::runtime::{self, BoxFuture};
 use crate::service::{HttpService, OpenRequest, ReceivedRequest};
 use crate::serving::{Disposition, WRITE_TIMEOUT};
-use async_std::net::TcpStream;
+use crate::stream::Stream;
 use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
 use std::collections::VecDeque;
@@ -84,7 +84,7 @@
     input_part: Part,
     /// Whether a further request is read, rather than the caller's close waited for.
     reads_on: bool,
-    output: TcpStream,
+    output: Stream,
     /// The part of the task that writes.
     output_part: Part,
     writing: Option<Writing>,
--- a/crates/indigospur-relay/src/serving.rs
+++ b/crates/indigospur-relay/src/serving.rs
@@ -13,7 +13,7 @@
 use crate::runtime;
 use crate::service::{HttpService, OpenRequest};
 use crate::silence;
-use async_std::net::TcpStream;
+use crate::stream::Stream;
 use futures_lite::future::{or, poll_fn};
 use indigospur_protocol::{Answer, Kind, Refusal};
 use std::io;
@@ -57,12 +57,8 @@
 }
 
 /// Serves a connection until it is closed.
-pub(crate) async fn serve_connection(
-    stream: TcpStream,
-    service: &HttpService,
-    open: &OpenConnection,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
+pub(crate) async fn serve_connection(stream: Stream, service: &HttpService, open: &OpenConnection) {
+    if let Err(error) = stream.set_nodelay() {
         log::debug!(error:display; "failed to set TCP_NODELAY; small messages may be delayed");
     }
     silence::CALLER.apply(&stream);
