--- /dev/null
+++ b/crates/indigospur-routing/tests/placement/model.rs
@@ -0,0 +1,368 @@
+//! Servers, calling daemons and links in virtual time. Each daemon has a router of its own, which
+//! learns the load of the servers only from replies.
+
+use indigospur_protocol::{HostId, Load, Member, State};
+use indigospur_routing::{AttemptResult, Criteria, Router};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+
+pub(crate) const SERVICE: &str = "menu";
+/// Objective of a call, in seconds.
+pub(crate) const OBJECTIVE: f64 = 0.25;
+/// Mean work of a call at a server of speed 1, in seconds.
+const WORK: f64 = 0.054;
+const SLOTS: u32 = 12;
+/// Utilisation of the slots from which a server is slower, and by what factor.
+const KNEE: (f64, f64) = (0.95, 1.3);
+/// Factor on the work in a slow phase, and the length of a phase in seconds.
+const SLOW: (f64, f64) = (2.5, 0.6);
+/// Longest wait in a server's queue, in seconds; calls beyond it are refused.
+const TARGET_WAIT: f64 = 0.2;
+/// One-way latency within a data centre and between two, in seconds.
+const LATENCY: (f64, f64) = (0.000_15, 0.001_2);
+/// Size of a response in bits.
+const RESPONSE_BITS: f64 = 8.0 * 20_000.0;
+/// Weight of the last call in the service time of load reports, as in admission.
+const SMOOTHING: f64 = 1.0 / 16.0;
+/// Time in which the routers learn the loads, in seconds; left out of the results.
+const WARM_UP: f64 = 1.0;
+
+/// What is played. Data centres are numbered from zero.
+#[derive(Clone)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    /// Data centre and speed of each server.
+    pub(crate) servers: Vec<(usize, f64)>,
+    /// Data centre of each calling daemon.
+    pub(crate) callers: Vec<usize>,
+    /// Calls a second of each data centre at a time, as a share of the capacity of all servers.
+    pub(crate) demand: fn(usize, f64) -> f64,
+    /// Slots that are used, of 12.
+    pub(crate) limit: u32,
+    /// Share of the servers that are in a slow phase, and whether they report their pace.
+    pub(crate) slow: (f64, bool),
+    /// Bits a second of each link between two data centres.
+    pub(crate) link: f64,
+    pub(crate) seconds: f64,
+}
+
+impl Scenario {
+    pub(crate) fn new(
+        name: &'static str,
+        speeds: &[f64],
+        demand: fn(usize, f64) -> f64,
+    ) -> Scenario {
+        Scenario {
+            name,
+            servers: speeds.iter().map(|speed| (0, *speed)).collect(),
+            callers: vec![0; 12],
+            demand,
+            limit: 11,
+            slow: (0.0, false),
+            link: f64::INFINITY,
+            seconds: 6.0,
+        }
+    }
+
+    /// Capacity in calls a second.
+    fn capacity(&self) -> f64 {
+        let speeds: f64 = self.servers.iter().map(|(_, speed)| speed).sum();
+        speeds * f64::from(self.limit) / WORK
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Results {
+    /// Times of the answered calls in seconds, sorted.
+    times: Vec<f64>,
+    calls: usize,
+    left: usize,
+    /// Calls that left in each tenth of a second from the start, and all calls.
+    pub(crate) by_tenth: Vec<(usize, usize)>,
+}
+
+impl Results {
+    /// Mean time of answered calls, in milliseconds.
+    pub(crate) fn mean(&self) -> f64 {
+        1_000.0 * self.times.iter().sum::<f64>() / self.times.len() as f64
+    }
+
+    pub(crate) fn p99(&self) -> f64 {
+        1_000.0 * self.times[self.times.len() * 99 / 100]
+    }
+
+    /// Share of all calls that were answered within the objective.
+    pub(crate) fn within(&self) -> f64 {
+        let within = self.times.partition_point(|time| *time <= OBJECTIVE);
+        within as f64 / self.calls as f64
+    }
+
+    /// Share of all calls that were sent to another data centre.
+    pub(crate) fn left(&self) -> f64 {
+        self.left as f64 / self.calls as f64
+    }
+}
+
+enum Event {
+    /// A caller in this data centre makes the next call.
+    Call(usize),
+    Arrive(usize),
+    Finish(usize),
+    Reply(usize),
+}
+
+struct Server {
+    data_centre: usize,
+    speed: f64,
+    running: u32,
+    waiting: VecDeque<usize>,
+    service_time: Option<f64>,
+}
+
+struct Call {
+    caller: usize,
+    server: usize,
+    sent: f64,
+    arrived: f64,
+    started: f64,
+    load: Load,
+    refused: bool,
+}
+
+struct Model<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    start: Instant,
+    now: f64,
+    rng: SmallRng,
+    events: BinaryHeap<Reverse<(u64, usize)>>,
+    /// Events by their number in `events`, so that those of one moment keep their order.
+    queued: Vec<Event>,
+    servers: Vec<Server>,
+    routers: Vec<Router>,
+    calls: Vec<Call>,
+    /// When each link between two data centres has sent what it was given.
+    links: [[f64; 2]; 2],
+    results: Results,
+}
+
+pub(crate) fn play(scenario: &Scenario, set_up: impl Fn(&mut Router), seed: u64) -> Results {
+    let members: Vec<Member> = (0..scenario.servers.len())
+        .map(|index| member(index, scenario.servers[index].0))
+        .collect();
+    let routers = scenario.callers.iter().map(|data_centre| {
+        let mut router = Router::new(format!("dc-{data_centre}").into(), "r".into());
+        members.iter().for_each(|member| router.update(member));
+        set_up(&mut router);
+        router
+    });
+    let servers = scenario.servers.iter().map(|(data_centre, speed)| Server {
+        data_centre: *data_centre,
+        speed: *speed,
+        running: 0,
+        waiting: VecDeque::new(),
+        service_time: None,
+    });
+    let mut model = Model {
+        scenario,
+        seed,
+        start: Instant::now(),
+        now: 0.0,
+        rng: SmallRng::seed_from_u64(seed),
+        events: BinaryHeap::new(),
+        queued: Vec::new(),
+        servers: servers.collect(),
+        routers: routers.collect(),
+        calls: Vec::new(),
+        links: [[0.0; 2]; 2],
+        results: Results::default(),
+    };
+    model.run();
+    model.results
+}
+
+fn member(index: usize, data_centre: usize) -> Member {
+    Member {
+        host: format!("{index}").into(),
+        incarnation: 1,
+        revision: 1,
+        address: "127.0.0.1:1".into(),
+        data_centre: format!("dc-{data_centre}").into(),
+        region: "r".into(),
+        service: SERVICE.into(),
+        slots: SLOTS,
+        connections: 100,
+        state: State::Ready,
+        instance: "".into(),
+        started_ms: 0,
+        leaving: false,
+        rate_limit: None,
+    }
+}
+
+impl Model<'_> {
+    fn run(&mut self) {
+        for data_centre in 0..2 {
+            if self.scenario.callers.contains(&data_centre) {
+                self.schedule(0.0, Event::Call(data_centre));
+            }
+        }
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            self.now = at as f64 / 1e9;
+            match self.queued[number] {
+                Event::Call(data_centre) => self.call(data_centre),
+                Event::Arrive(call) => self.arrive(call),
+                Event::Finish(call) => self.finish(call),
+                Event::Reply(call) => self.reply(call),
+            }
+        }
+        self.results.times.sort_by(f64::total_cmp);
+    }
+
+    fn schedule(&mut self, delay: f64, event: Event) {
+        let at = ((self.now + delay) * 1e9) as u64;
+        self.events.push(Reverse((at, self.queued.len())));
+        self.queued.push(event);
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + Duration::from_secs_f64(self.now)
+    }
+
+    /// Sends a call from a random daemon of the data centre, and schedules the next one.
+    fn call(&mut self, data_centre: usize) {
+        if self.now > self.scenario.seconds {
+            return;
+        }
+        let rate = (self.scenario.demand)(data_centre, self.now) * self.scenario.capacity();
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate.max(1.0);
+        self.schedule(gap, Event::Call(data_centre));
+        let callers = &self.scenario.callers;
+        let own: Vec<usize> = (0..callers.len())
+            .filter(|caller| callers[*caller] == data_centre)
+            .collect();
+        let caller = own[self.rng.random_range(0..own.len())];
+        let now = self.instant();
+        let criteria = Criteria {
+            service: SERVICE,
+            avoid: &[],
+        };
+        let chosen = self.routers[caller].choose(now, &mut self.rng, criteria);
+        let chosen = chosen.expect("an upstream is ready");
+        let server: usize = chosen.host.parse().expect("hosts are numbered");
+        let leaves = self.servers[server].data_centre != data_centre;
+        self.count(leaves);
+        self.calls.push(Call {
+            caller,
+            server,
+            sent: self.now,
+            arrived: 0.0,
+            started: 0.0,
+            load: Load::default(),
+            refused: false,
+        });
+        self.schedule(latency(leaves), Event::Arrive(self.calls.len() - 1));
+    }
+
+    fn count(&mut self, leaves: bool) {
+        let tenth = (self.now * 10.0) as usize;
+        self.results.by_tenth.resize(tenth + 1, (0, 0));
+        self.results.by_tenth[tenth].0 += usize::from(leaves);
+        self.results.by_tenth[tenth].1 += 1;
+        if self.now >= WARM_UP {
+            self.results.calls += 1;
+            self.results.left += usize::from(leaves);
+        }
+    }
+
+    fn arrive(&mut self, call: usize) {
+        self.calls[call].arrived = self.now;
+        let limit = self.scenario.limit;
+        let server = &mut self.servers[self.calls[call].server];
+        let per_call = server.service_time.unwrap_or(WORK) / f64::from(limit);
+        if server.running < limit {
+            self.begin(call);
+        } else if server.waiting.len() as f64 * per_call < TARGET_WAIT {
+            server.waiting.push_back(call);
+        } else {
+            self.calls[call].refused = true;
+            self.send_reply(call);
+        }
+    }
+
+    fn begin(&mut self, call: usize) {
+        self.calls[call].started = self.now;
+        let index = self.calls[call].server;
+        let slowness = if self.is_slow(index) { SLOW.0 } else { 1.0 };
+        let server = &mut self.servers[index];
+        server.running += 1;
+        let full = f64::from(server.running) >= KNEE.0 * f64::from(SLOTS);
+        let knee = if full { KNEE.1 } else { 1.0 };
+        let work = WORK * self.rng.random_range(0.6..1.4);
+        let took = work * slowness * knee / server.speed;
+        self.schedule(took, Event::Finish(call));
+    }
+
+    /// Whether a server is in a slow phase; phases begin at other times at each server.
+    fn is_slow(&self, server: usize) -> bool {
+        let offset = server as f64 * 0.618;
+        let phase = (self.now / SLOW.1 + offset) as u64;
+        let seed = self.seed ^ ((server as u64) << 32) ^ phase;
+        SmallRng::seed_from_u64(seed).random_bool(self.scenario.slow.0)
+    }
+
+    fn finish(&mut self, call: usize) {
+        let took = self.now - self.calls[call].started;
+        let server = &mut self.servers[self.calls[call].server];
+        server.running -= 1;
+        let mean = server.service_time.unwrap_or(took);
+        server.service_time = Some(mean + SMOOTHING * (took - mean));
+        if let Some(next) = server.waiting.pop_front() {
+            self.begin(next);
+        }
+        self.send_reply(call);
+    }
+
+    fn send_reply(&mut self, call: usize) {
+        let Call { server, caller, .. } = self.calls[call];
+        self.calls[call].load = self.load(server);
+        let from = self.servers[server].data_centre;
+        let to = self.scenario.callers[caller];
+        let mut delay = latency(from != to);
+        if from != to {
+            let free = self.links[from][to].max(self.now) + RESPONSE_BITS / self.scenario.link;
+            self.links[from][to] = free;
+            delay += free - self.now;
+        }
+        self.schedule(delay, Event::Reply(call));
+    }
+
+    fn load(&self, index: usize) -> Load {
+        let server = &self.servers[index];
+        Load {
+            in_flight: server.running,
+            limit: self.scenario.limit,
+            queued: server.waiting.len() as u32,
+            service_time: Duration::from_secs_f64(server.service_time.unwrap_or_default()),
+            incarnation: 1,
+        }
+    }
+
+    fn reply(&mut self, call: usize) {
+        let now = self.instant();
+        let call = &self.calls[call];
+        let host: HostId = format!("{}", call.server).into();
+        let router = &mut self.routers[call.caller];
+        router.finish(now, SERVICE, &host, AttemptResult::Replied, Some(call.load));
+        if !call.refused && call.sent >= WARM_UP {
+            self.results.times.push(self.now - call.sent);
+        }
+    }
+}
+
+fn latency(leaves: bool) -> f64 {
+    if leaves { LATENCY.1 } else { LATENCY.0 }
+}
