Tell the pace of work and the residence time of the call in load reports

A caller can't tell a slow link from a queue by the reply time alone, and the mean service time follows a slow phase only after some ten calls. The report now names the time that the replying daemon held the call, and the pace of work relative to the service time beside it. Both are left out by daemons of the version before: a pace of zero counts as usual, a residence time of zero as not known.

Ruled out: the slot time in Reply.work, which leaves out the queue and adds up calls of one service.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -170,14 +170,15 @@
         self.running.len() + self.queue.len()
     }
 
-    /// The load as reported in answers. The incarnation is zero: the caller fills it in.
+    /// The load as reported in answers. The incarnation and the residence time are zero: the caller
+    /// fills them in.
     pub fn load(&self, now: Instant) -> Load {
         Load {
             in_flight: self.running.len() as u32,
             limit: self.sustained_concurrency(now),
             queued: self.queue.len() as u32,
             service_time: self.service_time.get(),
-            incarnation: 0,
+            ..Load::default()
         }
     }
 
--- a/crates/indigospur-bench/src/overload/server.rs
+++ b/crates/indigospur-bench/src/overload/server.rs
@@ -5,7 +5,7 @@
 use indigospur_admission::{Admission, Arrival, Completion, Effect, Options, Ticket, Verdict};
 use indigospur_protocol::Load;
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Index of a call in the simulation.
 pub(crate) type CallId = usize;
@@ -182,8 +182,7 @@
                 in_flight: *running as u32,
                 limit: *slots as u32,
                 queued: queue.len() as u32,
-                service_time: Duration::ZERO,
-                incarnation: 0,
+                ..Load::default()
             },
             Server::Managed { admission, .. } => admission.load(now),
         }
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -23,6 +23,7 @@
 
 /// Runs a call at the backend server, or refuses it.
 pub(crate) async fn serve(daemon: &Arc<Daemon>, message: RelayMessage) -> Reply {
+    let arrived = Instant::now();
     let retries = message.context.retries;
     let not_ready = |detail| Reply::refused(Refusal::new(Kind::NotReady, detail), retries);
     let Some(backend) = daemon.backend() else {
@@ -38,6 +39,7 @@
     reply.pressures = lock(&daemon.pressures).reports(Instant::now());
     let mut load = backend.slots.load();
     load.incarnation = daemon.incarnation;
+    load.residence = arrived.elapsed();
     reply.load = Some(load);
     reply
 }
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -3,6 +3,7 @@
 use crate::call::{Crash, Header, find_header};
 use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,6 +85,60 @@
     pub service_time: Duration,
     /// Incarnation of the reporting daemon.
     pub incarnation: Incarnation,
+    /// Time that work takes now, relative to `service_time`.
+    pub pace: Pace,
+    /// Time from the arrival of the call to its reply at the reporting daemon, in which it waited for
+    /// a slot and ran; zero if not known. The rest of the sender's reply time is the link's.
+    pub residence: Duration,
+}
+
+/// Time that work takes, relative to a usual time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Percent of the usual time; in [`Pace::RANGE`].
+    percent: u32,
+}
+
+impl Pace {
+    /// Valid percentages. Nothing outside is acted upon, so that a wrong figure changes an expected
+    /// time by a factor of ten at most.
+    pub const RANGE: RangeInclusive<u32> = 25..=1_000;
+    /// Work takes as long as usual.
+    pub const USUAL: Pace = Pace { percent: 100 };
+
+    /// Creates a pace from a percentage; one that is not valid counts as usual.
+    pub fn from_percent(percent: u32) -> Pace {
+        if Pace::RANGE.contains(&percent) {
+            Pace { percent }
+        } else {
+            Pace::USUAL
+        }
+    }
+
+    /// Creates a pace from a factor on the usual time, reduced or raised to the nearest valid one.
+    pub fn from_factor(factor: f64) -> Pace {
+        let percent = (factor * 100.0).round() as u32;
+        Pace {
+            percent: percent.clamp(*Pace::RANGE.start(), *Pace::RANGE.end()),
+        }
+    }
+
+    /// Percent of the usual time.
+    pub fn percent(self) -> u32 {
+        self.percent
+    }
+
+    /// Factor on the usual time, as far as the pace still counts: at a weight of one in full, at zero
+    /// not at all.
+    pub fn factor(self, weight: f64) -> f64 {
+        1.0 + (f64::from(self.percent) / 100.0 - 1.0) * weight
+    }
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace::USUAL
+    }
 }
 
 /// A daemon's reply to a call relayed by another daemon.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,6 +1,6 @@
 //! Conversions between the wire messages and the types of this crate.
 
-use crate::answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
+use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Work};
 use crate::call::{Call, Context, Crash, Header};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
@@ -210,6 +210,8 @@
             queued: load.queued,
             service_micros: micros(load.service_time),
             incarnation: load.incarnation,
+            pace: load.pace.percent(),
+            residence_micros: micros(load.residence),
         }
     }
 }
@@ -222,6 +224,8 @@
             queued: wire.queued,
             service_time: Duration::from_micros(wire.service_micros),
             incarnation: wire.incarnation,
+            pace: Pace::from_percent(wire.pace),
+            residence: Duration::from_micros(wire.residence_micros),
         }
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -94,6 +94,12 @@
     pub service_micros: u64,
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
+    /// Time that work takes now in percent of service_micros; outside of 25 to 1,000 it counts as 100.
+    #[prost(uint32, tag = "6")]
+    pub pace: u32,
+    /// Time from the arrival of the call to its reply at the sender of the reply; zero if not known.
+    #[prost(uint64, tag = "7")]
+    pub residence_micros: u64,
 }
 /// Slot occupancy of a service, summed over the reports of its upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -2,8 +2,8 @@
 
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{
-    Call, Context, Crash, KINDS, Kind, Outcome, Pressure, Ran, Refusal, RelayMessage, Reply,
-    WireError, Work,
+    Call, Context, Crash, KINDS, Kind, Load, Outcome, Pace, Pressure, Ran, Refusal, RelayMessage,
+    Reply, WireError, Work,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -77,9 +77,44 @@
     assert_eq!(reply.outcome, Outcome::Refused(refusal));
 }
 
+/// A wrong figure of a backend server must not move all calls to it or away from it.
 #[test]
-fn a_reply_carries_crashes_occupancy_and_slot_time() {
+fn a_pace_that_is_not_valid_counts_as_usual() {
+    for percent in [0, 1, 24, 1_001, u32::MAX] {
+        assert_eq!(Pace::from_percent(percent), Pace::USUAL, "{percent}");
+    }
+    for percent in [25, 100, 250, 1_000] {
+        assert_eq!(Pace::from_percent(percent).percent(), percent);
+    }
+    for (factor, percent) in [
+        (0.01, 25),
+        (2.5, 250),
+        (400.0, 1_000),
+        (f64::INFINITY, 1_000),
+    ] {
+        assert_eq!(Pace::from_factor(factor).percent(), percent);
+    }
+}
+
+/// Daemons of the version before leave out pace and residence time.
+#[test]
+fn a_load_without_a_pace_has_the_usual_one() {
+    let load: Load = peer::Load::default().into();
+    assert_eq!((load.pace, load.residence), (Pace::USUAL, Duration::ZERO));
+}
+
+#[test]
+fn a_reply_carries_load_crashes_occupancy_and_slot_time() {
     let sent = Reply {
+        load: Some(Load {
+            in_flight: 3,
+            limit: 10,
+            queued: 1,
+            service_time: Duration::from_millis(54),
+            incarnation: 7,
+            pace: Pace::from_percent(250),
+            residence: Duration::from_micros(61_300),
+        }),
         crashes: vec![crash(1, false), crash(2, true)],
         pressures: vec![Pressure {
             service: "accounts".into(),
--- a/crates/indigospur-routing/tests/placement/model.rs
+++ b/crates/indigospur-routing/tests/placement/model.rs
@@ -348,6 +348,7 @@
             queued: server.waiting.len() as u32,
             service_time: Duration::from_secs_f64(server.service_time.unwrap_or_default()),
             incarnation: 1,
+            ..Load::default()
         }
     }
 
