Place calls by expected time, and let calls leave the data centre by what it saves

By calls per slot a server of speed 0.7 gets as many calls as one of 1.6, and calls go to another data centre as soon as one of two random upstreams is full, whatever that costs; nothing counts the link. With the policy Time (not yet in the settings; Slots stays the default and decides as before) an upstream's score is the expected time of the call: reported service time, pace, calls ahead over the limit, fault penalty and the measured time of the link. Which share of a service's calls leaves the data centre, and the region, is state of each daemon, moved in steps by the time that leaving saves beyond routing.stay.

--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -206,6 +206,7 @@
         let criteria = Criteria {
             service: "quoting",
             avoid: &[],
+            remaining: None,
         };
         let chosen = router
             .choose(now, &mut rng, criteria)
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -220,6 +220,7 @@
         let criteria = Criteria {
             service: name,
             avoid: &tried,
+            remaining: None,
         };
         let mut chosen = self.router.choose(self.now, &mut self.rng, criteria);
         if chosen.is_none() && self.policy == Policy::StaticRetries {
@@ -229,6 +230,7 @@
                 Criteria {
                     service: name,
                     avoid: &[],
+                    remaining: None,
                 },
             );
         }
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -137,6 +137,7 @@
         Criteria {
             service: &message.call.service,
             avoid: excluded,
+            remaining: Some(message.context.remaining),
         },
     )
 }
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -1,5 +1,8 @@
 //! Upstreams of all services, and load balancing among them.
 
+use crate::placement::{
+    Distance, Locality, Placement, PlacementReason, Placing, Policy, pick_two, place_by_time,
+};
 use crate::upstream::{AttemptResult, Baseline, Upstream};
 use indigospur_protocol::{HostId, Load, Member, Pressure, ServiceName, State};
 use rand::Rng;
@@ -17,6 +20,8 @@
     pub service: &'a str,
     /// Hosts that must not be chosen, such as those already tried.
     pub avoid: &'a [HostId],
+    /// Time left until the call misses its objective or deadline; `None` if it has none.
+    pub remaining: Option<Duration>,
 }
 
 /// Load balancer of one daemon, with the upstreams of all services.
@@ -25,18 +30,40 @@
     data_centre: Arc<str>,
     region: Arc<str>,
     services: HashMap<ServiceName, Vec<Upstream>>,
+    policy: Policy,
+    /// Calls that leave the data centre, by service; of services that calls were placed for by expected
+    /// time.
+    localities: HashMap<ServiceName, Locality>,
 }
 
 impl Router {
-    /// Creates a router without upstreams for a daemon in this data centre and region.
+    /// Creates a router without upstreams for a daemon in this data centre and region. Its policy is
+    /// [`Policy::Slots`].
     pub fn new(data_centre: Arc<str>, region: Arc<str>) -> Router {
         Router {
             data_centre,
             region,
             services: HashMap::new(),
+            policy: Policy::default(),
+            localities: HashMap::new(),
         }
     }
 
+    /// Changes how upstreams are compared.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        if policy == Policy::Slots {
+            self.localities.clear();
+        }
+    }
+
+    /// Share of the calls to each service that leave the data centre, 0 to 1; of services that calls
+    /// were placed for by expected time.
+    pub fn leaving_shares(&self) -> impl Iterator<Item = (&ServiceName, f64)> {
+        let localities = self.localities.iter();
+        localities.map(|(service, locality)| (service, locality.share()))
+    }
+
     /// Applies the latest state of a member: adds or updates it as an upstream of its service, and
     /// removes it from any other.
     pub fn update(&mut self, member: &Member) {
@@ -85,11 +112,59 @@
         rng: &mut impl Rng,
         criteria: Criteria<'_>,
     ) -> Option<Member> {
-        let index = self.pick(now, rng, criteria)?;
+        let placement = self.place(now, rng, criteria)?;
+        Some(placement.member)
+    }
+
+    /// Like [`Router::choose`], with the figures that decided.
+    pub fn place(
+        &mut self,
+        now: Instant,
+        rng: &mut impl Rng,
+        criteria: Criteria<'_>,
+    ) -> Option<Placement> {
+        let (index, reason) = self.pick(now, rng, criteria)?;
         let hosts = self.services.values().map(Vec::len).sum();
         let upstream = self.services.get_mut(criteria.service)?.get_mut(index)?;
         upstream.start(now, hosts);
-        Some(upstream.member.clone())
+        let member = upstream.member.clone();
+        let report_age = upstream.report_age(now);
+        Some(Placement {
+            distance: self.distance(&member),
+            member,
+            report_age,
+            reason,
+        })
+    }
+
+    /// Records how long the reply to a call took, from which the time of the link is found: the reply
+    /// time less the residence time in `load`, if it tells that.
+    pub fn record_reply_time(
+        &mut self,
+        now: Instant,
+        service: &str,
+        host: &str,
+        took: Duration,
+        load: Load,
+    ) {
+        if load.residence.is_zero() {
+            return;
+        }
+        let upstreams = self.services.get_mut(service).into_iter().flatten();
+        let is_host = |upstream: &&mut Upstream| &*upstream.member.host == host;
+        for upstream in upstreams.filter(is_host) {
+            upstream.record_link_time(now, took.saturating_sub(load.residence));
+        }
+    }
+
+    fn distance(&self, member: &Member) -> Distance {
+        if member.data_centre == self.data_centre {
+            Distance::DataCentre
+        } else if member.region == self.region {
+            Distance::Region
+        } else {
+            Distance::Beyond
+        }
     }
 
     /// Records the end of a call to an upstream, with the load it reported, if any.
@@ -156,30 +231,30 @@
         })
     }
 
-    fn pick(&self, now: Instant, rng: &mut impl Rng, criteria: Criteria<'_>) -> Option<usize> {
-        let upstreams = self.services.get(criteria.service)?;
-        let allowed = |index: &usize| {
-            let host = &upstreams[*index].member.host;
-            !criteria.avoid.contains(host)
+    fn pick(
+        &mut self,
+        now: Instant,
+        rng: &mut impl Rng,
+        criteria: Criteria<'_>,
+    ) -> Option<(usize, Option<PlacementReason>)> {
+        let (service, upstreams) = self.services.get_key_value(criteria.service)?;
+        let usable = usable(now, upstreams, criteria.avoid);
+        let Policy::Time { stay } = self.policy else {
+            let baseline = baseline_of(now, upstreams, &usable);
+            let index = self.pick_by_locality(now, rng, upstreams, &usable, baseline)?;
+            return Some((index, None));
         };
-        let mut candidates: Vec<usize> = (0..upstreams.len()).filter(allowed).collect();
-        if candidates.iter().any(|index| upstreams[*index].is_ready()) {
-            candidates.retain(|index| upstreams[*index].is_ready());
-        } else {
-            candidates.retain(|index| upstreams[*index].is_last_resort());
-        }
-        let healthy: Vec<usize> = candidates
-            .iter()
-            .copied()
-            .filter(|i| !upstreams[*i].is_ejected(now))
-            .collect();
-        let usable = if healthy.is_empty() {
-            candidates
-        } else {
-            healthy
+        let placing = Placing {
+            now,
+            stay,
+            remaining: criteria.remaining,
+            first: criteria.avoid.is_empty(),
         };
-        let baseline = baseline_of(now, upstreams, &usable);
-        self.pick_by_locality(now, rng, upstreams, &usable, baseline)
+        let mut locality = self.localities.get(service).copied().unwrap_or_default();
+        let distance_of = |member: &Member| self.distance(member);
+        let placed = place_by_time(placing, rng, upstreams, &usable, distance_of, &mut locality);
+        self.localities.insert(service.clone(), locality);
+        placed.map(|(index, reason)| (index, Some(reason)))
     }
 
     /// Picks by power of two random choices within the data centre, then the region, then anywhere.
@@ -192,16 +267,12 @@
         usable: &[usize],
         baseline: Baseline,
     ) -> Option<usize> {
-        let tier_of = |upstream: &Upstream| match &upstream.member {
-            member if member.data_centre == self.data_centre => 0,
-            member if member.region == self.region => 1,
-            _ => 2,
-        };
         let mut best: Option<(f64, usize)> = None;
-        for tier in 0..3 {
-            let tier_members = usable.iter().copied().filter(|i| tier_of(&all[*i]) == tier);
-            let tier_members: Vec<usize> = tier_members.collect();
-            let Some((score, index)) = pick_two(now, rng, all, &tier_members, baseline) else {
+        for distance in Distance::ALL {
+            let is_there = |index: &usize| self.distance(&all[*index].member) == distance;
+            let tier_members: Vec<usize> = usable.iter().copied().filter(is_there).collect();
+            let penalised = |index: usize| all[index].penalised_score(now, baseline);
+            let Some((score, index)) = pick_two(rng, &tier_members, penalised) else {
                 continue;
             };
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -215,6 +286,28 @@
     }
 }
 
+/// Indices of the upstreams that a call may go to: those that are ready and not ejected, and if there
+/// are none, ejected ones or those that are a last resort.
+fn usable(now: Instant, upstreams: &[Upstream], avoid: &[HostId]) -> Vec<usize> {
+    let allowed = |index: &usize| !avoid.contains(&upstreams[*index].member.host);
+    let mut candidates: Vec<usize> = (0..upstreams.len()).filter(allowed).collect();
+    if candidates.iter().any(|index| upstreams[*index].is_ready()) {
+        candidates.retain(|index| upstreams[*index].is_ready());
+    } else {
+        candidates.retain(|index| upstreams[*index].is_last_resort());
+    }
+    let healthy: Vec<usize> = candidates
+        .iter()
+        .copied()
+        .filter(|i| !upstreams[*i].is_ejected(now))
+        .collect();
+    if healthy.is_empty() {
+        candidates
+    } else {
+        healthy
+    }
+}
+
 /// The best values among the usable upstreams.
 fn baseline_of(now: Instant, all: &[Upstream], usable: &[usize]) -> Baseline {
     let usable = || usable.iter().map(|index| &all[*index]);
@@ -228,26 +321,3 @@
             .min(),
     }
 }
-
-/// Compares two random upstreams and returns the penalised score and the index of the one with the
-/// lower score.
-fn pick_two(
-    now: Instant,
-    rng: &mut impl Rng,
-    all: &[Upstream],
-    usable: &[usize],
-    baseline: Baseline,
-) -> Option<(f64, usize)> {
-    let last = usable.len().checked_sub(1)?;
-    let first = usable[rng.random_range(0..=last)];
-    let mut second = usable[rng.random_range(0..=last)];
-    if second == first && last > 0 {
-        second = usable[(usable.iter().position(|i| *i == first)? + 1) % usable.len()];
-    }
-    let scored = [first, second].map(|index| (all[index].penalised_score(now, baseline), index));
-    if scored[1].0 < scored[0].0 {
-        Some(scored[1])
-    } else {
-        Some(scored[0])
-    }
-}
--- a/crates/indigospur-routing/src/upstream.rs
+++ b/crates/indigospur-routing/src/upstream.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Age at which a load report no longer has any weight.
-const LOAD_LIFETIME: Duration = Duration::from_millis(1_000);
+pub(crate) const LOAD_LIFETIME: Duration = Duration::from_millis(1_000);
 /// Consecutive failures after which an upstream is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
 /// Duration of the first ejection; each further one lasts twice as long as the one before.
@@ -66,7 +66,11 @@
     /// Calls in flight from this daemon to the upstream.
     pub outstanding: u32,
     /// Latest load report, with the time it was received.
-    load: Option<(Instant, Load)>,
+    pub(crate) load: Option<(Instant, Load)>,
+    /// Calls that this daemon has started since then.
+    pub(crate) started: u32,
+    /// Moving average of the time of the link in seconds, with the time of its last update.
+    pub(crate) link_time: Option<(Instant, f64)>,
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -83,6 +87,8 @@
             member,
             outstanding: 0,
             load: None,
+            started: 0,
+            link_time: None,
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -111,6 +117,7 @@
     /// Counts a call that is sent to it, by one of `hosts` hosts that may send calls.
     pub(crate) fn start(&mut self, now: Instant, hosts: usize) {
         self.outstanding += 1;
+        self.started += 1;
         if let Some(limit) = self.member.rate_limit {
             let share = self.share.get_or_insert(RateShare::new(now, limit, hosts));
             share.start(now);
@@ -118,7 +125,7 @@
     }
 
     /// Whether this daemon has used its share of the backend server's rate limit.
-    fn has_used_share(&self, now: Instant) -> bool {
+    pub(crate) fn has_used_share(&self, now: Instant) -> bool {
         self.share.is_some_and(|share| share.is_used(now))
     }
 
@@ -165,9 +172,7 @@
 
     /// The score, increased by penalties for faults and slowness relative to `baseline`.
     pub(crate) fn penalised_score(&self, now: Instant, baseline: Baseline) -> f64 {
-        let excess =
-            (self.fault_rate(now) - baseline.fault_rate - FAULT_TOLERANCE).clamp(0.0, 0.95);
-        let fault_penalty = (1.0 - excess).powi(-FAULT_EXPONENT);
+        let fault_penalty = self.fault_penalty(now, baseline.fault_rate);
         let slowness = match (self.fresh_load(now), baseline.service_time) {
             (Some(load), Some(shortest)) if !shortest.is_zero() => {
                 load.service_time.as_secs_f64() / shortest.as_secs_f64()
@@ -180,6 +185,12 @@
         (self.score(now) + PENALTY_OFFSET) * fault_penalty * slowness_penalty - PENALTY_OFFSET
     }
 
+    /// Factor for a fault rate above the lowest among the upstreams.
+    pub(crate) fn fault_penalty(&self, now: Instant, lowest: f64) -> f64 {
+        let excess = (self.fault_rate(now) - lowest - FAULT_TOLERANCE).clamp(0.0, 0.95);
+        (1.0 - excess).powi(-FAULT_EXPONENT)
+    }
+
     /// Fault rate, decayed over the time since the last call.
     pub(crate) fn fault_rate(&self, now: Instant) -> f64 {
         let (Some(at), fault_rate) = self.fault_rate else {
@@ -209,6 +220,12 @@
         (now.saturating_duration_since(at) < LOAD_LIFETIME).then_some(load)
     }
 
+    /// Age of the latest load report; `None` without one.
+    pub(crate) fn report_age(&self, now: Instant) -> Option<Duration> {
+        let (at, _) = self.load?;
+        Some(now.saturating_duration_since(at))
+    }
+
     /// Mean service time in the latest load report, however old.
     pub(crate) fn service_time(&self) -> Option<Duration> {
         self.load.map(|(_, load)| load.service_time)
@@ -216,6 +233,7 @@
 
     pub(crate) fn record_load(&mut self, now: Instant, load: Load) {
         self.load = Some((now, load));
+        self.started = 0;
     }
 
     pub(crate) fn finish(&mut self, now: Instant, result: AttemptResult) {
--- a/crates/indigospur-routing/tests/placement/main.rs
+++ b/crates/indigospur-routing/tests/placement/main.rs
@@ -3,11 +3,16 @@
 
 mod model;
 
+use indigospur_routing::Policy;
 use model::{Results, Scenario, play};
 use std::iter::repeat_n;
+use std::time::Duration;
 
 /// Seed of all plays.
 const SEED: u64 = 12;
+const TIME: Policy = Policy::Time {
+    stay: Duration::from_millis(20),
+};
 
 fn repeated(speeds: &[f64], count: usize) -> Vec<f64> {
     speeds.iter().copied().cycle().take(count).collect()
@@ -92,26 +97,61 @@
     all
 }
 
-fn print(scenario: &Scenario, policy: &str, results: &Results) {
+/// Plays a scenario under a policy and prints its line of the table.
+fn measure(scenario: &Scenario, name: &str, policy: Policy) -> Results {
+    let results = play(scenario, policy, SEED);
     println!(
-        "| {} | {policy} | {:.0} | {:.0} | {:.1} | {:.1} |",
+        "| {} | {name} | {:.0} | {:.0} | {:.1} | {:.1} |",
         scenario.name,
         results.mean(),
         results.p99(),
         100.0 * results.within(),
         100.0 * results.left(),
     );
+    results
 }
 
-/// Prints the table of docs/design/routing.md:
+/// Guards against expected times that send calls to slow servers, crowd the fast ones, or move calls
+/// between data centres without need. Prints the table of docs/design/routing.md:
 /// `cargo test -p indigospur-routing --test placement table -- --nocapture`.
 #[test]
-fn table_of_all_scenarios() {
+fn table_of_expected_time_against_calls_per_slot() {
     println!("| load | policy | mean ms | p99 ms | within 250 ms % | left % |");
     println!("|---|---|---|---|---|---|");
     for scenario in scenarios() {
-        let results = play(&scenario, |_| (), SEED);
-        print(&scenario, "slots", &results);
-        assert!(results.within() > 0.2, "{}", scenario.name);
+        let name = scenario.name;
+        let slots = measure(&scenario, "slots", Policy::Slots);
+        let time = measure(&scenario, "time", TIME);
+        assert!(time.within() > slots.within() - 0.02, "{name}");
+        assert!(time.left() < slots.left() + 0.01, "{name}");
+        if scenario.slow.1 {
+            assert!(time.p99() < 0.85 * slots.p99(), "{name}: slow phases");
+            assert!(time.within() > 0.99, "{name}: slow phases");
+        } else if name.starts_with("0.") && !name.contains("95 %") {
+            assert!(time.mean() < 0.95 * slots.mean(), "{name}: uneven speeds");
+        } else if scenario.link.is_finite() {
+            assert!(time.mean() < 0.5 * slots.mean(), "{name}: link");
+        } else if name.starts_with("no overload") {
+            assert!(time.left() < 0.01, "{name}: calls leave without need");
+        }
     }
 }
+
+/// Guards against calls that go to and fro between the data centres, or stay away after the overload.
+#[test]
+fn the_share_that_leaves_is_steady_under_overload_and_falls_to_zero_after_it() {
+    let all = scenarios();
+    let overload = all.iter().find(|each| each.name.starts_with("150 %"));
+    let results = play(overload.expect("it is listed"), TIME, SEED);
+    let share = |tenths: &[(usize, usize)]| {
+        let left: usize = tenths.iter().map(|tenth| tenth.0).sum();
+        let calls: usize = tenths.iter().map(|tenth| tenth.1).sum();
+        left as f64 / calls as f64
+    };
+    // From 3 s to 7 s; a third of the calls of the overloaded data centre must leave.
+    let shares: Vec<f64> = results.by_tenth[30..70].chunks(5).map(share).collect();
+    let all_steady = shares.iter().all(|share| (0.25..0.40).contains(share));
+    assert!(all_steady, "{shares:?}");
+    let after = share(&results.by_tenth[80..]);
+    assert!(after < 0.01, "{after}");
+}
--- a/crates/indigospur-routing/tests/placement/model.rs
+++ b/crates/indigospur-routing/tests/placement/model.rs
@@ -1,8 +1,8 @@
 //! Servers, calling daemons and links in virtual time. Each daemon has a router of its own, which
 //! learns the load of the servers only from replies.
 
-use indigospur_protocol::{HostId, Load, Member, State};
-use indigospur_routing::{AttemptResult, Criteria, Router};
+use indigospur_protocol::{HostId, Load, Member, Pace, State};
+use indigospur_routing::{AttemptResult, Criteria, Policy, Router};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -10,17 +10,17 @@
 use std::time::{Duration, Instant};
 
 pub(crate) const SERVICE: &str = "menu";
-/// Objective of a call, in seconds.
+/// Objective of a call in seconds; calls that can't be answered within it are refused, as by admission.
 pub(crate) const OBJECTIVE: f64 = 0.25;
 /// Mean work of a call at a server of speed 1, in seconds.
 const WORK: f64 = 0.054;
+/// Work of the longest call, as a factor on the mean; the shortest is as far below.
+const LONGEST_WORK: f64 = 1.4;
 const SLOTS: u32 = 12;
 /// Utilisation of the slots from which a server is slower, and by what factor.
 const KNEE: (f64, f64) = (0.95, 1.3);
 /// Factor on the work in a slow phase, and the length of a phase in seconds.
 const SLOW: (f64, f64) = (2.5, 0.6);
-/// Longest wait in a server's queue, in seconds; calls beyond it are refused.
-const TARGET_WAIT: f64 = 0.2;
 /// One-way latency within a data centre and between two, in seconds.
 const LATENCY: (f64, f64) = (0.000_15, 0.001_2);
 /// Size of a response in bits.
@@ -120,6 +120,8 @@
     running: u32,
     waiting: VecDeque<usize>,
     service_time: Option<f64>,
+    /// Mean slowness of the calls in `service_time`.
+    slowness: f64,
 }
 
 struct Call {
@@ -149,14 +151,14 @@
     results: Results,
 }
 
-pub(crate) fn play(scenario: &Scenario, set_up: impl Fn(&mut Router), seed: u64) -> Results {
+pub(crate) fn play(scenario: &Scenario, policy: Policy, seed: u64) -> Results {
     let members: Vec<Member> = (0..scenario.servers.len())
         .map(|index| member(index, scenario.servers[index].0))
         .collect();
     let routers = scenario.callers.iter().map(|data_centre| {
         let mut router = Router::new(format!("dc-{data_centre}").into(), "r".into());
         members.iter().for_each(|member| router.update(member));
-        set_up(&mut router);
+        router.set_policy(policy);
         router
     });
     let servers = scenario.servers.iter().map(|(data_centre, speed)| Server {
@@ -165,6 +167,7 @@
         running: 0,
         waiting: VecDeque::new(),
         service_time: None,
+        slowness: 1.0,
     });
     let mut model = Model {
         scenario,
@@ -249,6 +252,7 @@
         let criteria = Criteria {
             service: SERVICE,
             avoid: &[],
+            remaining: Some(Duration::from_secs_f64(OBJECTIVE)),
         };
         let chosen = self.routers[caller].choose(now, &mut self.rng, criteria);
         let chosen = chosen.expect("an upstream is ready");
@@ -282,10 +286,12 @@
         self.calls[call].arrived = self.now;
         let limit = self.scenario.limit;
         let server = &mut self.servers[self.calls[call].server];
-        let per_call = server.service_time.unwrap_or(WORK) / f64::from(limit);
+        let service_time = server.service_time.unwrap_or(WORK);
+        let wait = service_time * server.waiting.len() as f64 / f64::from(limit);
+        let elapsed = self.now - self.calls[call].sent;
         if server.running < limit {
             self.begin(call);
-        } else if server.waiting.len() as f64 * per_call < TARGET_WAIT {
+        } else if elapsed + wait + LONGEST_WORK * service_time < OBJECTIVE {
             server.waiting.push_back(call);
         } else {
             self.calls[call].refused = true;
@@ -296,28 +302,31 @@
     fn begin(&mut self, call: usize) {
         self.calls[call].started = self.now;
         let index = self.calls[call].server;
-        let slowness = if self.is_slow(index) { SLOW.0 } else { 1.0 };
+        let slowness = self.slowness(index);
         let server = &mut self.servers[index];
         server.running += 1;
         let full = f64::from(server.running) >= KNEE.0 * f64::from(SLOTS);
         let knee = if full { KNEE.1 } else { 1.0 };
-        let work = WORK * self.rng.random_range(0.6..1.4);
+        let work = WORK * self.rng.random_range(2.0 - LONGEST_WORK..LONGEST_WORK);
         let took = work * slowness * knee / server.speed;
         self.schedule(took, Event::Finish(call));
     }
 
-    /// Whether a server is in a slow phase; phases begin at other times at each server.
-    fn is_slow(&self, server: usize) -> bool {
+    /// Factor on the work at a server; slow phases begin at other times at each server.
+    fn slowness(&self, server: usize) -> f64 {
         let offset = server as f64 * 0.618;
         let phase = (self.now / SLOW.1 + offset) as u64;
         let seed = self.seed ^ ((server as u64) << 32) ^ phase;
-        SmallRng::seed_from_u64(seed).random_bool(self.scenario.slow.0)
+        let is_slow = SmallRng::seed_from_u64(seed).random_bool(self.scenario.slow.0);
+        if is_slow { SLOW.0 } else { 1.0 }
     }
 
     fn finish(&mut self, call: usize) {
         let took = self.now - self.calls[call].started;
+        let slowness = self.slowness(self.calls[call].server);
         let server = &mut self.servers[self.calls[call].server];
         server.running -= 1;
+        server.slowness += SMOOTHING * (slowness - server.slowness);
         let mean = server.service_time.unwrap_or(took);
         server.service_time = Some(mean + SMOOTHING * (took - mean));
         if let Some(next) = server.waiting.pop_front() {
@@ -328,7 +337,10 @@
 
     fn send_reply(&mut self, call: usize) {
         let Call { server, caller, .. } = self.calls[call];
-        self.calls[call].load = self.load(server);
+        self.calls[call].load = Load {
+            residence: Duration::from_secs_f64(self.now - self.calls[call].arrived),
+            ..self.load(server)
+        };
         let from = self.servers[server].data_centre;
         let to = self.scenario.callers[caller];
         let mut delay = latency(from != to);
@@ -348,7 +360,11 @@
             queued: server.waiting.len() as u32,
             service_time: Duration::from_secs_f64(server.service_time.unwrap_or_default()),
             incarnation: 1,
-            ..Load::default()
+            pace: match self.scenario.slow.1 {
+                true => Pace::from_factor(self.slowness(index) / server.slowness),
+                false => Pace::USUAL,
+            },
+            residence: Duration::ZERO,
         }
     }
 
@@ -357,6 +373,8 @@
         let call = &self.calls[call];
         let host: HostId = format!("{}", call.server).into();
         let router = &mut self.routers[call.caller];
+        let took = Duration::from_secs_f64(self.now - call.sent);
+        router.record_reply_time(now, SERVICE, &host, took, call.load);
         router.finish(now, SERVICE, &host, AttemptResult::Replied, Some(call.load));
         if !call.refused && call.sent >= WARM_UP {
             self.results.times.push(self.now - call.sent);
--- a/crates/indigospur-routing/tests/rate_share.rs
+++ b/crates/indigospur-routing/tests/rate_share.rs
@@ -112,6 +112,7 @@
             let criteria = Criteria {
                 service: "menu",
                 avoid: &avoid,
+                remaining: None,
             };
             let Some(chosen) = routers[caller].choose(now, &mut rng, criteria) else {
                 counts.unserved += settled;
--- a/crates/indigospur-routing/tests/routing.rs
+++ b/crates/indigospur-routing/tests/routing.rs
@@ -35,6 +35,7 @@
 const ANY: Criteria<'_> = Criteria {
     service: "quoting",
     avoid: &[],
+    remaining: None,
 };
 
 fn count(router: &mut Router, now: Instant, calls: u32) -> HashMap<String, u32> {
@@ -185,6 +186,7 @@
     let criteria = Criteria {
         service: "quoting",
         avoid: &avoid,
+        remaining: None,
     };
     assert!(router.choose(Instant::now(), &mut rng, criteria).is_none());
 }
