Read the pace of a backend server's work, and report it with the load

The mean service time follows a slow phase of 600 ms only after some ten calls, when much of the phase is over. Backend servers of the platform tell their pace in the fourth figure of Server-Load (those with the built-in dialect in indigospur-pace); it was dropped.

Ruled out: refusing calls on arrival by it. A wrong figure would refuse calls that have room, and the mean service time that decides now follows within a few calls.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -6,9 +6,10 @@
 use crate::effect::{AdmissionRefusal, Arrival, Completion, Effect, Ticket, Verdict};
 use crate::ewma::Ewma;
 use crate::limit::{Limit, LimitPolicy};
+use crate::pace::PaceTracker;
 use crate::queue::Queue;
 use crate::rate_limiter::RateLimiter;
-use indigospur_protocol::{Class, Kind, Load, Rate};
+use indigospur_protocol::{Class, Kind, Load, Pace, Rate};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -83,6 +84,7 @@
     /// Running calls; the last in this order is preempted first.
     preemption_order: BTreeSet<(Class, Ticket)>,
     service_time: Ewma,
+    pace: PaceTracker,
     next_ticket: Ticket,
     jitter_state: u64,
     draining: bool,
@@ -105,6 +107,7 @@
             running: BTreeMap::new(),
             preemption_order: BTreeSet::new(),
             service_time: Ewma::default(),
+            pace: PaceTracker::default(),
             next_ticket: 1,
             jitter_state: options.seed,
             draining: false,
@@ -155,6 +158,12 @@
         self.rate_limiter.rate()
     }
 
+    /// Records the pace that the backend server tells of its work. It is reported with the load; no
+    /// call is refused for it, as a wrong figure would refuse calls that have room.
+    pub fn observe_pace(&mut self, now: Instant, pace: Pace) {
+        self.pace.observe(now, pace);
+    }
+
     /// Refuses new calls from now on; queued calls are still served.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -178,6 +187,7 @@
             limit: self.sustained_concurrency(now),
             queued: self.queue.len() as u32,
             service_time: self.service_time.get(),
+            pace: self.pace.relative(now),
             ..Load::default()
         }
     }
@@ -378,6 +388,7 @@
         let actual = now.saturating_duration_since(started);
         if outcome == Completion::Answered {
             self.service_time.add(actual);
+            self.pace.record_call(now);
         }
         self.limit.record(now, actual, outcome);
         self.queue.correct(
--- a/crates/indigospur-daemon/src/backend_status.rs
+++ b/crates/indigospur-daemon/src/backend_status.rs
@@ -4,7 +4,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{BackendStatus, RateLimit};
 use indigospur_members::{Instance, NamedLimit};
-use indigospur_protocol::Rate;
+use indigospur_protocol::{Pace, Rate};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -25,6 +25,9 @@
     let is_current = current.is_some_and(|current| Arc::ptr_eq(&current, backend));
     if is_current {
         backend.has_answered.store(true, Ordering::Relaxed);
+        if let Some(percent) = status.pace {
+            backend.slots.observe_pace(Pace::from_percent(percent));
+        }
         match status.rate_limit {
             RateLimit::Unlimited => observe_rate_limit(daemon, backend, started, None),
             RateLimit::Limited(rate) => observe_rate_limit(daemon, backend, started, Some(rate)),
--- a/crates/indigospur-daemon/src/builtin_dialect.rs
+++ b/crates/indigospur-daemon/src/builtin_dialect.rs
@@ -88,6 +88,7 @@
         BackendStatus {
             rate_limit: RateLimit::parse(answer.header(headers::RATE_LIMIT)),
             leaving: answer.header(headers::LEAVING) == Some("1"),
+            pace: read_pace(answer),
         }
     }
 
@@ -143,6 +144,11 @@
     Ok(service.into())
 }
 
+/// Reads the pace of work; one that is no number counts as none.
+fn read_pace(answer: &Answer) -> Option<u32> {
+    answer.header(headers::PACE)?.trim().parse().ok()
+}
+
 /// Reads an optional identifier and checks its length.
 fn read_name(received: &ReceivedRequest, header: &str) -> Result<Option<Arc<str>>, Refusal> {
     let Some(text) = received.header(header) else {
--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -107,6 +107,8 @@
     pub rate_limit: RateLimit,
     /// Whether it is shutting down and takes no new calls.
     pub leaving: bool,
+    /// Time that its work takes now, in percent of the usual, as told; `None` if it tells none.
+    pub pace: Option<u32>,
 }
 
 /// The HTTP conventions of callers and of backend servers.
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -4,7 +4,7 @@
 use indigospur_admission::{
     Admission, AdmissionRefusal, Arrival, Completion, Effect, Options, Ticket, Verdict,
 };
-use indigospur_protocol::{Load, Rate};
+use indigospur_protocol::{Load, Pace, Rate};
 use indigospur_relay::runtime;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -155,6 +155,11 @@
         (before, after)
     }
 
+    /// Records the pace of work that an answer tells.
+    pub(crate) fn observe_pace(&self, pace: Pace) {
+        self.lock().admission.observe_pace(Instant::now(), pace);
+    }
+
     pub(crate) fn set_options(&self, options: Options) {
         let mut state = self.lock();
         let effects = state.admission.set_options(Instant::now(), options);
--- a/crates/indigospur-protocol/src/headers.rs
+++ b/crates/indigospur-protocol/src/headers.rs
@@ -17,6 +17,8 @@
 /// Limit on the calls a second that a backend server takes from all hosts together, as a decimal
 /// number in each of its answers for as long as the limit applies.
 pub const RATE_LIMIT: &str = "indigospur-rate-limit";
+/// Time that work at a backend server takes now, in percent of the usual.
+pub const PACE: &str = "indigospur-pace";
 /// Set to `1` in the answers of a backend server that is shutting down and takes no new calls.
 pub const LEAVING: &str = "indigospur-leaving";
 /// Name of the refusal kind, on answers made by the daemon.
