Switch placement by expected time on by settings, with metrics and log lines

routing.policy (slots, as before, or time) and routing.stay (20 ms) are read and apply without a restart. The call's remaining time reaches the choice of each attempt; the time of the link comes from the reply time. Metrics count calls by distance, and show the share that leaves by service (64 services at most). Logs say when a service's calls start and stop leaving, with the expected times that decided, and lines about failed, faulty and late calls have the figures of the placement. Upstreams under the policy slots have the distance only. The stand-in backend server tells its slowdown as pace.

--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::configuration::{ConfigurationSource, NewestConfiguration};
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::placement;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
@@ -163,6 +164,8 @@
             suspects: Suspects::default(),
             exchange: Exchange::default(),
         };
+        let mut router = Router::new(settings.data_centre.clone(), settings.region.clone());
+        router.set_policy(settings.placement);
         let body_memory = Arc::new(BodyMemory::new(settings.body_memory()));
         Arc::new(Daemon {
             dialect,
@@ -190,10 +193,7 @@
             rules: Mutex::default(),
             traffic_split: Mutex::default(),
             epochs: Mutex::default(),
-            router: Mutex::new(Router::new(
-                settings.data_centre.clone(),
-                settings.region.clone(),
-            )),
+            router: Mutex::new(router),
             ledger: Mutex::default(),
             request_counts: Mutex::new(RequestCounts::new(REQUEST_ID_LIFETIME, MAX_REQUEST_IDS)),
             pressures: Mutex::default(),
@@ -240,6 +240,7 @@
             self.set_log_address(&settings.log_address);
         }
         self.body_memory.set_limit(settings.body_memory());
+        lock(&self.router).set_policy(settings.placement);
         self.update_caller_bounds();
         if let Some(backend) = self.backend() {
             backend.slots.set_options(settings.admission());
@@ -283,6 +284,7 @@
         if let Some(backend) = self.backend() {
             self.metrics.record_load(backend.slots.load());
         }
+        placement::record_shares(self);
         self.metrics.render()
     }
 
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod outbound;
 mod peer_service;
 mod peers;
+mod placement;
 mod preparation;
 mod run;
 mod settings;
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of the daemon, exported in the Prometheus text format.
 
 use indigospur_protocol::{Kind, Load, RetryReason};
+use indigospur_routing::Distance;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -16,6 +17,8 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     preemptions: Counter<u64>,
+    placements: Counter<u64>,
+    leaving_share: Gauge<f64>,
     call_seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
     queued: Gauge<u64>,
@@ -53,6 +56,8 @@
             refusals: meter.u64_counter("indigospur_refusals").build(),
             retries: meter.u64_counter("indigospur_retries").build(),
             preemptions: meter.u64_counter("indigospur_preemptions").build(),
+            placements: meter.u64_counter("indigospur_placements").build(),
+            leaving_share: meter.f64_gauge("indigospur_leaving_share").build(),
             call_seconds: meter.f64_histogram("indigospur_call_seconds").build(),
             in_flight: meter.u64_gauge("indigospur_in_flight").build(),
             queued: meter.u64_gauge("indigospur_queued").build(),
@@ -97,6 +102,17 @@
         self.preemptions.add(1, &[]);
     }
 
+    /// Counts a call that is sent to an upstream.
+    pub(crate) fn count_placement(&self, distance: Distance) {
+        let labels = [KeyValue::new("distance", distance.name())];
+        self.placements.add(1, &labels);
+    }
+
+    pub(crate) fn record_leaving_share(&self, service: &str, share: f64) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.leaving_share.record(share, &labels);
+    }
+
     pub(crate) fn record_load(&self, load: Load) {
         self.in_flight.record(u64::from(load.in_flight), &[]);
         self.queued.record(u64::from(load.queued), &[]);
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -2,6 +2,7 @@
 
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
+use crate::placement::{self, PlacementSummary};
 use crate::{inbound, peers};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry, is_passed_over,
@@ -12,7 +13,7 @@
     ServiceName, Work,
 };
 use indigospur_relay::{LinkError, runtime};
-use indigospur_routing::{AttemptResult, Criteria};
+use indigospur_routing::{AttemptResult, Criteria, Placement};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -72,16 +73,17 @@
     count_in_ratio(daemon, &message);
     let mut last_refusal: Option<Refusal> = None;
     loop {
-        let Some(member) = choose_upstream(daemon, &message, &progress.excluded) else {
+        let Some(placement) = choose_upstream(daemon, &message, &progress) else {
             let refusal =
                 last_refusal.unwrap_or_else(|| no_upstream(daemon, &message.call.service));
             return progress.into_reply(Outcome::Refused(refusal));
         };
+        placement::record(daemon, &message, &placement);
         let started = Instant::now();
-        let reply = send_attempt(daemon, &mut message, &mut progress, &member).await;
+        let reply = send_attempt(daemon, &mut message, &mut progress, &placement.member).await;
         let refusal = match reply.outcome {
             Outcome::Answered(answer) => {
-                log_server_error(&message, &member, answer.status, started);
+                placement::log_answer(&message, &placement, answer.status, started.elapsed());
                 return progress.into_reply(Outcome::Answered(answer));
             }
             Outcome::Refused(refusal) => refusal,
@@ -90,29 +92,14 @@
             refusal: &refusal,
             retried: reply.retried,
         };
-        if !decide_and_log_retry(daemon, &message, &mut progress, &member, failed_attempt) {
+        if !decide_and_log_retry(daemon, &message, &mut progress, &placement, failed_attempt) {
             return progress.into_reply(Outcome::Refused(refusal));
         }
-        progress.excluded.push(member.host);
+        progress.excluded.push(placement.member.host);
         last_refusal = Some(refusal);
     }
 }
 
-/// Logs an answer with a server error status.
-fn log_server_error(message: &RelayMessage, member: &Member, status: u16, started: Instant) {
-    if status >= 500 {
-        log::info!(
-            request = &*message.context.request_id,
-            service = &*message.call.service,
-            upstream = &*member.host,
-            instance = &*member.instance,
-            status,
-            took_ms = started.elapsed().as_millis() as u64;
-            "upstream answered with a server error; the answer is passed to the caller"
-        );
-    }
-}
-
 impl CallProgress {
     fn into_reply(self, outcome: Outcome) -> Reply {
         let outcome = match outcome {
@@ -128,16 +115,20 @@
     }
 }
 
-fn choose_upstream(daemon: &Daemon, message: &RelayMessage, excluded: &[HostId]) -> Option<Member> {
+fn choose_upstream(
+    daemon: &Daemon,
+    message: &RelayMessage,
+    progress: &CallProgress,
+) -> Option<Placement> {
     let mut router = lock(&daemon.router);
     let mut rng = lock(&daemon.rng);
-    router.choose(
+    router.place(
         Instant::now(),
         &mut *rng,
         Criteria {
             service: &message.call.service,
-            avoid: excluded,
-            remaining: Some(message.context.remaining),
+            avoid: &progress.excluded,
+            remaining: Some(progress.deadline.remaining(Moment::now())),
         },
     )
 }
@@ -153,19 +144,20 @@
     daemon: &'a Daemon,
     service: &'a str,
     host: &'a str,
+    started: Instant,
     finished: bool,
 }
 
 impl OpenAttempt<'_> {
     fn finish(&mut self, attempt: AttemptResult, reply: &Reply) {
         self.finished = true;
-        lock(&self.daemon.router).finish(
-            Instant::now(),
-            self.service,
-            self.host,
-            attempt,
-            reply.load,
-        );
+        let now = Instant::now();
+        let mut router = lock(&self.daemon.router);
+        if let Some(load) = reply.load {
+            let took = now.saturating_duration_since(self.started);
+            router.record_reply_time(now, self.service, self.host, took, load);
+        }
+        router.finish(now, self.service, self.host, attempt, reply.load);
     }
 }
 
@@ -203,6 +195,7 @@
         daemon,
         service: &service,
         host: &member.host,
+        started: Instant::now(),
         finished: false,
     };
     let (attempt, reply) = relay(daemon, message, member).await;
@@ -333,7 +326,7 @@
     daemon: &Daemon,
     message: &RelayMessage,
     progress: &mut CallProgress,
-    member: &Member,
+    placement: &Placement,
     failed_attempt: FailedAttempt<'_>,
 ) -> bool {
     let refusal = failed_attempt.refusal;
@@ -361,7 +354,8 @@
     log::info!(
         request = &*message.context.request_id,
         service = &**service,
-        upstream = &*member.host,
+        upstream = &*placement.member.host,
+        placement:% = PlacementSummary(placement),
         class = message.context.class,
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -3,6 +3,7 @@
 use indigospur_admission::{LimitPolicy, Options};
 use indigospur_document::{Document, Problems, Reader};
 use indigospur_relay::Bounds;
+use indigospur_routing::Policy;
 use indigospur_rules::CallerLimits;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -92,6 +93,9 @@
     /// Maximum number of unused retries to one service that all daemons together accumulate
     /// (`retries.fleet`).
     pub fleet_retry_capacity: u32,
+    /// How the upstream for a call is chosen (`routing.policy`), and the time that leaving the data
+    /// centre must save (`routing.stay`).
+    pub placement: Policy,
 }
 
 impl Settings {
@@ -143,6 +147,15 @@
         self.shutdown_delay.min(self.shutdown_timeout / 2)
     }
 
+    /// Time that leaving the data centre must save beyond that of the link; `None` if the placement
+    /// does not look at times.
+    pub(crate) fn stay(&self) -> Option<Duration> {
+        match self.placement {
+            Policy::Slots => None,
+            Policy::Time { stay } => Some(stay),
+        }
+    }
+
     /// Memory for the bodies of all messages together, in bytes.
     pub(crate) fn body_memory(&self) -> usize {
         self.memory_bytes / BODY_MEMORY_DIVISOR
@@ -195,6 +208,7 @@
     let limits = root.table("limits");
     let keys = root.table("keys");
     let retries = root.table("retries");
+    let routing = root.table("routing");
     let settings = Settings {
         name: host.required_string("name"),
         data_centre: host.required_string("data-centre"),
@@ -237,8 +251,9 @@
         retry_percent: as_u32(retries.integer("percent", 0..=100)).unwrap_or(10),
         retry_capacity: as_u32(retries.integer("saved", 1..=100_000)).unwrap_or(10),
         fleet_retry_capacity: as_u32(retries.integer("fleet", 1..=1_000_000)).unwrap_or(100_000),
+        placement: placement(&routing),
     };
-    for table in [host, listen, log, peers, limits, keys, retries] {
+    for table in [host, listen, log, peers, limits, keys, retries, routing] {
         table.finish();
     }
     settings
@@ -295,6 +310,20 @@
     }
 }
 
+fn placement(routing: &Reader<'_>) -> Policy {
+    let longest = SECOND * 10;
+    let stay = duration_or(routing, "stay", Duration::ZERO..=longest, SECOND / 50);
+    match routing.string("policy").as_deref() {
+        None | Some("slots") => Policy::Slots,
+        Some("time") => Policy::Time { stay },
+        Some(other) => {
+            let found = format!("\"{other}\" is not allowed");
+            routing.reject("policy", found, "expected slots or time");
+            Policy::Slots
+        }
+    }
+}
+
 fn as_u32(number: Option<u64>) -> Option<u32> {
     number.and_then(|number| u32::try_from(number).ok())
 }
--- a/crates/indigospur-daemon/tests/settings.rs
+++ b/crates/indigospur-daemon/tests/settings.rs
@@ -1,8 +1,10 @@
 //! Settings: the examples, the reference page and the reporting of problems.
 
 use indigospur_daemon::Settings;
+use indigospur_routing::Policy;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::time::Duration;
 
 const EXAMPLES: [&str; 2] = [
     include_str!("../../../examples/lisbon/settings.toml"),
@@ -44,6 +46,33 @@
     }
 }
 
+/// Guards against a change of the placement where the settings don't ask for one.
+#[test]
+fn calls_are_placed_by_slots_unless_the_settings_say_time() {
+    let stay = Duration::from_millis;
+    for (table, placement) in [
+        ("", Policy::Slots),
+        (
+            "[routing]\npolicy = \"slots\"\nstay = \"5ms\"\n",
+            Policy::Slots,
+        ),
+        (
+            "[routing]\npolicy = \"time\"\n",
+            Policy::Time { stay: stay(20) },
+        ),
+        (
+            "[routing]\npolicy = \"time\"\nstay = \"0s\"\n",
+            Policy::Time { stay: stay(0) },
+        ),
+    ] {
+        let text = format!("{}\n{table}", EXAMPLES[0]);
+        let settings = Settings::parse("settings.toml", &text).expect("valid settings");
+        assert_eq!(settings.placement, placement, "{table}");
+    }
+    let found = problems("[routing]\npolicy = \"fast\"\n").join("\n");
+    assert!(found.contains("routing.policy: \"fast\" is not allowed; expected slots or time"));
+}
+
 /// The reference page lists all keys that the daemon reads, and no others.
 #[test]
 fn the_reference_page_lists_exactly_the_keys_that_are_read() {
@@ -53,7 +82,7 @@
     let listed: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
     let mut known = Vec::new();
     for table in [
-        "host", "listen", "log", "peers", "limits", "keys", "retries",
+        "host", "listen", "log", "peers", "limits", "keys", "retries", "routing",
     ] {
         let found = problems(&format!("[{table}]\nno-such-key = 1\n"));
         let line = found
--- a/crates/indigospur-stand-ins/src/backend_server.rs
+++ b/crates/indigospur-stand-ins/src/backend_server.rs
@@ -7,7 +7,8 @@
 //! - `fail=other` answers with the token of another call.
 //! - `fail=shed` answers 503 without a call token.
 //!
-//! Requests to `/stand-in/` control the server: `drain`, `leave`, `slowdown/FACTOR` and
+//! Requests to `/stand-in/` control the server: `drain`, `leave`, `slowdown/FACTOR` (also
+//! named as pace in its answers) and
 //! `rate-limit/CALLS_PER_SECOND` (`rate-limit/none` lifts the limit).
 
 use crate::named_status::NamedStatus;
@@ -217,9 +218,19 @@
         }
         let mut answer = self.run(request).await;
         answer.headers.extend(self.named().headers(Instant::now()));
+        answer.headers.extend(self.pace());
         answer
     }
 
+    /// Header that tells the pace of work while it is slower than usual.
+    fn pace(&self) -> Option<Header> {
+        let factor = self.shared.slowdown.load(Ordering::Relaxed);
+        (factor > 1).then(|| Header {
+            name: headers::PACE.into(),
+            value: (factor * 100).to_string().into_bytes().into(),
+        })
+    }
+
     async fn run(&self, request: ReceivedRequest) -> Answer {
         if is_past_deadline(&request) {
             return text(503, "the deadline has passed");
