--- a/crates/indigospur-routing/tests/expected_time.rs
+++ b/crates/indigospur-routing/tests/expected_time.rs
@@ -224,6 +224,31 @@
     );
 }
 
+/// Guards against calls that all return to a slow upstream as soon as its report has grown old.
+#[test]
+fn few_calls_try_a_data_centre_that_all_calls_have_left() {
+    let mut now = Instant::now();
+    let mut router = router_of_three();
+    let slow = load(5, 0, SERVICE_TIME * 3);
+    let usual = load(5, 0, SERVICE_TIME);
+    let second = Duration::from_secs(1);
+    settle(&mut router, &mut now, second, [slow, usual, usual]);
+    let mut stayed = 0;
+    for call in 0..2_000 {
+        now += millis(10);
+        let placed = place(&mut router, now, call, None).expect("ready");
+        let host = &*placed.member.host;
+        report(
+            &mut router,
+            now,
+            host,
+            if host == "a" { slow } else { usual },
+        );
+        stayed += u32::from(host == "a");
+    }
+    assert!((1..0).contains(&stayed), "{stayed}");
+}
+
 /// Guards against a jump of all calls at once, which would overload the other side in turn.
 #[test]
 fn the_share_that_leaves_moves_in_small_steps() {
