--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -2,11 +2,13 @@
 //! with the other daemons on members, rule sets and idempotency keys.
 
 mod admin;
+mod authentication;
 mod backend;
 mod backend_status;
 mod builtin_dialect;
 mod caller;
 mod configuration;
+mod contact;
 mod control;
 mod daemon;
 mod deadline;
@@ -29,9 +31,11 @@
 mod signals;
 mod slots;
 
+pub use authentication::{AuthenticationError, CallerIdentity, Credential};
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
+pub use contact::LastContact;
 pub use deadline::{Deadline, Moment};
 pub use dialect::{
     AnswerMeaning, BackendStatus, CallHead, Dialect, OutgoingCall, ParentRef, RateLimit,
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -15,9 +15,11 @@
 mod memory;
 mod metered;
 mod peer_server;
+mod percent_encoding;
 pub mod runtime;
 mod service;
 mod silence;
+mod stream;
 mod timer;
 
 pub use address::SharedAddress;
@@ -29,4 +31,5 @@
 pub use log_client::{LogBatch, LogClient, LogError, LogRecord};
 pub use memory::BodyMemory;
 pub use peer_server::serve_peers;
+pub use percent_encoding::{percent_decode, percent_encode};
 pub use service::{Bounds, Handler, HttpService, ReceivedRequest, RefusalEncoder};
