Bound retries in a sliding window, where retries.window is set

The token bucket saves three retries a daemon, so the busy seconds before a fault pay for nothing. Decisions take the time.

Ruled out: each daemon's own greatest window alone. Where load moves from one daemon to another, both windows would pay, up to twice the bound; the margin of 16 to 20 percent covers a quarter of the load only. So a second limit applies: five quarters of percent of a sum with fixed weights, which adds up over daemons to at most the greater window of all. A retry is also checked in each window that ends later, as if no first send followed.

Without the setting nothing changes.

--- a/crates/indigospur-admission/tests/shedding/main.rs
+++ b/crates/indigospur-admission/tests/shedding/main.rs
@@ -5,7 +5,7 @@
 mod bound;
 mod model;
 
-use model::{Outcome, RequestKind, Simulation};
+use model::{Outcome, Policy, RequestKind, Simulation};
 
 /// Ratio of repeats to first arrivals that the bound allows, and repeats beyond it for 80 daemons.
 const BOUND_RATIO: f64 = 0.2;
@@ -80,9 +80,18 @@
 /// Without the retry window, most requests are let in and fail.
 #[test]
 fn today_most_requests_of_several_calls_are_let_in_and_fail() {
-    let outcome = Simulation::new(1, 20, &KINDS).run();
+    let outcome = Simulation::new(1, 20, &KINDS, Policy::Bucket).run();
     print("without the retry window", &outcome);
     let failed = |kind: usize| percent(outcome.during[kind].failed, outcome.during[kind].offered);
     assert!(failed(FOUR) > 50.0 && failed(EIGHT) > 50.0);
     assert!(outcome.during[ONE].finished > 0);
 }
+
+/// With the window alone, early failures use up the retries of the whole time.
+#[test]
+fn the_window_alone_finishes_few_requests_of_several_calls() {
+    let outcome = Simulation::new(1, 20, &KINDS, Policy::Window).run();
+    print("retry window, first come first served", &outcome);
+    let failed = |kind: usize| percent(outcome.during[kind].failed, outcome.during[kind].offered);
+    assert!(failed(EIGHT) > 50.0);
+}
--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -4,7 +4,7 @@
 use crate::bound::Arrivals;
 use indigospur_admission::{IngressAdmission, IngressRequest, Pressures};
 use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, decide_retry,
+    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, WindowOptions, decide_retry,
 };
 use indigospur_protocol::{Class, Kind, Pressure, Refusal, Work};
 use rand::rngs::SmallRng;
@@ -26,13 +26,22 @@
 const WORK: Duration = Duration::from_millis(86);
 /// Time of a message between two daemons, in microseconds.
 const HOP_MICROS: u64 = 700;
-/// Retries that all daemons of the full size can save up together.
-const FLEET_SLACK: f64 = 30.0;
+/// Retries beyond the share of first sends that all daemons of the full size may make together.
+const FLEET_SLACK: f64 = 100.0;
 /// Retry credit of a request.
 const CREDIT: u32 = 3;
 /// Refusals by upstreams after which a call is sent again without credit.
 const FREE_SHEDS: u32 = 2;
 
+/// What decides on retries and at entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Policy {
+    /// A token bucket for the retries of each daemon.
+    Bucket,
+    /// The retry window, first come first served.
+    Window,
+}
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestKind {
@@ -121,10 +130,21 @@
 }
 
 impl Simulation {
-    pub(crate) fn new(seed: u64, daemon_count: usize, kinds: &[RequestKind]) -> Simulation {
+    pub(crate) fn new(
+        seed: u64,
+        daemon_count: usize,
+        kinds: &[RequestKind],
+        policy: Policy,
+    ) -> Simulation {
+        let start = Instant::now();
+        let window = WindowOptions {
+            length: Duration::from_secs(10),
+            slack: FLEET_SLACK / FULL_SIZE as f64,
+        };
         let options = RatioOptions {
             percent: 16,
-            capacity: (FLEET_SLACK / FULL_SIZE as f64).clamp(1.0, 3.0),
+            capacity: 1.0,
+            window: (policy != Policy::Bucket).then_some(window),
         };
         let daemons = (0..daemon_count).map(|index| {
             let mut ingress = IngressAdmission::new(index as u64);
@@ -137,13 +157,13 @@
                 ingress.record_work(&kind.rule.into(), &[work]);
             }
             Daemon {
-                ratio: RetryRatio::new(options),
+                ratio: RetryRatio::new(start, options),
                 ingress,
                 pressures: Pressures::default(),
             }
         });
         Simulation {
-            start: Instant::now(),
+            start,
             micros: 0,
             rng: SmallRng::seed_from_u64(seed),
             kinds: kinds.to_vec(),
@@ -280,19 +300,19 @@
     }
 
     fn start_call(&mut self, request: usize, branch: usize) {
-        let deadline = self.now() + CALL_DEADLINE;
+        let now = self.now();
         let state = &mut self.requests[request];
         let lent = state.credit.lend();
         let progress = &mut state.branches[branch];
         progress.credit = lent;
         progress.free_sheds = FREE_SHEDS;
-        progress.deadline = deadline;
+        progress.deadline = now + CALL_DEADLINE;
         progress.tried.clear();
         let ratio = &mut self.daemons[progress.daemon].ratio;
         if state.attempt > 0 {
-            ratio.charge();
+            ratio.charge(now);
         } else {
-            ratio.earn();
+            ratio.earn(now);
         }
         let is_repeat = state.was_let_in;
         self.send(request, branch, is_repeat);
@@ -351,7 +371,7 @@
             retried: false,
         };
         let ratio = &mut self.daemons[daemon].ratio;
-        let decision = decide_retry(options, failed_attempt, &mut progress.credit, ratio);
+        let decision = decide_retry(now, options, failed_attempt, &mut progress.credit, ratio);
         progress.free_sheds = progress.free_sheds.saturating_sub(1);
         let has_untried = progress.tried.len() < UPSTREAMS;
         self.observe(daemon);
--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -3,7 +3,9 @@
 
 use indigospur_admission::{Admission, Arrival, Completion, LimitPolicy, Options, Verdict};
 use indigospur_bench::Table;
-use indigospur_budget::{Credit, FailedAttempt, RetryOptions, RetryRatio, decide_retry};
+use indigospur_budget::{
+    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, decide_retry,
+};
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{EpochRecord, Key, Kind, Member, MemberId, Refusal, State};
 use indigospur_routing::{AttemptResult, Criteria, Router};
@@ -224,7 +226,8 @@
         free_sheds: 0,
         class: 0,
     };
-    let mut ratio = RetryRatio::default();
+    let now = Instant::now();
+    let mut ratio = RetryRatio::new(now, RatioOptions::default());
     fastest_ns(|_| {
         let mut credit = Credit::new(3);
         let failed_attempt = FailedAttempt {
@@ -232,6 +235,7 @@
             retried: false,
         };
         let _ = black_box(decide_retry(
+            now,
             options,
             failed_attempt,
             &mut credit,
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -7,7 +7,9 @@
 use super::scenario::Scenario;
 use super::server::{CallId, Outcome, Server};
 use indigospur_admission::{Arrival, Completion};
-use indigospur_budget::{Credit, FailedAttempt, RetryOptions, RetryRatio, decide_retry};
+use indigospur_budget::{
+    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, decide_retry,
+};
 use indigospur_protocol::{HostId, Kind, Member, Refusal, State};
 use indigospur_routing::{AttemptResult, Criteria, Router};
 use rand::rngs::SmallRng;
@@ -165,7 +167,10 @@
             servers,
             first_server,
             router,
-            retry_ratios: vec![RetryRatio::default(); scenario.services.len()],
+            retry_ratios: vec![
+                RetryRatio::new(start, RatioOptions::default());
+                scenario.services.len()
+            ],
             requests: Vec::new(),
             calls: Vec::new(),
             customers: customers.collect(),
@@ -339,7 +344,7 @@
             return;
         }
         self.stats.first_attempts += 1;
-        self.retry_ratios[service + 1].earn();
+        self.retry_ratios[service + 1].earn(self.now);
         let child_credit = self.calls[call].lent.lend();
         let retries = if self.policy == Policy::StaticRetries {
             RETRIES_PER_HOP
@@ -435,6 +440,7 @@
                 retried: false,
             };
             if decide_retry(
+                self.now,
                 options,
                 failed_attempt,
                 &mut credit,
--- a/crates/indigospur-budget/src/decision.rs
+++ b/crates/indigospur-budget/src/decision.rs
@@ -3,7 +3,7 @@
 use crate::credit::Credit;
 use crate::ratio::RetryRatio;
 use indigospur_protocol::{Class, Kind, Ran, Refusal, RetryReason};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Properties of a call that the retry decision depends on.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +57,7 @@
 /// # Errors
 /// The reason why the call is not retried.
 pub fn decide_retry(
+    now: Instant,
     options: RetryOptions,
     failed: FailedAttempt<'_>,
     credit: &mut Credit,
@@ -88,7 +89,7 @@
     if credit.left() == 0 && !without_credit {
         return Err(RetryReason::CreditSpent);
     }
-    if !ratio.spend(options.class) {
+    if !ratio.spend(now, options.class) {
         return Err(RetryReason::RatioSpent);
     }
     if !without_credit {
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -8,6 +8,7 @@
 mod ratio;
 mod request_counts;
 mod transmissions;
+mod window;
 
 pub use credit::Credit;
 pub use decision::{
@@ -17,3 +18,4 @@
 pub use ratio::{RatioOptions, RetryRatio};
 pub use request_counts::RequestCounts;
 pub use transmissions::{SenderId, TransmissionNumber, Transmissions};
+pub use window::WindowOptions;
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -1,7 +1,9 @@
-//! Token bucket that limits the ratio of retries to first attempts on one link.
+//! Limit on the ratio of retries to first attempts on one link: a token bucket, or a sliding window.
 
 use crate::cutoff::ClassCutoff;
+use crate::window::{RetryWindow, WindowOptions};
 use indigospur_protocol::Class;
+use std::time::Instant;
 
 /// Largest debt in retries, so that a burst of repeats that can't be refused does not block other
 /// retries for long.
@@ -12,8 +14,10 @@
 pub struct RatioOptions {
     /// Number of retries earned by a hundred first attempts.
     pub percent: u32,
-    /// Capacity of the bucket in retries; at least one.
+    /// Capacity of the bucket in retries; at least one. Not used with a window.
     pub capacity: f64,
+    /// Sliding window in place of the bucket; `None` for the bucket.
+    pub window: Option<WindowOptions>,
 }
 
 impl Default for RatioOptions {
@@ -21,6 +25,7 @@
         RatioOptions {
             percent: 10,
             capacity: 10.0,
+            window: None,
         }
     }
 }
@@ -28,7 +33,10 @@
 /// A token bucket that first attempts fill and retries drain, so that retries stay below a share of
 /// the calls however many fail. While there are too few for all, calls of the higher-priority
 /// classes get them.
-#[derive(Clone, Copy, Debug)]
+///
+/// The bucket starts full and saves little. The second form, a sliding window, lets the first sends of
+/// the last two windows pay for retries now.
+#[derive(Clone, Debug)]
 pub struct RetryRatio {
     options: RatioOptions,
     /// Retries in the bucket; at most the capacity in `options`.
@@ -36,33 +44,44 @@
     /// Repeats still to be paid for; zero while `level` is positive.
     debt: f64,
     cutoff: ClassCutoff,
-}
-
-impl Default for RetryRatio {
-    fn default() -> Self {
-        RetryRatio::new(RatioOptions::default())
-    }
+    /// Present if the options ask for a window; the bucket is not used then.
+    window: Option<RetryWindow>,
 }
 
 impl RetryRatio {
-    /// Creates a full bucket.
-    pub fn new(options: RatioOptions) -> RetryRatio {
+    /// Creates a full bucket, or an empty window.
+    pub fn new(now: Instant, options: RatioOptions) -> RetryRatio {
         RetryRatio {
             options,
             level: options.capacity,
             debt: 0.0,
             cutoff: ClassCutoff::default(),
+            window: options.window.map(|window| RetryWindow::new(now, window)),
         }
     }
 
-    /// Changes fill rate and capacity; retries beyond the new capacity are dropped.
-    pub fn set_options(&mut self, options: RatioOptions) {
+    /// Changes form, fill rate and capacity; retries beyond the new capacity are dropped.
+    pub fn set_options(&mut self, now: Instant, options: RatioOptions) {
+        let has_percent_changed = options.percent != self.options.percent;
         self.options = options;
         self.level = self.level.min(options.capacity);
+        if has_percent_changed && let Some(window) = &mut self.window {
+            window.forget_available();
+        }
+        match (&mut self.window, options.window) {
+            (Some(window), Some(changed)) => window.set_options(now, changed),
+            (window, changed) => {
+                *window = changed.map(|changed| RetryWindow::new(now, changed));
+            }
+        }
     }
 
     /// Adds the share of a retry that a first attempt earns.
-    pub fn earn(&mut self) {
+    pub fn earn(&mut self, now: Instant) {
+        if let Some(window) = &mut self.window {
+            window.count_first(now);
+            return;
+        }
         let level = self.level + f64::from(self.options.percent) / 100.0;
         if level > self.options.capacity {
             self.cutoff.relax();
@@ -71,9 +90,13 @@
         self.pay_debt();
     }
 
-    /// Charges for a repeat that can't be refused; if the bucket is empty, the following earnings
-    /// pay for it first.
-    pub fn charge(&mut self) {
+    /// Charges for a repeat that can't be refused; the earnings that follow an empty bucket pay for it
+    /// first.
+    pub fn charge(&mut self, now: Instant) {
+        if let Some(window) = &mut self.window {
+            window.count_repeat(now);
+            return;
+        }
         self.debt = (self.debt + 1.0).min(MAX_DEBT);
         self.pay_debt();
     }
@@ -84,9 +107,16 @@
         self.level -= paid;
     }
 
-    /// Takes a retry from the bucket; false if it is empty, or if the class is cut off in favour of
-    /// higher-priority ones.
-    pub fn spend(&mut self, class: Class) -> bool {
+    /// Takes a retry; false if none is left, or if the class is cut off in favour of higher-priority
+    /// ones.
+    pub fn spend(&mut self, now: Instant, class: Class) -> bool {
+        if let Some(window) = &mut self.window {
+            let allowed = window.available(now, self.options.percent) >= 1.0;
+            if allowed {
+                window.count_repeat(now);
+            }
+            return allowed;
+        }
         if !self.cutoff.allows(class) {
             return false;
         }
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -65,6 +65,10 @@
     }
 }
 
+fn bucket() -> RetryRatio {
+    RetryRatio::new(Instant::now(), RatioOptions::default())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -98,11 +102,12 @@
 
 #[test]
 fn retries_on_a_link_stay_within_a_tenth_of_the_first_attempts() {
-    let mut ratio = RetryRatio::default();
+    let now = Instant::now();
+    let mut ratio = bucket();
     let mut retries = 0;
     for _ in 0..10_000 {
-        ratio.earn();
-        retries += u32::from(ratio.spend(0));
+        ratio.earn(now);
+        retries += u32::from(ratio.spend(now, 0));
     }
     assert!(retries <= 1_010, "{retries}");
 }
@@ -149,7 +154,8 @@
             retried,
         };
         let mut credit = Credit::new(left);
-        let decision = decide_retry(options, attempted, &mut credit, &mut RetryRatio::default());
+        let now = Instant::now();
+        let decision = decide_retry(now, options, attempted, &mut credit, &mut bucket());
         assert_eq!(decision, expected, "{kind:?}");
         assert_eq!(credit.left(), left - u32::from(expected.is_ok()));
     }
@@ -173,10 +179,11 @@
             retried: false,
         };
         decide_retry(
+            Instant::now(),
             options,
             attempted,
             &mut Credit::default(),
-            &mut RetryRatio::default(),
+            &mut bucket(),
         )
     };
     for kind in [Kind::NotReady, Kind::Draining, Kind::ConnectFailed] {
@@ -207,17 +214,18 @@
 /// When a parent call is run again, its child calls are repeats too and can't be refused.
 #[test]
 fn repeats_forced_by_a_repeated_parent_call_count_against_the_ratio() {
-    let mut ratio = RetryRatio::default();
+    let now = Instant::now();
+    let mut ratio = bucket();
     let mut retries = 0;
     let mut repeats = 0;
     for call in 0..10_000 {
         if call % 20 == 0 {
-            ratio.charge();
+            ratio.charge(now);
             repeats += 1;
         } else {
-            ratio.earn();
+            ratio.earn(now);
         }
-        retries += u32::from(ratio.spend(0));
+        retries += u32::from(ratio.spend(now, 0));
     }
     assert!(retries + repeats <= 1_000 + 10, "{retries} {repeats}");
     assert!(retries > 300, "{retries}");
@@ -226,6 +234,8 @@
 /// Simulates a service whose upstreams refuse 55 in 100 calls although they have capacity. Requests
 /// of two classes each make four successive calls to it, many at a time, from several daemons.
 struct Shedding {
+    /// The bucket does not depend on the time.
+    now: Instant,
     rng: SmallRng,
     ratios: Vec<RetryRatio>,
     /// Class, daemon and number of calls left of each request in progress.
@@ -243,13 +253,16 @@
     const UPSTREAMS: u32 = 3;
 
     fn new(daemons: usize, capacity: f64) -> Shedding {
+        let now = Instant::now();
         let options = RatioOptions {
             percent: 16,
             capacity,
+            window: None,
         };
         Shedding {
+            now,
             rng: SmallRng::seed_from_u64(3),
-            ratios: vec![RetryRatio::new(options); daemons],
+            ratios: vec![RetryRatio::new(now, options); daemons],
             in_progress: Vec::new(),
             started: [0; 2],
             completed: [0; 2],
@@ -276,7 +289,7 @@
 
     fn call(&mut self, index: usize, retry_class: &impl Fn(Class) -> Class) {
         let (class, daemon, calls_left) = self.in_progress[index];
-        self.ratios[daemon].earn();
+        self.ratios[daemon].earn(self.now);
         self.first += 1;
         let mut free_sheds = Shedding::UPSTREAMS - 1;
         while self.rng.random_bool(Shedding::SHED_PROBABILITY) {
@@ -294,7 +307,8 @@
                 retried: false,
             };
             let credit = &mut Credit::new(0);
-            if decide_retry(options, attempted, credit, &mut self.ratios[daemon]).is_err() {
+            let ratio = &mut self.ratios[daemon];
+            if decide_retry(self.now, options, attempted, credit, ratio).is_err() {
                 self.in_progress.swap_remove(index);
                 return;
             }
@@ -333,11 +347,16 @@
 /// In a large installation the bucket of each daemon holds only one or two retries.
 #[test]
 fn low_priority_calls_may_retry_even_with_a_small_bucket() {
+    let now = Instant::now();
     for capacity in [1.0, 1.9, 3.0, 5.0] {
-        let mut ratio = RetryRatio::new(RatioOptions {
-            percent: 16,
-            capacity,
-        });
-        assert!(ratio.spend(2), "{capacity}");
+        let mut ratio = RetryRatio::new(
+            now,
+            RatioOptions {
+                percent: 16,
+                capacity,
+                window: None,
+            },
+        );
+        assert!(ratio.spend(now, 2), "{capacity}");
     }
 }
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -4,7 +4,7 @@
 use crate::deadline::{Deadline, Moment};
 use crate::{inbound, peers};
 use indigospur_budget::{
-    Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry, is_passed_over,
+    Credit, FailedAttempt, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
 };
 use indigospur_protocol::{
@@ -319,11 +319,14 @@
 /// Counts a call in the retry ratio of its service: as a retry if it is nested in a call that is
 /// itself a retry, else as a first attempt.
 fn count_in_ratio(daemon: &Daemon, message: &RelayMessage) {
-    if message.context.repeated {
-        daemon.with_retry_ratio(&message.call.service, RetryRatio::charge);
-    } else {
-        daemon.with_retry_ratio(&message.call.service, RetryRatio::earn);
-    }
+    let now = Instant::now();
+    daemon.with_retry_ratio(&message.call.service, now, |ratio| {
+        if message.context.repeated {
+            ratio.charge(now);
+        } else {
+            ratio.earn(now);
+        }
+    });
 }
 
 /// Decides whether to retry after a failed attempt, spends what the retry costs and logs the
@@ -340,6 +343,7 @@
     if refusal.ran != Ran::No {
         progress.runs_left = progress.runs_left.saturating_sub(1);
     }
+    let now = Instant::now();
     let options = RetryOptions {
         idempotent: message.context.idempotent,
         remaining: progress.deadline.remaining(Moment::now()),
@@ -351,8 +355,8 @@
     let credit = &mut progress.credit;
     let decision = match progress.runs_left {
         0 => Err(RetryReason::AttemptsSpent),
-        _ => daemon.with_retry_ratio(service, |ratio| {
-            decide_retry(options, failed_attempt, credit, ratio)
+        _ => daemon.with_retry_ratio(service, now, |ratio| {
+            decide_retry(now, options, failed_attempt, credit, ratio)
         }),
     };
     let (Ok(reason) | Err(reason)) = decision;
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -92,6 +92,9 @@
     /// Maximum number of unused retries to one service that all daemons together accumulate
     /// (`retries.fleet`).
     pub fleet_retry_capacity: u32,
+    /// Length of the window in which retries are bounded (`retries.window`); `None` if they are bounded
+    /// by what a daemon accumulates.
+    pub retry_window: Option<Duration>,
 }
 
 impl Settings {
@@ -237,6 +240,7 @@
         retry_percent: as_u32(retries.integer("percent", 0..=100)).unwrap_or(10),
         retry_capacity: as_u32(retries.integer("saved", 1..=100_000)).unwrap_or(10),
         fleet_retry_capacity: as_u32(retries.integer("fleet", 1..=1_000_000)).unwrap_or(100_000),
+        retry_window: retries.duration("window", SECOND..=SECOND * 600),
     };
     for table in [host, listen, log, peers, limits, keys, retries] {
         table.finish();
