Give the retries of a window to whole requests, those of few calls first

Retries that are spread evenly finish hardly any request of four calls at a service that refuses 55 %. With retries.window they go to requests in the order class, then rank x number of calls, computed where a request arrives and carried in Context.retry_order. The cutoff in that order is where the retries that requests below it need, from the first sends of the last two windows and the refused share, come at the pace of the window. Calls below it need no credit for a backend server's own refusal, may be sent 15 times more, to an upstream that refused them too once all were tried, and although calls below them were retried. Work counts the calls that were answered; a request refused on arrival is not counted as sent.

The number of calls is that to the service called most: all calls together would put a request last that makes one call to the shedding service behind ten others. Ruled out: moving the cutoff in steps when the window runs short. At the start of a fault a step must be large, and between one-call and four-call requests and between classes there are wide gaps without requests; sorting what is sent has neither.

--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -4,8 +4,9 @@
 //! request is wasted. So a request is refused here, before any work, when a service further down
 //! its chain is full: lowest-priority classes first, and an even share of the requests of a class.
 
+use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
-use indigospur_protocol::{Class, ServiceName, Work};
+use indigospur_protocol::{Class, Rank, RetryOrder, ServiceName, Work};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -110,6 +111,7 @@
 pub struct IngressAdmission {
     /// Mean slot time of a request at each service, by rule.
     costs: HashMap<Arc<str>, HashMap<ServiceName, Duration>>,
+    needs: CallNeeds,
     controllers: HashMap<ServiceName, Controller>,
     /// Accumulated refused shares by class. When the sum reaches one, a request is refused and one
     /// is subtracted, which spreads the refusals evenly.
@@ -122,6 +124,7 @@
     pub fn new(seed: u64) -> IngressAdmission {
         IngressAdmission {
             costs: HashMap::new(),
+            needs: CallNeeds::default(),
             controllers: HashMap::new(),
             shed_fractions: HashMap::new(),
             jitter_state: seed,
@@ -148,6 +151,20 @@
         }
     }
 
+    /// Updates the mean numbers of calls of a rule by those of one request that succeeded. One that
+    /// failed may have made a part of its calls only.
+    pub fn record_calls(&mut self, rule: &Arc<str>, work: &[Work]) {
+        self.needs.record(rule, work);
+    }
+
+    /// Position of a request among those that compete for retries, by the calls that requests of its
+    /// rule make to the service that they call most.
+    pub fn retry_order(&self, rule: Option<&str>, class: Class, rank: Rank) -> RetryOrder {
+        let needs = rule.into_iter().flat_map(|rule| self.needs.of(rule));
+        let most = needs.map(|(_, calls)| calls).fold(1.0, f64::max);
+        retry_order(class, rank, most)
+    }
+
     /// Decides whether a request is admitted.
     ///
     /// # Errors
--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -9,6 +9,7 @@
 mod fair_queue;
 mod ingress;
 mod limit;
+mod needs;
 mod pressure;
 mod queue;
 mod rate_limiter;
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -133,6 +133,7 @@
                 let work = Work {
                     service: BOTTLENECK.into(),
                     time: Duration::from_millis(220),
+                    calls: CALLS_PER_REQUEST,
                 };
                 daemon.record_work(&kind.rule.into(), &[work]);
             }
--- a/crates/indigospur-admission/tests/shedding/main.rs
+++ b/crates/indigospur-admission/tests/shedding/main.rs
@@ -5,6 +5,7 @@
 mod bound;
 mod model;
 
+use bound::Tightest;
 use model::{Outcome, Policy, RequestKind, Simulation};
 
 /// Ratio of repeats to first arrivals that the bound allows, and repeats beyond it for 80 daemons.
@@ -47,6 +48,12 @@
     100.0 * f64::from(part) / f64::from(whole)
 }
 
+/// The 10 s in which repeats come closest to the bound.
+fn tightest(outcome: &Outcome) -> Tightest {
+    let slack = BOUND_SLACK * outcome.daemons as f64 / 80.0;
+    outcome.arrivals.tightest(BOUND_RATIO, slack)
+}
+
 /// Prints the figures for the design notes.
 fn print(name: &str, outcome: &Outcome) {
     println!("{name}, {} daemons", outcome.daemons);
@@ -69,8 +76,7 @@
             kind.rule, tally.offered
         );
     }
-    let slack = BOUND_SLACK * outcome.daemons as f64 / 80.0;
-    let tightest = outcome.arrivals.tightest(BOUND_RATIO, slack);
+    let tightest = tightest(outcome);
     println!(
         "  {} repeats of {:.0} allowed in the 10 s up to {} s",
         tightest.repeats, tightest.allowed, tightest.end
@@ -95,3 +101,30 @@
     let failed = |kind: usize| percent(outcome.during[kind].failed, outcome.during[kind].offered);
     assert!(failed(EIGHT) > 50.0);
 }
+
+/// Retries that are spread over all requests finish few of several calls, whoever pays for them. Callers
+/// do not send failed requests again here: nothing refuses those before admission at ingress does.
+#[test]
+fn retries_go_to_whole_requests_with_few_calls_first() {
+    let mut kinds = KINDS;
+    kinds[FOUR].resends = false;
+    for size in [20, 80] {
+        let spread = Simulation::new(1, size, &kinds, Policy::Window).run();
+        print("retry window, first come first served, no resends", &spread);
+        let ordered = Simulation::new(1, size, &kinds, Policy::Order).run();
+        print("retry window, whole requests first, no resends", &ordered);
+        let finished = |outcome: &Outcome| {
+            let tally = outcome.during[ONE];
+            percent(tally.finished, tally.offered)
+        };
+        assert!(finished(&spread) < 70.0);
+        assert!(finished(&ordered) > 85.0);
+        for outcome in [&spread, &ordered] {
+            let tightest = tightest(outcome);
+            assert!(
+                f64::from(tightest.repeats) <= tightest.allowed,
+                "{tightest:?}"
+            );
+        }
+    }
+}
--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -4,9 +4,10 @@
 use crate::bound::Arrivals;
 use indigospur_admission::{IngressAdmission, IngressRequest, Pressures};
 use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, WindowOptions, decide_retry,
+    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, WindowOptions,
+    decide_retry,
 };
-use indigospur_protocol::{Class, Kind, Pressure, Refusal, Work};
+use indigospur_protocol::{Class, Kind, Pressure, Refusal, RetryOrder, Work};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -30,8 +31,10 @@
 const FLEET_SLACK: f64 = 100.0;
 /// Retry credit of a request.
 const CREDIT: u32 = 3;
-/// Refusals by upstreams after which a call is sent again without credit.
+/// Refusals by upstreams after which a call is sent again without credit: with the bucket, and with
+/// the window.
 const FREE_SHEDS: u32 = 2;
+const WINDOW_SHEDS: u32 = 15;
 
 /// What decides on retries and at entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +43,8 @@
     Bucket,
     /// The retry window, first come first served.
     Window,
+    /// The retries of the window go to whole requests.
+    Order,
 }
 
 /// A kind of request.
@@ -101,6 +106,7 @@
     first: u64,
     /// Number of times that the caller has sent it before.
     attempt: u32,
+    order: RetryOrder,
     /// Whether an earlier sending was let in.
     was_let_in: bool,
     credit: Credit,
@@ -117,6 +123,7 @@
 }
 
 pub(crate) struct Simulation {
+    policy: Policy,
     start: Instant,
     micros: u64,
     rng: SmallRng,
@@ -153,6 +160,7 @@
                 let work = Work {
                     service: SERVICE.into(),
                     time: WORK * calls,
+                    calls,
                 };
                 ingress.record_work(&kind.rule.into(), &[work]);
             }
@@ -163,6 +171,7 @@
             }
         });
         Simulation {
+            policy,
             start,
             micros: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -190,7 +199,8 @@
                 for _ in 0..count {
                     let ingress = self.rng.random_range(0..self.daemons.len());
                     let at = millis * 1_000 + self.rng.random_range(0..1_000);
-                    let request = self.request(kind, ingress, at, 0, false);
+                    let order = self.retry_order(kind);
+                    let request = self.request(kind, ingress, at, order);
                     self.schedule(at, Event::Arrive(request));
                     self.tally(request, |tally| tally.offered += 1);
                 }
@@ -201,21 +211,26 @@
         self.outcome
     }
 
-    fn request(
-        &mut self,
-        kind: usize,
-        ingress: usize,
-        first: u64,
-        attempt: u32,
-        was_let_in: bool,
-    ) -> usize {
+    fn retry_order(&mut self, kind: usize) -> RetryOrder {
+        if self.policy < Policy::Order {
+            return 0;
+        }
+        let rank = (1 << 24) + self.rng.random_range(0..1_u64 << 24);
+        let kind = &self.kinds[kind];
+        let calls = kind.branches as u64 * u64::from(kind.calls);
+        (u64::from(kind.class) << 32) | (rank * calls)
+    }
+
+    /// Adds a request that a caller first sends at the time `first`.
+    fn request(&mut self, kind: usize, ingress: usize, first: u64, order: RetryOrder) -> usize {
         self.requests.push(Request {
             kind,
             ingress,
             first,
-            attempt,
-            was_let_in,
-            credit: Credit::new(if attempt == 0 { CREDIT } else { 0 }),
+            attempt: 0,
+            order,
+            was_let_in: false,
+            credit: Credit::new(CREDIT),
             branches: Vec::new(),
             ran: 0,
             failed: false,
@@ -223,6 +238,23 @@
         self.requests.len() - 1
     }
 
+    /// Adds a request that its caller sends again.
+    fn request_again(&mut self, request: usize, was_let_in: bool) -> usize {
+        let Request {
+            kind,
+            ingress,
+            first,
+            order,
+            ..
+        } = self.requests[request];
+        let again = self.request(kind, ingress, first, order);
+        let state = &mut self.requests[again];
+        state.attempt = 1;
+        state.was_let_in = was_let_in;
+        state.credit = Credit::new(0);
+        again
+    }
+
     fn now(&self) -> Instant {
         self.start + Duration::from_micros(self.micros)
     }
@@ -272,10 +304,10 @@
         let admitted = daemon
             .ingress
             .admit(now, ingress_request, &daemon.pressures);
-        let (first, attempt, was_let_in) = (state.first, state.attempt, state.was_let_in);
+        let (attempt, was_let_in) = (state.attempt, state.was_let_in);
         if let Err(refusal) = admitted {
             if attempt == 0 {
-                let back = self.request(state.kind, state.ingress, first, 1, was_let_in);
+                let back = self.request_again(request, was_let_in);
                 let at = self.micros + refusal.retry_after.as_micros() as u64;
                 self.schedule(at, Event::Arrive(back));
             } else if was_let_in {
@@ -305,14 +337,18 @@
         let lent = state.credit.lend();
         let progress = &mut state.branches[branch];
         progress.credit = lent;
-        progress.free_sheds = FREE_SHEDS;
+        progress.free_sheds = if self.policy < Policy::Order {
+            FREE_SHEDS
+        } else {
+            WINDOW_SHEDS
+        };
         progress.deadline = now + CALL_DEADLINE;
         progress.tried.clear();
         let ratio = &mut self.daemons[progress.daemon].ratio;
         if state.attempt > 0 {
             ratio.charge(now);
         } else {
-            ratio.earn(now);
+            ratio.earn(now, state.order);
         }
         let is_repeat = state.was_let_in;
         self.send(request, branch, is_repeat);
@@ -320,6 +356,9 @@
 
     fn send(&mut self, request: usize, branch: usize, is_repeat: bool) {
         let progress = &mut self.requests[request].branches[branch];
+        if self.policy >= Policy::Order && progress.tried.len() == UPSTREAMS {
+            progress.tried.clear();
+        }
         let untried: Vec<usize> = (0..UPSTREAMS)
             .filter(|upstream| !progress.tried.contains(upstream))
             .collect();
@@ -364,16 +403,21 @@
             expected: WORK,
             free_failovers: 0,
             free_sheds: progress.free_sheds,
-            class: kind.class,
+            claim: RetryClaim {
+                class: kind.class,
+                order: state.order,
+                fleet: None,
+            },
         };
         let failed_attempt = FailedAttempt {
             refusal: &refusal,
             retried: false,
         };
         let ratio = &mut self.daemons[daemon].ratio;
+        ratio.record(now, true);
         let decision = decide_retry(now, options, failed_attempt, &mut progress.credit, ratio);
         progress.free_sheds = progress.free_sheds.saturating_sub(1);
-        let has_untried = progress.tried.len() < UPSTREAMS;
+        let has_untried = self.policy >= Policy::Order || progress.tried.len() < UPSTREAMS;
         self.observe(daemon);
         if decision.is_ok() && has_untried {
             self.send(request, branch, true);
@@ -387,6 +431,7 @@
         let state = &mut self.requests[request];
         let progress = &mut state.branches[branch];
         let daemon = progress.daemon;
+        self.daemons[daemon].ratio.record(now, false);
         if now > progress.deadline {
             self.fail(request, branch);
             return;
@@ -421,13 +466,7 @@
         let resends = self.kinds[state.kind].resends && state.attempt == 0;
         self.tally(request, |tally| tally.wasted += ran);
         if resends {
-            let Request {
-                kind,
-                ingress,
-                first,
-                ..
-            } = self.requests[request];
-            let again = self.request(kind, ingress, first, 1, true);
+            let again = self.request_again(request, true);
             self.schedule(self.micros + HOP_MICROS, Event::Arrive(again));
         } else {
             self.tally(request, |tally| tally.failed += 1);
--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -4,7 +4,7 @@
 use indigospur_admission::{Admission, Arrival, Completion, LimitPolicy, Options, Verdict};
 use indigospur_bench::Table;
 use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, decide_retry,
+    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, decide_retry,
 };
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{EpochRecord, Key, Kind, Member, MemberId, Refusal, State};
@@ -224,7 +224,7 @@
         expected: Duration::from_millis(10),
         free_failovers: 0,
         free_sheds: 0,
-        class: 0,
+        claim: RetryClaim::default(),
     };
     let now = Instant::now();
     let mut ratio = RetryRatio::new(now, RatioOptions::default());
--- a/crates/indigospur-bench/src/overload/engine.rs
+++ b/crates/indigospur-bench/src/overload/engine.rs
@@ -8,7 +8,7 @@
 use super::server::{CallId, Outcome, Server};
 use indigospur_admission::{Arrival, Completion};
 use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RetryOptions, RetryRatio, decide_retry,
+    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, decide_retry,
 };
 use indigospur_protocol::{HostId, Kind, Member, Refusal, State};
 use indigospur_routing::{AttemptResult, Criteria, Router};
@@ -344,7 +344,7 @@
             return;
         }
         self.stats.first_attempts += 1;
-        self.retry_ratios[service + 1].earn(self.now);
+        self.retry_ratios[service + 1].earn(self.now, 0);
         let child_credit = self.calls[call].lent.lend();
         let retries = if self.policy == Policy::StaticRetries {
             RETRIES_PER_HOP
@@ -433,7 +433,7 @@
                 expected: self.scenario.services[service].service_time,
                 free_failovers: 0,
                 free_sheds: 0,
-                class: 0,
+                claim: RetryClaim::default(),
             };
             let failed_attempt = FailedAttempt {
                 refusal: &refusal,
--- a/crates/indigospur-bench/src/overload/engine/callers.rs
+++ b/crates/indigospur-bench/src/overload/engine/callers.rs
@@ -68,7 +68,7 @@
             0
         };
         self.stats.first_attempts += 1;
-        self.retry_ratios[0].earn(self.now);
+        self.retry_ratios[0].earn(self.now, 0);
         self.start_attempt(
             request,
             0,
--- a/crates/indigospur-budget/src/decision.rs
+++ b/crates/indigospur-budget/src/decision.rs
@@ -1,8 +1,8 @@
 //! The decision whether to retry a failed attempt.
 
 use crate::credit::Credit;
-use crate::ratio::RetryRatio;
-use indigospur_protocol::{Class, Kind, Ran, Refusal, RetryReason};
+use crate::ratio::{RetryClaim, RetryRatio};
+use indigospur_protocol::{Kind, Ran, Refusal, RetryReason};
 use std::time::{Duration, Instant};
 
 /// Properties of a call that the retry decision depends on.
@@ -20,8 +20,8 @@
     /// Number of refusals by backend servers themselves after which the call may still be sent to
     /// another upstream without credit.
     pub free_sheds: u32,
-    /// Priority class of the call; zero has the highest priority for retries.
-    pub class: Class,
+    /// Priority and position of the call among those that compete for retries.
+    pub claim: RetryClaim,
 }
 
 /// A failed attempt.
@@ -52,7 +52,9 @@
 /// draining or at its rate limit, is passed over without credit, `free_failovers` times in a call.
 /// No work was done there that a retry would repeat, and the credit is kept for failures that cost
 /// work. A backend server that refused the call itself is passed over without credit too,
-/// `free_sheds` times, but within the ratio, since the refused attempt put load on it.
+/// `free_sheds` times, but within the ratio, since the refused attempt put load on it. With a retry
+/// window this holds where retries were made below too: the window decides which requests get all
+/// the retries that they need.
 ///
 /// # Errors
 /// The reason why the call is not retried.
@@ -75,7 +77,8 @@
     if reason == RetryReason::Idempotent && !options.idempotent {
         return Err(RetryReason::MayHaveRun);
     }
-    if failed.retried {
+    let is_shed = refusal.kind == Kind::BackendShed && refusal.ran == Ran::No;
+    if failed.retried && !(is_shed && ratio.has_window()) {
         return Err(RetryReason::RetriedBelow);
     }
     if options.remaining <= options.expected {
@@ -84,12 +87,11 @@
     if is_passed_over(refusal) && options.free_failovers > 0 {
         return Ok(reason);
     }
-    let without_credit =
-        refusal.kind == Kind::BackendShed && refusal.ran == Ran::No && options.free_sheds > 0;
+    let without_credit = is_shed && options.free_sheds > 0;
     if credit.left() == 0 && !without_credit {
         return Err(RetryReason::CreditSpent);
     }
-    if !ratio.spend(now, options.class) {
+    if !ratio.spend(now, options.claim) {
         return Err(RetryReason::RatioSpent);
     }
     if !without_credit {
--- a/crates/indigospur-budget/src/ledger.rs
+++ b/crates/indigospur-budget/src/ledger.rs
@@ -35,14 +35,17 @@
     pub work: Vec<Work>,
 }
 
-/// Adds slot times to a total by service; the total has one entry for each service.
+/// Adds slot times and calls to a total by service; the total has one entry for each service.
 pub fn add_work(totals: &mut Vec<Work>, added: &[Work]) {
     for work in added {
         match totals
             .iter_mut()
             .find(|total| total.service == work.service)
         {
-            Some(total) => total.time += work.time,
+            Some(total) => {
+                total.time += work.time;
+                total.calls = total.calls.saturating_add(work.calls);
+            }
             None => totals.push(work.clone()),
         }
     }
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -5,6 +5,7 @@
 mod cutoff;
 mod decision;
 mod ledger;
+mod order_cutoff;
 mod ratio;
 mod request_counts;
 mod transmissions;
@@ -15,7 +16,8 @@
     FailedAttempt, RetryOptions, decide_retry, is_passed_over, is_upstream_unavailable,
 };
 pub use ledger::{ClosedCall, Ledger, Token, add_work};
-pub use ratio::{RatioOptions, RetryRatio};
+pub use order_cutoff::RetryStatus;
+pub use ratio::{RatioOptions, RetryClaim, RetryRatio};
 pub use request_counts::RequestCounts;
 pub use transmissions::{SenderId, TransmissionNumber, Transmissions};
 pub use window::WindowOptions;
--- a/crates/indigospur-budget/src/ratio.rs
+++ b/crates/indigospur-budget/src/ratio.rs
@@ -1,8 +1,9 @@
 //! Limit on the ratio of retries to first attempts on one link: a token bucket, or a sliding window.
 
 use crate::cutoff::ClassCutoff;
+use crate::order_cutoff::{OrderCutoff, RetryStatus};
 use crate::window::{RetryWindow, WindowOptions};
-use indigospur_protocol::Class;
+use indigospur_protocol::{Class, RetryOrder};
 use std::time::Instant;
 
 /// Largest debt in retries, so that a burst of repeats that can't be refused does not block other
@@ -30,6 +31,17 @@
     }
 }
 
+/// A call that asks for a retry.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RetryClaim {
+    /// Priority class; decides where a bucket runs short.
+    pub class: Class,
+    /// Position among the requests that compete for retries; decides where a window runs short.
+    pub order: RetryOrder,
+    /// What the daemons that call the service report on it, if known.
+    pub fleet: Option<RetryStatus>,
+}
+
 /// A token bucket that first attempts fill and retries drain, so that retries stay below a share of
 /// the calls however many fail. While there are too few for all, calls of the higher-priority
 /// classes get them.
@@ -46,6 +58,8 @@
     cutoff: ClassCutoff,
     /// Present if the options ask for a window; the bucket is not used then.
     window: Option<RetryWindow>,
+    /// Used with the window.
+    order_cutoff: OrderCutoff,
 }
 
 impl RetryRatio {
@@ -57,6 +71,7 @@
             debt: 0.0,
             cutoff: ClassCutoff::default(),
             window: options.window.map(|window| RetryWindow::new(now, window)),
+            order_cutoff: OrderCutoff::new(now),
         }
     }
 
@@ -76,10 +91,25 @@
         }
     }
 
-    /// Adds the share of a retry that a first attempt earns.
-    pub fn earn(&mut self, now: Instant) {
+    /// Whether retries are bounded by a window.
+    pub fn has_window(&self) -> bool {
+        self.window.is_some()
+    }
+
+    /// Records whether a backend server of the service refused an attempt itself.
+    pub fn record(&mut self, now: Instant, refused: bool) {
+        self.order_cutoff.record(now, refused);
+    }
+
+    /// The share of attempts that the service refuses, and the cutoff; `None` without a window.
+    pub fn status(&self, now: Instant) -> Option<RetryStatus> {
+        self.has_window().then(|| self.order_cutoff.status(now))
+    }
+
+    /// Adds the share of a retry that a first attempt at a call of this position earns.
+    pub fn earn(&mut self, now: Instant, order: RetryOrder) {
         if let Some(window) = &mut self.window {
-            window.count_first(now);
+            window.count_first(now, order);
             return;
         }
         let level = self.level + f64::from(self.options.percent) / 100.0;
@@ -95,6 +125,7 @@
     pub fn charge(&mut self, now: Instant) {
         if let Some(window) = &mut self.window {
             window.count_repeat(now);
+            self.order_cutoff.count_repeat();
             return;
         }
         self.debt = (self.debt + 1.0).min(MAX_DEBT);
@@ -107,17 +138,20 @@
         self.level -= paid;
     }
 
-    /// Takes a retry; false if none is left, or if the class is cut off in favour of higher-priority
-    /// ones.
-    pub fn spend(&mut self, now: Instant, class: Class) -> bool {
+    /// Takes a retry; false if none is left, or if the call is cut off in favour of others: of
+    /// higher-priority classes with a bucket, of those before it in the retry order with a window.
+    pub fn spend(&mut self, now: Instant, claim: RetryClaim) -> bool {
         if let Some(window) = &mut self.window {
-            let allowed = window.available(now, self.options.percent) >= 1.0;
+            let percent = self.options.percent;
+            let below_cutoff = self.order_cutoff.allows(now, claim, window, percent);
+            let allowed = below_cutoff && window.available(now, percent) >= 1.0;
             if allowed {
                 window.count_repeat(now);
+                self.order_cutoff.count_repeat();
             }
             return allowed;
         }
-        if !self.cutoff.allows(class) {
+        if !self.cutoff.allows(claim.class) {
             return false;
         }
         if self.level < 1.0 {
--- a/crates/indigospur-budget/src/request_counts.rs
+++ b/crates/indigospur-budget/src/request_counts.rs
@@ -40,6 +40,17 @@
         0
     }
 
+    /// Takes back the last count of a request that was refused before anything was sent for it.
+    pub fn undo(&mut self, request: &RequestId) {
+        match self.counts.get_mut(request) {
+            Some(0) => {
+                self.counts.remove(request);
+            }
+            Some(count) => *count -= 1,
+            None => {}
+        }
+    }
+
     fn evict(&mut self, now: Instant) {
         while let Some((at, _)) = self.order.front() {
             let expired = now.saturating_duration_since(*at) > self.lifetime;
--- a/crates/indigospur-budget/src/window.rs
+++ b/crates/indigospur-budget/src/window.rs
@@ -1,5 +1,6 @@
 //! Bound on the repeats in a sliding window, paid for by the first sends of the last two windows.
 
+use indigospur_protocol::RetryOrder;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -26,11 +27,36 @@
     pub slack: f64,
 }
 
+/// Positions in the retry order that are kept of the first sends in a slot.
+const MAX_SAMPLES: usize = 16;
+
 /// Sends in one slot.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Slot {
     first: u32,
     repeats: u32,
+    /// Positions of every `stride`th first send; at most [`MAX_SAMPLES`].
+    samples: Vec<RetryOrder>,
+    /// Zero counts as one.
+    stride: u32,
+}
+
+impl Slot {
+    fn count_first(&mut self, order: RetryOrder) {
+        let stride = self.stride.max(1);
+        if self.first.is_multiple_of(stride) {
+            if self.samples.len() == MAX_SAMPLES {
+                let mut index = 0;
+                self.samples.retain(|_| {
+                    index += 1;
+                    index % 2 == 1
+                });
+                self.stride = stride * 2;
+            }
+            self.samples.push(order);
+        }
+        self.first += 1;
+    }
 }
 
 /// First sends and repeats of the last two windows.
@@ -93,10 +119,10 @@
     }
 
     /// Counts a first send.
-    pub(crate) fn count_first(&mut self, now: Instant) {
+    pub(crate) fn count_first(&mut self, now: Instant, order: RetryOrder) {
         self.advance(now);
         if let Some(slot) = self.slots.back_mut() {
-            slot.first += 1;
+            slot.count_first(order);
         }
         if self.available.is_some_and(|available| available < 1.0) {
             self.available = None;
@@ -131,6 +157,31 @@
     }
 }
 
+impl RetryWindow {
+    /// Repeats a second that use up what the greatest window allows within one window.
+    pub(crate) fn pace(&mut self, now: Instant, percent: u32) -> f64 {
+        self.advance(now);
+        let greatest = Totals::new(&self.slots).greatest(0);
+        let allowed = f64::from(percent) / 100.0 * greatest + self.options.slack;
+        allowed / self.options.length.as_secs_f64()
+    }
+
+    /// First sends a second by their position in the retry order, in ascending order of position,
+    /// over the slots kept; of a sample in each slot.
+    pub(crate) fn first_rates(&mut self, now: Instant) -> Vec<(RetryOrder, f64)> {
+        self.advance(now);
+        let kept = (self.current + 1).min(KEPT as u64) as f64;
+        let seconds = kept * self.options.length.as_secs_f64() / SLOTS as f64;
+        let mut rates: Vec<(RetryOrder, f64)> = Vec::new();
+        for slot in &self.slots {
+            let rate = f64::from(slot.first) / slot.samples.len().max(1) as f64 / seconds;
+            rates.extend(slot.samples.iter().map(|order| (*order, rate)));
+        }
+        rates.sort_by_key(|(order, _)| *order);
+        rates
+    }
+}
+
 /// Running totals over the slots.
 struct Totals {
     first: [u32; KEPT + 1],
@@ -156,19 +207,24 @@
         f64::from(self.first[to].saturating_sub(self.first[from]))
     }
 
+    /// First sends in the window that ends `ahead` slots after the current one, in the one before it
+    /// or in the one that starts half a window earlier, whichever has most.
+    fn greatest(&self, ahead: usize) -> f64 {
+        let (now, before) = (KEPT - 1 - SLOTS + ahead, ahead);
+        let half = now - SLOTS / 2;
+        self.first(now + 1, KEPT)
+            .max(self.first(half + 1, half + 1 + SLOTS))
+            .max(self.first(before + 1, before + 1 + SLOTS))
+    }
+
     /// Repeats left in a window that ends `ahead` slots after the current one, without slack. The slot
     /// in which the window begins counts as a whole for repeats, and not at all for the first sends
     /// in the sum over daemons.
     fn available(&self, ahead: usize, ratio: f64) -> f64 {
         let (now, before) = (KEPT - 1 - SLOTS + ahead, ahead);
-        let half = (now - SLOTS / 2).min(KEPT);
-        let greatest = self
-            .first(now + 1, KEPT)
-            .max(self.first(half + 1, half + 1 + SLOTS))
-            .max(self.first(before + 1, before + 1 + SLOTS));
         let summed = SUM_WEIGHTS.0 * self.first(now + 1, KEPT)
             + SUM_WEIGHTS.1 * self.first(before + 1, before + SLOTS);
         let repeats = self.repeats[KEPT] - self.repeats[now.min(KEPT)];
-        (ratio * greatest).min(BOUND_FACTOR * ratio * summed) - f64::from(repeats)
+        (ratio * self.greatest(ahead)).min(BOUND_FACTOR * ratio * summed) - f64::from(repeats)
     }
 }
--- a/crates/indigospur-budget/tests/budget.rs
+++ b/crates/indigospur-budget/tests/budget.rs
@@ -1,7 +1,8 @@
 //! Retry credit over call trees, the retry ratio and the retry decision.
 
 use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RequestCounts, RetryOptions, RetryRatio, decide_retry,
+    Credit, FailedAttempt, RatioOptions, RequestCounts, RetryClaim, RetryOptions, RetryRatio,
+    decide_retry,
 };
 use indigospur_protocol::{Class, Kind, Ran, Refusal, RetryReason};
 use proptest::prelude::*;
@@ -65,6 +66,13 @@
     }
 }
 
+fn claim(class: Class) -> RetryClaim {
+    RetryClaim {
+        class,
+        ..RetryClaim::default()
+    }
+}
+
 fn bucket() -> RetryRatio {
     RetryRatio::new(Instant::now(), RatioOptions::default())
 }
@@ -106,8 +114,8 @@
     let mut ratio = bucket();
     let mut retries = 0;
     for _ in 0..10_000 {
-        ratio.earn(now);
-        retries += u32::from(ratio.spend(now, 0));
+        ratio.earn(now, 0);
+        retries += u32::from(ratio.spend(now, claim(0)));
     }
     assert!(retries <= 1_010, "{retries}");
 }
@@ -147,7 +155,7 @@
             expected: Duration::from_millis(10),
             free_failovers: 0,
             free_sheds: 0,
-            class: 0,
+            claim: claim(0),
         };
         let attempted = FailedAttempt {
             refusal: &refusal,
@@ -172,7 +180,7 @@
             expected: long / 100,
             free_failovers,
             free_sheds: 0,
-            class: 0,
+            claim: claim(0),
         };
         let attempted = FailedAttempt {
             refusal: &refusal,
@@ -211,6 +219,18 @@
     assert_eq!(counts.count(now + Duration::from_secs(61), &id), 0);
 }
 
+/// The calls of a request that was refused at ingress and comes back are no repeats.
+#[test]
+fn a_request_refused_before_anything_was_sent_is_not_counted() {
+    let now = Instant::now();
+    let mut counts = RequestCounts::new(Duration::from_secs(60), 100);
+    let id = "r-1".into();
+    assert_eq!(counts.count(now, &id), 0);
+    counts.undo(&id);
+    assert_eq!(counts.count(now, &id), 0);
+    assert_eq!(counts.count(now, &id), 1);
+}
+
 /// When a parent call is run again, its child calls are repeats too and can't be refused.
 #[test]
 fn repeats_forced_by_a_repeated_parent_call_count_against_the_ratio() {
@@ -223,9 +243,9 @@
             ratio.charge(now);
             repeats += 1;
         } else {
-            ratio.earn(now);
+            ratio.earn(now, 0);
         }
-        retries += u32::from(ratio.spend(now, 0));
+        retries += u32::from(ratio.spend(now, claim(0)));
     }
     assert!(retries + repeats <= 1_000 + 10, "{retries} {repeats}");
     assert!(retries > 300, "{retries}");
@@ -289,7 +309,7 @@
 
     fn call(&mut self, index: usize, retry_class: &impl Fn(Class) -> Class) {
         let (class, daemon, calls_left) = self.in_progress[index];
-        self.ratios[daemon].earn(self.now);
+        self.ratios[daemon].earn(self.now, 0);
         self.first += 1;
         let mut free_sheds = Shedding::UPSTREAMS - 1;
         while self.rng.random_bool(Shedding::SHED_PROBABILITY) {
@@ -300,7 +320,7 @@
                 expected: Duration::ZERO,
                 free_failovers: 0,
                 free_sheds,
-                class: retry_class(class),
+                claim: claim(retry_class(class)),
             };
             let attempted = FailedAttempt {
                 refusal: &refusal,
@@ -357,6 +377,6 @@
                 window: None,
             },
         );
-        assert!(ratio.spend(now, 2), "{capacity}");
+        assert!(ratio.spend(now, claim(2)), "{capacity}");
     }
 }
--- a/crates/indigospur-budget/tests/ledger.rs
+++ b/crates/indigospur-budget/tests/ledger.rs
@@ -23,6 +23,7 @@
         attempt: 0,
         crashes: Vec::new(),
         repeated: false,
+        retry_order: 0,
     }
 }
 
--- a/crates/indigospur-budget/tests/window.rs
+++ b/crates/indigospur-budget/tests/window.rs
@@ -1,7 +1,7 @@
 //! The bound on repeats in every sliding window, summed over daemons, for random loads that move
 //! between them.
 
-use indigospur_budget::{RatioOptions, RetryRatio, WindowOptions};
+use indigospur_budget::{RatioOptions, RetryClaim, RetryRatio, WindowOptions};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::{Duration, Instant};
@@ -62,9 +62,9 @@
                 let now = start + Duration::from_millis(first.len() as u64 * STEP_MILLIS);
                 let (mut sent, mut repeated) = (0, 0);
                 for (ratio, (send, wanted)) in daemons.iter_mut().zip(counts) {
-                    (0..*send).for_each(|_| ratio.earn(now));
+                    (0..*send).for_each(|_| ratio.earn(now, 1));
                     sent += send;
-                    repeated += (0..*wanted).filter(|_| ratio.spend(now, 0)).count() as u32;
+                    repeated += (0..*wanted).filter(|_| ratio.spend(now, RetryClaim::default())).count() as u32;
                 }
                 first.push(sent);
                 repeats.push(repeated);
@@ -91,12 +91,14 @@
     let start = Instant::now();
     let mut ratio = window(start, 16);
     for millis in (0..20_000).step_by(10) {
-        ratio.earn(start + Duration::from_millis(millis));
+        ratio.earn(start + Duration::from_millis(millis), 1);
     }
     let now = start + Duration::from_secs(20);
-    let retries = (0..1_000).filter(|_| ratio.spend(now, 0)).count();
+    let retries = (0..1_000)
+        .filter(|_| ratio.spend(now, RetryClaim::default()))
+        .count();
     assert!((140..=163).contains(&retries), "{retries}");
-    assert!(!ratio.spend(now + Duration::from_millis(9_900), 0));
+    assert!(!ratio.spend(now + Duration::from_millis(9_900), RetryClaim::default()));
 }
 
 /// A daemon that has just started must not repeat on the account of sends that it has not made.
@@ -104,6 +106,8 @@
 fn a_new_window_allows_the_slack_only() {
     let now = Instant::now();
     let mut ratio = window(now, 16);
-    let retries = (0..100).filter(|_| ratio.spend(now, 0)).count();
+    let retries = (0..100)
+        .filter(|_| ratio.spend(now, RetryClaim::default()))
+        .count();
     assert_eq!(retries, 3);
 }
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -89,9 +89,13 @@
 }
 
 /// Updates the mean slot time that a request of the rule takes at each service, from a request that
-/// was answered.
+/// was answered, and its mean numbers of calls, from one that succeeded.
 fn learn_work(daemon: &Daemon, rule: Option<&Arc<str>>, reply: &Reply) {
-    if let (Some(rule), Outcome::Answered(_)) = (rule, &reply.outcome) {
-        lock(&daemon.ingress).record_work(rule, &reply.work);
+    if let (Some(rule), Outcome::Answered(answer)) = (rule, &reply.outcome) {
+        let mut ingress = lock(&daemon.ingress);
+        ingress.record_work(rule, &reply.work);
+        if answer.status < 400 {
+            ingress.record_calls(rule, &reply.work);
+        }
     }
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -7,9 +7,7 @@
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
-use indigospur_budget::{
-    Ledger, RatioOptions, RequestCounts, RetryRatio, SenderId, Transmissions, WindowOptions,
-};
+use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
@@ -257,33 +255,6 @@
         }
     }
 
-    /// Applies `update` to the token bucket or the window that bounds the retries of calls to a
-    /// service. Its capacity or slack is this daemon's share of the fleet's.
-    pub(crate) fn with_retry_ratio<T>(
-        &self,
-        service: &ServiceName,
-        now: Instant,
-        update: impl FnOnce(&mut RetryRatio) -> T,
-    ) -> T {
-        let members = lock(&self.fleet).members.len().max(1) as f64;
-        let settings = self.settings();
-        let fleet_share = f64::from(settings.fleet_retry_capacity) / members;
-        let options = RatioOptions {
-            percent: settings.retry_percent,
-            capacity: fleet_share.min(f64::from(settings.retry_capacity)).max(1.0),
-            window: settings.retry_window.map(|length| WindowOptions {
-                length,
-                slack: fleet_share,
-            }),
-        };
-        let mut retry_ratios = lock(&self.retry_ratios);
-        let ratio = retry_ratios
-            .entry(service.clone())
-            .or_insert_with(|| RetryRatio::new(now, options));
-        ratio.set_options(now, options);
-        update(ratio)
-    }
-
     /// Updates the load gauges and renders all metrics as text.
     pub(crate) fn scrape(&self) -> Vec<u8> {
         if let Some(backend) = self.backend() {
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -184,6 +184,7 @@
     let own_work = Work {
         service: backend.service.clone(),
         time: started.elapsed(),
+        calls: u32::from(matches!(outcome, Outcome::Answered(_))),
     };
     add_work(&mut work, &[own_work]);
     Reply {
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer_service;
 mod peers;
 mod preparation;
+mod retry_budget;
 mod run;
 mod settings;
 mod settings_file;
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -2,16 +2,17 @@
 
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
+use crate::retry_budget::{count_in_ratio, is_shed, record_in_ratio};
 use crate::{inbound, peers};
 use indigospur_budget::{
-    Credit, FailedAttempt, RetryOptions, add_work, decide_retry, is_passed_over,
+    Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
 };
 use indigospur_protocol::{
     Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, RetryReason,
     ServiceName, Work,
 };
-use indigospur_relay::{LinkError, runtime};
+use indigospur_relay::runtime;
 use indigospur_routing::{AttemptResult, Criteria};
 use std::sync::Arc;
 use std::time::Instant;
@@ -22,12 +23,18 @@
 /// Refusals by backend servers themselves after which one call may be sent to another upstream
 /// without spending retry credit; enough to try all upstreams of the smallest services.
 const MAX_FREE_SHEDS: u32 = 2;
+/// The same where retries are bounded by a window, which then decides. At a service that refuses 55 %, one
+/// call in 14,000 needs more.
+const MAX_WINDOW_SHEDS: u32 = 15;
 
 /// Progress of one call over its attempts.
 struct CallProgress {
     credit: Credit,
     /// Hosts that were tried or are excluded from the start.
     excluded: Vec<HostId>,
+    /// Those of `excluded` whose backend servers refused the call, and may accept it later; only where
+    /// retries are bounded by a window.
+    shedding: Vec<HostId>,
     /// Number of upstreams on which the call may still run.
     runs_left: u32,
     /// Whether any attempt so far has run the call.
@@ -56,15 +63,21 @@
     mut message: RelayMessage,
     limits: SendLimits,
 ) -> Reply {
+    let has_window = daemon.settings().retry_window.is_some();
     let mut progress = CallProgress {
         credit: Credit::new(message.context.retries),
         excluded: limits.excluded,
+        shedding: Vec::new(),
         runs_left: limits.max_runs,
         ran: Ran::No,
         retried: false,
         attempts: 0,
         free_failovers: MAX_FREE_FAILOVERS,
-        free_sheds: MAX_FREE_SHEDS,
+        free_sheds: if has_window {
+            MAX_WINDOW_SHEDS
+        } else {
+            MAX_FREE_SHEDS
+        },
         deadline: Deadline::after(Moment::now(), message.context.remaining),
         crashes: Vec::new(),
         work: Vec::new(),
@@ -72,7 +85,7 @@
     count_in_ratio(daemon, &message);
     let mut last_refusal: Option<Refusal> = None;
     loop {
-        let Some(member) = choose_upstream(daemon, &message, &progress.excluded) else {
+        let Some(member) = choose_again(daemon, &message, &mut progress) else {
             let refusal =
                 last_refusal.unwrap_or_else(|| no_upstream(daemon, &message.call.service));
             return progress.into_reply(Outcome::Refused(refusal));
@@ -93,6 +106,9 @@
         if !decide_and_log_retry(daemon, &message, &mut progress, &member, failed_attempt) {
             return progress.into_reply(Outcome::Refused(refusal));
         }
+        if has_window && is_shed(&refusal) {
+            progress.shedding.push(member.host.clone());
+        }
         progress.excluded.push(member.host);
         last_refusal = Some(refusal);
     }
@@ -128,6 +144,22 @@
     }
 }
 
+/// Chooses an upstream that was not tried, or else one whose backend server refused the call: one
+/// that refuses a share of its calls at random may accept it now.
+fn choose_again(
+    daemon: &Daemon,
+    message: &RelayMessage,
+    progress: &mut CallProgress,
+) -> Option<Member> {
+    let chosen = choose_upstream(daemon, message, &progress.excluded);
+    if chosen.is_some() || progress.shedding.is_empty() {
+        return chosen;
+    }
+    let shedding = std::mem::take(&mut progress.shedding);
+    progress.excluded.retain(|host| !shedding.contains(host));
+    choose_upstream(daemon, message, &progress.excluded)
+}
+
 fn choose_upstream(daemon: &Daemon, message: &RelayMessage, excluded: &[HostId]) -> Option<Member> {
     let mut router = lock(&daemon.router);
     let mut rng = lock(&daemon.rng);
@@ -209,6 +241,7 @@
     progress.credit.reclaim(lent, reply.retries_left);
     progress.retried |= reply.retried;
     apply_reply_info(daemon, &service, &reply);
+    record_in_ratio(daemon, &service, &reply.outcome);
     progress.crashes.extend(reply.crashes.iter().cloned());
     add_work(&mut progress.work, &reply.work);
     if let Outcome::Refused(refusal) = &reply.outcome {
@@ -266,7 +299,7 @@
         runtime::timeout(remaining, peers::relay(daemon, &member.address, message)).await;
     match received {
         Some(Ok(reply)) => (AttemptResult::Replied, reply),
-        Some(Err(error)) => link_failure(error, message.context.retries),
+        Some(Err(error)) => peers::link_failure(error, message.context.retries),
         None => {
             let refusal = Refusal::new(
                 Kind::DeadlineRunning,
@@ -277,58 +310,6 @@
     }
 }
 
-/// Translates a link failure. A connection that has worked before it broke does not count as a
-/// failure of the host; one that never worked does. The lent retry credit comes back only where it
-/// is certain that nothing was sent.
-fn link_failure(error: LinkError, lent: u32) -> (AttemptResult, Reply) {
-    let (attempt, kind, detail) = match error {
-        LinkError::Connect => (
-            AttemptResult::Failed,
-            Kind::ConnectFailed,
-            "the upstream's daemon takes no connection",
-        ),
-        LinkError::Mute => (
-            AttemptResult::Failed,
-            Kind::LinkLost,
-            "the upstream's daemon gives no sign of life",
-        ),
-        LinkError::Lost => (
-            AttemptResult::Abandoned,
-            Kind::LinkLost,
-            "the connection to the upstream's daemon broke",
-        ),
-        LinkError::Busy => (
-            AttemptResult::Replied,
-            Kind::Overloaded,
-            "the upstream's daemon has no memory for the message",
-        ),
-        LinkError::Protocol => (
-            AttemptResult::Failed,
-            Kind::Internal,
-            "the upstream's daemon does not understand",
-        ),
-    };
-    let is_unsent = matches!(error, LinkError::Connect | LinkError::Busy);
-    let credit_left = if is_unsent { lent } else { 0 };
-    (
-        attempt,
-        Reply::refused(Refusal::new(kind, detail), credit_left),
-    )
-}
-
-/// Counts a call in the retry ratio of its service: as a retry if it is nested in a call that is
-/// itself a retry, else as a first attempt.
-fn count_in_ratio(daemon: &Daemon, message: &RelayMessage) {
-    let now = Instant::now();
-    daemon.with_retry_ratio(&message.call.service, now, |ratio| {
-        if message.context.repeated {
-            ratio.charge(now);
-        } else {
-            ratio.earn(now);
-        }
-    });
-}
-
 /// Decides whether to retry after a failed attempt, spends what the retry costs and logs the
 /// decision.
 fn decide_and_log_retry(
@@ -350,7 +331,11 @@
         expected: lock(&daemon.router).expected_service_time(service),
         free_failovers: progress.free_failovers,
         free_sheds: progress.free_sheds,
-        class: message.context.class,
+        claim: RetryClaim {
+            class: message.context.class,
+            order: message.context.retry_order,
+            fleet: None,
+        },
     };
     let credit = &mut progress.credit;
     let decision = match progress.runs_left {
@@ -366,6 +351,7 @@
         service = &**service,
         upstream = &*member.host,
         class = message.context.class,
+        order = message.context.retry_order,
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
         detail = &*refusal.detail,
--- a/crates/indigospur-daemon/src/peers.rs
+++ b/crates/indigospur-daemon/src/peers.rs
@@ -6,8 +6,9 @@
 use indigospur_members::Message;
 use indigospur_once::HandOver;
 use indigospur_protocol::wire::peer;
-use indigospur_protocol::{RelayMessage, Reply};
+use indigospur_protocol::{Kind, Refusal, RelayMessage, Reply};
 use indigospur_relay::{Channel, Link, LinkError, runtime};
+use indigospur_routing::AttemptResult;
 use prost::Message as _;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -183,3 +184,42 @@
     })
     .await
 }
+
+/// Translates a link failure. A connection that has worked before it broke does not count as a
+/// failure of the host; one that never worked does. The lent retry credit comes back only where it
+/// is certain that nothing was sent.
+pub(crate) fn link_failure(error: LinkError, lent: u32) -> (AttemptResult, Reply) {
+    let (attempt, kind, detail) = match error {
+        LinkError::Connect => (
+            AttemptResult::Failed,
+            Kind::ConnectFailed,
+            "the upstream's daemon takes no connection",
+        ),
+        LinkError::Mute => (
+            AttemptResult::Failed,
+            Kind::LinkLost,
+            "the upstream's daemon gives no sign of life",
+        ),
+        LinkError::Lost => (
+            AttemptResult::Abandoned,
+            Kind::LinkLost,
+            "the connection to the upstream's daemon broke",
+        ),
+        LinkError::Busy => (
+            AttemptResult::Replied,
+            Kind::Overloaded,
+            "the upstream's daemon has no memory for the message",
+        ),
+        LinkError::Protocol => (
+            AttemptResult::Failed,
+            Kind::Internal,
+            "the upstream's daemon does not understand",
+        ),
+    };
+    let is_unsent = matches!(error, LinkError::Connect | LinkError::Busy);
+    let credit_left = if is_unsent { lent } else { 0 };
+    (
+        attempt,
+        Reply::refused(Refusal::new(kind, detail), credit_left),
+    )
+}
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -72,7 +72,11 @@
     let (rule, treatment) = decide(&rules, received, &head, &origin)?;
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     if !origin.in_chain {
-        admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment)?;
+        admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment).inspect_err(|_| {
+            if daemon.settings().retry_window.is_some() {
+                lock(&daemon.request_counts).undo(&origin.request_id);
+            }
+        })?;
     }
     let service = choose_service(daemon, rule.as_ref(), &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &received.path);
@@ -84,7 +88,11 @@
         headers: std::mem::take(&mut received.headers),
         body: received.body.clone(),
     };
-    let context = build_context(daemon, &origin, &treatment, remaining, key, &call);
+    let mut context = build_context(daemon, &origin, &treatment, remaining, key, &call);
+    if origin.parent_context.is_none() {
+        let ingress = lock(&daemon.ingress);
+        context.retry_order = ingress.retry_order(rule.as_deref(), context.class, context.rank);
+    }
     Ok(Prepared {
         message: RelayMessage { call, context },
         parent: origin.parent,
@@ -204,6 +212,7 @@
         attempt: origin.attempt,
         crashes: Vec::new(),
         repeated: false,
+        retry_order: 0,
     };
     if let (Some(parent_context), Some(token)) = (&origin.parent_context, &origin.parent) {
         context.retries = lock(&daemon.ledger).lend(token);
@@ -257,6 +266,7 @@
     context.depth = parent.depth;
     context.remaining = context.remaining.min(parent.remaining);
     context.repeated = parent.repeated;
+    context.retry_order = parent.retry_order;
 }
 
 /// The token of the parent call, if that runs on this host.
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -118,13 +118,15 @@
     pub age: Duration,
 }
 
-/// Slot time that a call used at a service.
+/// Slot time and calls that a call used at a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// Name of the service.
     pub service: ServiceName,
     /// Time for which the call occupied a slot.
     pub time: Duration,
+    /// Number of calls that the service answered; zero from hosts of earlier versions.
+    pub calls: u32,
 }
 
 impl Reply {
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -10,6 +10,10 @@
 pub type Class = u8;
 /// Position of a request in the shed order within its class; lower ranks are shed later.
 pub type Rank = u32;
+/// Position of a request among those that compete for retries: its class in the upper 32 bits, the
+/// product of rank and number of calls in the lower. Lower positions get retries first; zero, from
+/// hosts that do not compute it, is first of all.
+pub type RetryOrder = u64;
 
 /// An HTTP header that is forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +84,8 @@
     pub crashes: Vec<Crash>,
     /// Whether a call above this one is a retry, which makes this call a repetition too.
     pub repeated: bool,
+    /// Position of the request among those that compete for retries; the same along the whole chain.
+    pub retry_order: RetryOrder,
 }
 
 /// A crash of a backend server, attributed to a request that it was running.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -70,6 +70,7 @@
             attempt: context.attempt,
             suspects: context.crashes.iter().map(Into::into).collect(),
             repeated: context.repeated,
+            retry_order: context.retry_order,
         }
     }
 }
@@ -99,6 +100,7 @@
             attempt: wire.attempt,
             crashes: wire.suspects.into_iter().map(Into::into).collect(),
             repeated: wire.repeated,
+            retry_order: wire.retry_order,
         })
     }
 }
@@ -152,6 +154,7 @@
         peer::Work {
             service: work.service.to_string(),
             micros: u32::try_from(work.time.as_micros()).unwrap_or(u32::MAX),
+            calls: work.calls,
         }
     }
 }
@@ -161,6 +164,7 @@
         Work {
             service: wire.service.into(),
             time: Duration::from_micros(u64::from(wire.micros)),
+            calls: wire.calls,
         }
     }
 }
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -23,7 +23,8 @@
 pub use announcement::Announcement;
 pub use answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
 pub use call::{
-    Call, Class, Context, Crash, Header, Rank, find_header, fingerprint, is_idempotent_method,
+    Call, Class, Context, Crash, Header, Rank, RetryOrder, find_header, fingerprint,
+    is_idempotent_method,
 };
 pub use convert::{RelayMessage, WireError};
 pub use epoch::{EpochRecord, MemberId};
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -46,6 +46,10 @@
     /// Whether a call above this one in the chain is a retry.
     #[prost(bool, tag = "17")]
     pub repeated: bool,
+    /// Position of the request among those that compete for retries, lower ones first; zero from
+    /// earlier versions.
+    #[prost(uint64, tag = "18")]
+    pub retry_order: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayRequest {
@@ -114,6 +118,9 @@
     pub service: ::prost::alloc::string::String,
     #[prost(uint32, tag = "2")]
     pub micros: u32,
+    /// Number of calls that the service answered; zero from earlier versions.
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayReply {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -45,6 +45,7 @@
         attempt: 0,
         crashes: vec![crash(7, true)],
         repeated: key.is_some(),
+        retry_order: (u64::from(class) << 32) | 5,
     };
     RelayMessage { call, context }
 }
@@ -90,6 +91,7 @@
         work: vec![Work {
             service: "accounts".into(),
             time: Duration::from_millis(240),
+            calls: 4,
         }],
         ..Reply::refused(Refusal::new(Kind::BackendLost, "gone"), 0)
     };
