--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -2,10 +2,13 @@
 //!
 //! An admitted request makes a chain of calls, and if one of them is refused, all work done for the
 //! request is wasted. So a request is refused here, before any work, when a service further down
-//! its chain is full: lowest-priority classes first, and an even share of the requests of a class.
+//! its chain is full: lowest-priority classes first, and an even share of the requests of a class. The
+//! same holds for a service that has slots and refuses calls all the same: requests that get no
+//! retries there and would probably fail are refused.
 
 use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
+use crate::shedding::{ShedRefusal, SheddingGate};
 use indigospur_protocol::{Class, Rank, RetryOrder, ServiceName, Work};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -47,6 +50,8 @@
     pub rule: &'a Arc<str>,
     /// Priority class; zero is the highest priority and is shed last.
     pub class: Class,
+    /// Shed rank within the class.
+    pub rank: Rank,
     /// Response time to aim at; the Retry-After time is a share of it.
     pub objective: Duration,
 }
@@ -65,6 +70,13 @@
     pub age: Duration,
     /// Time the caller should wait before it tries again.
     pub retry_after: Duration,
+    /// Position of the request among those that compete for retries.
+    pub order: RetryOrder,
+    /// Position up to which requests get retries at the service, if not all do.
+    pub cutoff: Option<RetryOrder>,
+    /// Chance that the request succeeds without retries, 0 to 1, if it was refused for that; `None` if
+    /// the service has no room.
+    pub chance: Option<f64>,
 }
 
 /// Proportional-integral controller of the share of requests refused for one service.
@@ -112,6 +124,7 @@
     /// Mean slot time of a request at each service, by rule.
     costs: HashMap<Arc<str>, HashMap<ServiceName, Duration>>,
     needs: CallNeeds,
+    shedding: SheddingGate,
     controllers: HashMap<ServiceName, Controller>,
     /// Accumulated refused shares by class. When the sum reaches one, a request is refused and one
     /// is subtracted, which spreads the refusals evenly.
@@ -125,6 +138,7 @@
         IngressAdmission {
             costs: HashMap::new(),
             needs: CallNeeds::default(),
+            shedding: SheddingGate::default(),
             controllers: HashMap::new(),
             shed_fractions: HashMap::new(),
             jitter_state: seed,
@@ -157,6 +171,11 @@
         self.needs.record(rule, work);
     }
 
+    /// Records whether an admitted request of a rule succeeded.
+    pub fn record_outcome(&mut self, rule: &str, succeeded: bool) {
+        self.shedding.record(rule, succeeded);
+    }
+
     /// Position of a request among those that compete for retries, by the calls that requests of its
     /// rule make to the service that they call most.
     pub fn retry_order(&self, rule: Option<&str>, class: Class, rank: Rank) -> RetryOrder {
@@ -168,13 +187,20 @@
     /// Decides whether a request is admitted.
     ///
     /// # Errors
-    /// A service that the request needs is overloaded, and the request is among those to refuse.
+    /// A service that the request needs is overloaded or refuses calls, and the request is among those
+    /// to refuse.
     pub fn admit(
         &mut self,
         now: Instant,
         request: IngressRequest<'_>,
         pressures: &Pressures,
     ) -> Result<(), IngressRefusal> {
+        let order = self.retry_order(Some(request.rule), request.class, request.rank);
+        let asking = (request.rule, request.class, request.rank, order);
+        let shed = self.shedding.admit(now, asking, &self.needs, pressures);
+        if let Err(refusal) = shed {
+            return Err(self.shed_refusal(now, request, order, refusal, pressures));
+        }
         let Some((service, level, share)) = self.bottleneck(now, request, pressures) else {
             return Ok(());
         };
@@ -185,17 +211,44 @@
             return Ok(());
         }
         *fraction -= 1.0;
-        let (shortest, longest) = RETRY_AFTER_SHARES;
-        let objective_share = shortest + (longest - shortest) * self.next_jitter();
         Err(IngressRefusal {
             share,
             level,
             age: pressures.age(now, &service),
             service,
-            retry_after: request.objective.mul_f64(objective_share),
+            retry_after: self.retry_after(request),
+            order,
+            cutoff: None,
+            chance: None,
         })
     }
 
+    fn shed_refusal(
+        &mut self,
+        now: Instant,
+        request: IngressRequest<'_>,
+        order: RetryOrder,
+        refusal: ShedRefusal,
+        pressures: &Pressures,
+    ) -> IngressRefusal {
+        IngressRefusal {
+            share: refusal.share,
+            level: pressures.level(now, &refusal.service).unwrap_or_default(),
+            age: pressures.age(now, &refusal.service),
+            retry_after: self.retry_after(request),
+            order,
+            cutoff: refusal.cutoff,
+            chance: Some(refusal.chance),
+            service: refusal.service,
+        }
+    }
+
+    fn retry_after(&mut self, request: IngressRequest<'_>) -> Duration {
+        let (shortest, longest) = RETRY_AFTER_SHARES;
+        let objective_share = shortest + (longest - shortest) * self.next_jitter();
+        request.objective.mul_f64(objective_share)
+    }
+
     /// The service for which the largest share of the request's class is refused, with its level
     /// and that share; `None` if nothing is refused.
     fn bottleneck(
--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -13,6 +13,7 @@
 mod pressure;
 mod queue;
 mod rate_limiter;
+mod shedding;
 
 pub use admission::{Admission, Options};
 pub use effect::{AdmissionRefusal, Arrival, Completion, Effect, Ticket, Verdict};
--- a/crates/indigospur-admission/src/pressure.rs
+++ b/crates/indigospur-admission/src/pressure.rs
@@ -1,6 +1,7 @@
-//! Occupancy of services, as reported in answers and passed on from daemon to daemon.
+//! Occupancy of services, and the share of calls that they refuse, as reported in answers and passed on
+//! from daemon to daemon.
 
-use indigospur_protocol::{Pressure, ServiceName};
+use indigospur_protocol::{Pressure, RetryOrder, ServiceName};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,14 @@
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Services reported in one answer, the fullest first.
 const MAX_REPORTED: usize = 8;
+/// Product of rank and calls in the middle of a class's scale of places: the lowest of a request of one
+/// call with the usual rank.
+const UNIT: f64 = 16_777_216.0;
+/// Weight of the latest report in the refused share and the cutoff.
+const REPORT_WEIGHT: f64 = 1.0 / 8.0;
+/// Age up to which a report counts in them. Reports of other callers are older than the latest own one,
+/// and must count beside it.
+const MAX_REFUSAL_AGE: Duration = Duration::from_millis(250);
 
 /// The latest report on one service.
 #[derive(Clone, Copy, Debug)]
@@ -23,16 +32,82 @@
     }
 }
 
-/// Latest known occupancy of each service, measured at its upstreams.
+/// What the callers of a service report on its refusals, smoothed over the reporters. Each of them sees
+/// a part of the calls only.
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    /// Time of the latest report.
+    at: Instant,
+    /// Share of calls that the service refuses.
+    refused: f64,
+    /// Share of the reporters that have a cutoff.
+    cut: f64,
+    /// Mean of their cutoffs, see [`place`].
+    cutoff: f64,
+}
+
+/// Place of a position in the retry order on a scale on which means make sense: the class, plus the share
+/// of the class that lies below the position if the products of rank and calls spread like 1 / x. The
+/// mean of positions in two classes would be dominated by their distance.
+fn place(order: RetryOrder) -> f64 {
+    let product = (order & u64::from(u32::MAX)) as f64 / UNIT;
+    (order >> 32) as f64 + product / (1.0 + product)
+}
+
+/// The position at a place.
+fn position(place: f64) -> RetryOrder {
+    let share = place.fract();
+    let product = (share / (1.0 - share) * UNIT).min(f64::from(u32::MAX));
+    ((place as u64) << 32) | product as u64
+}
+
+impl Refusals {
+    fn new(at: Instant, refused: f64, cutoff: Option<RetryOrder>) -> Refusals {
+        Refusals {
+            at,
+            refused,
+            cut: if cutoff.is_some() { 1.0 } else { 0.0 },
+            cutoff: cutoff.map_or(0.0, place),
+        }
+    }
+
+    fn update(&mut self, report: Refusals) {
+        self.at = self.at.max(report.at);
+        self.refused += REPORT_WEIGHT * (report.refused - self.refused);
+        if report.cut > 0.0 {
+            // The first cutoff after a time without one counts as a whole.
+            let weight = if self.cut > 0.01 { REPORT_WEIGHT } else { 1.0 };
+            self.cutoff += weight * (report.cutoff - self.cutoff);
+        }
+        self.cut += REPORT_WEIGHT * (report.cut - self.cut);
+    }
+
+    /// The share at `now`; without new reports it falls to zero within [`MAX_AGE`].
+    fn refused(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.refused * (1.0 - age.as_secs_f64() / MAX_AGE.as_secs_f64()).max(0.0)
+    }
+
+    /// The cutoff, if at least half of the reporters have one.
+    fn cutoff(&self, now: Instant) -> Option<RetryOrder> {
+        let is_fresh = now.saturating_duration_since(self.at) < MAX_AGE;
+        (is_fresh && self.cut >= 0.5).then(|| position(self.cutoff))
+    }
+}
+
+/// Latest known occupancy of each service, measured at its upstreams, and what its callers report on
+/// its refusals.
 #[derive(Clone, Debug, Default)]
 pub struct Pressures {
     observations: HashMap<ServiceName, Observation>,
+    refusals: HashMap<ServiceName, Refusals>,
 }
 
 impl Pressures {
     /// Merges the reports of another daemon. Reports that are stale, or no newer than the known one
     /// of the same service, are ignored.
     pub fn merge(&mut self, now: Instant, pressures: &[Pressure]) {
+        self.merge_refusals(now, pressures);
         for pressure in pressures.iter().filter(|report| report.age < MAX_AGE) {
             let Some(at) = now.checked_sub(pressure.age) else {
                 continue;
@@ -51,15 +126,55 @@
         }
     }
 
-    /// The reports to send to other daemons: fresh ones only, the fullest services first, eight at
-    /// most.
+    fn merge_refusals(&mut self, now: Instant, pressures: &[Pressure]) {
+        for pressure in pressures.iter().filter(|it| it.age < MAX_REFUSAL_AGE) {
+            let (Some(at), Some(refused)) = (now.checked_sub(pressure.age), pressure.refused)
+            else {
+                continue;
+            };
+            let refused = (f64::from(refused) / 1_000.0).min(1.0);
+            let report = Refusals::new(at, refused, pressure.cutoff);
+            match self.refusals.get_mut(&pressure.service) {
+                Some(known) if now.saturating_duration_since(known.at) < MAX_AGE => {
+                    known.update(report);
+                }
+                _ => {
+                    self.refusals.insert(pressure.service.clone(), report);
+                }
+            }
+        }
+    }
+
+    /// Share of calls that a service refuses, by the reports of its callers; zero without a fresh
+    /// report.
+    pub fn refused(&self, now: Instant, service: &str) -> f64 {
+        let refusals = self.refusals.get(service);
+        refusals.map_or(0.0, |refusals| refusals.refused(now))
+    }
+
+    /// Position in the retry order up to which requests get retries at a service; `None` if all do.
+    pub fn cutoff(&self, now: Instant, service: &str) -> Option<RetryOrder> {
+        self.refusals.get(service)?.cutoff(now)
+    }
+
+    /// The cutoff as a number: the class, plus the part of the class that lies below the cutoff; `None`
+    /// if all requests get retries.
+    pub fn cutoff_place(&self, now: Instant, service: &str) -> Option<f64> {
+        self.cutoff(now, service).map(place)
+    }
+
+    /// The reports to send to other daemons: fresh ones only, the fullest services and those that
+    /// refuse most first, eight at most.
     pub fn reports(&self, now: Instant) -> Vec<Pressure> {
         let fresh = self.observations.iter().map(|(service, observation)| {
             let age = now.saturating_duration_since(observation.at);
             (service, observation, age)
         });
         let mut fresh: Vec<_> = fresh.filter(|(_, _, age)| *age < MAX_AGE).collect();
-        fresh.sort_by(|(_, a, _), (_, b, _)| b.level().total_cmp(&a.level()));
+        let urgency = |(service, observation, _): &(&ServiceName, &Observation, Duration)| {
+            observation.level().max(self.refused(now, service))
+        };
+        fresh.sort_by(|a, b| urgency(b).total_cmp(&urgency(a)));
         let reported = fresh.into_iter().take(MAX_REPORTED);
         reported
             .map(|(service, observation, age)| Pressure {
@@ -67,6 +182,11 @@
                 occupied: observation.occupied,
                 capacity: observation.capacity,
                 age,
+                refused: self.refusals.get(service).and_then(|refusals| {
+                    let is_fresh = now.saturating_duration_since(refusals.at) < MAX_REFUSAL_AGE;
+                    is_fresh.then(|| (refusals.refused(now) * 1_000.0).round() as u32)
+                }),
+                cutoff: self.cutoff(now, service),
             })
             .collect()
     }
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -212,6 +212,8 @@
             occupied,
             capacity,
             age: MILLI * REPORT_DELAY_MILLIS as u32,
+            refused: None,
+            cutoff: None,
         });
         if self.delayed_reports.len() > REPORT_DELAY_MILLIS {
             let report = self.delayed_reports.pop_front();
@@ -231,6 +233,7 @@
         let ingress_request = IngressRequest {
             rule: &rule,
             class,
+            rank: 1,
             objective,
         };
         if self.ingress_enabled
@@ -444,6 +447,7 @@
     let ingress_request = |rule| IngressRequest {
         rule,
         class: 2,
+        rank: 1,
         objective: Duration::from_secs(1),
     };
     let pressure = |occupied| Pressure {
@@ -451,6 +455,8 @@
         occupied,
         capacity: 36,
         age: Duration::ZERO,
+        refused: None,
+        cutoff: None,
     };
     let rule: Arc<str> = "quotes".into();
     let admitted_count = |occupied, now: &mut Instant| {
--- /dev/null
+++ b/crates/indigospur-admission/tests/shed_entry.rs
@@ -0,0 +1,111 @@
+//! Admission of single requests by the share of calls that a service refuses and by the cutoff of retries.
+
+use indigospur_admission::{IngressAdmission, IngressRefusal, IngressRequest, Pressures};
+use indigospur_protocol::{Pressure, RetryOrder, Work};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SERVICE: &str = "accounts";
+const OBJECTIVE: Duration = Duration::from_secs(1);
+/// A usual rank.
+const RANK: u32 = 3 << 23;
+
+fn ingress() -> IngressAdmission {
+    let mut ingress = IngressAdmission::new(1);
+    for (rule, calls) in [("one", 1), ("four", 4)] {
+        let work = Work {
+            service: SERVICE.into(),
+            time: Duration::from_millis(86) * calls,
+            calls,
+        };
+        let rule: Arc<str> = rule.into();
+        ingress.record_work(&rule, std::slice::from_ref(&work));
+        ingress.record_calls(&rule, &[work]);
+    }
+    ingress
+}
+
+fn pressures(now: Instant, refused: Option<u32>, cutoff: Option<RetryOrder>) -> Pressures {
+    let mut pressures = Pressures::default();
+    let report = Pressure {
+        service: SERVICE.into(),
+        occupied: 10,
+        capacity: 100,
+        age: Duration::ZERO,
+        refused,
+        cutoff,
+    };
+    pressures.merge(now, &[report]);
+    pressures
+}
+
+fn admit(
+    ingress: &mut IngressAdmission,
+    now: Instant,
+    rule: &str,
+    pressures: &Pressures,
+) -> Result<(), IngressRefusal> {
+    let request = IngressRequest {
+        rule: &rule.into(),
+        class: 1,
+        rank: RANK,
+        objective: OBJECTIVE,
+    };
+    ingress.admit(now, request, pressures)
+}
+
+/// Four calls succeed once in 24 times without retries, one call in two: only the former is refused.
+#[test]
+fn a_request_that_gets_no_retries_is_refused_if_it_would_probably_fail() {
+    let now = Instant::now();
+    let mut ingress = ingress();
+    let below_all = pressures(now, Some(550), Some(1 << 32));
+    assert_eq!(admit(&mut ingress, now, "one", &below_all), Ok(()));
+    let refusal = admit(&mut ingress, now, "four", &below_all).expect_err("it gets no retries");
+    assert!(refusal.chance.is_some_and(|chance| chance < 0.05));
+    assert!(refusal.order > refusal.cutoff.expect("the cutoff is reported"));
+    let bounds = OBJECTIVE.mul_f64(0.2)..=OBJECTIVE.mul_f64(0.6);
+    assert!(bounds.contains(&refusal.retry_after));
+}
+
+#[test]
+fn a_request_below_the_cutoff_is_admitted() {
+    let now = Instant::now();
+    let mut ingress = ingress();
+    for cutoff in [None, Some(2 << 32)] {
+        let pressures = pressures(now, Some(550), cutoff);
+        assert_eq!(admit(&mut ingress, now, "four", &pressures), Ok(()));
+    }
+}
+
+/// A fault that ends together with the reports must not keep requests out.
+#[test]
+fn without_new_reports_everything_is_admitted_within_one_and_a_half_seconds() {
+    let now = Instant::now();
+    let mut ingress = ingress();
+    let pressures = pressures(now, Some(550), Some(1 << 32));
+    assert!(admit(&mut ingress, now, "four", &pressures).is_err());
+    let later = now + Duration::from_millis(1_500);
+    assert_eq!(admit(&mut ingress, later, "four", &pressures), Ok(()));
+}
+
+#[test]
+fn reports_of_earlier_versions_cause_no_refusals() {
+    let now = Instant::now();
+    let pressures = pressures(now, None, None);
+    assert_eq!(admit(&mut ingress(), now, "four", &pressures), Ok(()));
+    assert_eq!(pressures.reports(now)[0].refused, None);
+}
+
+/// Without this, a caller that follows Retry-After is refused while others of its rank are let in.
+#[test]
+fn a_request_that_comes_back_is_decided_on_like_others_of_its_order() {
+    let now = Instant::now();
+    let mut ingress = ingress();
+    let strict = pressures(now, Some(550), Some(1 << 32));
+    assert!(admit(&mut ingress, now, "four", &strict).is_err());
+    let relaxed = pressures(now, Some(550), Some((1 << 32) | (u64::from(RANK) * 4)));
+    for _ in 0..50 {
+        assert_eq!(admit(&mut ingress, now, "four", &relaxed), Ok(()));
+    }
+}
--- a/crates/indigospur-admission/tests/shedding/main.rs
+++ b/crates/indigospur-admission/tests/shedding/main.rs
@@ -3,10 +3,13 @@
 //! requests that are let in and fail, and against more repeats than the bound allows.
 
 mod bound;
+mod calls;
+mod kinds;
 mod model;
 
 use bound::Tightest;
-use model::{Outcome, Policy, RequestKind, Simulation};
+use kinds::{Outcome, Policy, RequestKind, Tally};
+use model::Simulation;
 
 /// Ratio of repeats to first arrivals that the bound allows, and repeats beyond it for 80 daemons.
 const BOUND_RATIO: f64 = 0.2;
@@ -128,3 +131,66 @@
         }
     }
 }
+
+/// Ingress refuses what gets no retries, and the retries finish what is let in.
+#[test]
+fn what_is_let_in_finishes_and_repeats_stay_within_the_bound() {
+    for size in [20, 80] {
+        let before = Simulation::new(1, size, &KINDS, Policy::Bucket).run();
+        print("without the retry window", &before);
+        let outcome = Simulation::new(1, size, &KINDS, Policy::Ingress).run();
+        print("retry window, whole requests first, ingress", &outcome);
+        let during = |kind: usize| outcome.during[kind];
+        let finished = |kind: usize| percent(during(kind).finished, during(kind).offered);
+        let failed = |kind: usize| percent(during(kind).failed, during(kind).offered);
+        assert!(finished(ONE) > 94.0);
+        assert!(failed(FOUR) < 5.0 && failed(EIGHT) < 5.0);
+        let tightest = tightest(&outcome);
+        assert!(f64::from(tightest.repeats) <= tightest.allowed);
+        assert!(f64::from(tightest.repeats) > 0.6 * tightest.allowed);
+        for (kind, tally) in outcome.outside.iter().enumerate() {
+            let lost = |tally: &Tally| percent(tally.offered - tally.finished, tally.offered);
+            assert!(lost(tally) < lost(&before.outside[kind]) + 2.0, "{kind}");
+        }
+    }
+}
+
+/// One call has a better chance than four; that must not serve the less urgent kind more often.
+#[test]
+fn a_less_urgent_kind_is_not_served_more_often_than_a_more_urgent_one() {
+    let mut kinds = KINDS;
+    kinds[FOUR].class = 0;
+    kinds[EIGHT].class = 2;
+    for size in [20, 80] {
+        let outcome = Simulation::new(2, size, &kinds, Policy::Ingress).run();
+        print("four-call requests most urgent, eight-call least", &outcome);
+        let finished = |kind: usize| {
+            let tally = outcome.during[kind];
+            percent(tally.finished, tally.offered)
+        };
+        assert!(finished(ONE) <= finished(FOUR) + 3.0);
+        assert!(finished(EIGHT) <= finished(ONE) + 3.0);
+        let tightest = tightest(&outcome);
+        assert!(f64::from(tightest.repeats) <= tightest.allowed);
+    }
+}
+
+/// Prints the figures of the design notes: `cargo test -p indigospur-admission --test shedding figures
+/// -- --ignored --nocapture`.
+#[test]
+#[ignore = "prints figures; checks the bound only"]
+fn figures() {
+    for seed in 1..=3 {
+        for policy in [
+            Policy::Bucket,
+            Policy::Window,
+            Policy::Order,
+            Policy::Ingress,
+        ] {
+            let outcome = Simulation::new(seed, 80, &KINDS, policy).run();
+            print(&format!("{policy:?}, seed {seed}"), &outcome);
+            let tightest = tightest(&outcome);
+            assert!(policy < Policy::Ingress || f64::from(tightest.repeats) <= tightest.allowed);
+        }
+    }
+}
--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -2,12 +2,10 @@
 //! send and retry, and callers that come back.
 
 use crate::bound::Arrivals;
+use crate::kinds::{Outcome, Policy, RequestKind, Tally};
 use indigospur_admission::{IngressAdmission, IngressRequest, Pressures};
-use indigospur_budget::{
-    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, WindowOptions,
-    decide_retry,
-};
-use indigospur_protocol::{Class, Kind, Pressure, Refusal, RetryOrder, Work};
+use indigospur_budget::{Credit, RatioOptions, RetryRatio, WindowOptions};
+use indigospur_protocol::{Pressure, Rank, RetryOrder, Work};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -15,125 +13,79 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const SERVICE: &str = "accounts";
+pub(crate) const SERVICE: &str = "accounts";
 /// Daemons that the rates of the kinds are for.
 const FULL_SIZE: usize = 80;
-const UPSTREAMS: usize = 5;
-const SHED_PROBABILITY: f64 = 0.55;
+pub(crate) const UPSTREAMS: usize = 5;
+pub(crate) const SHED_PROBABILITY: f64 = 0.55;
 /// Time in which upstreams shed, in milliseconds.
 pub(crate) const FAULT_MILLIS: std::ops::Range<u64> = 12_000..20_500;
 const END_MILLIS: u64 = 32_000;
-const CALL_DEADLINE: Duration = Duration::from_millis(700);
-const WORK: Duration = Duration::from_millis(86);
+pub(crate) const CALL_DEADLINE: Duration = Duration::from_millis(700);
+pub(crate) const WORK: Duration = Duration::from_millis(86);
 /// Time of a message between two daemons, in microseconds.
-const HOP_MICROS: u64 = 700;
+pub(crate) const HOP_MICROS: u64 = 700;
 /// Retries beyond the share of first sends that all daemons of the full size may make together.
 const FLEET_SLACK: f64 = 100.0;
 /// Retry credit of a request.
 const CREDIT: u32 = 3;
 /// Refusals by upstreams after which a call is sent again without credit: with the bucket, and with
 /// the window.
-const FREE_SHEDS: u32 = 2;
-const WINDOW_SHEDS: u32 = 15;
+pub(crate) const FREE_SHEDS: u32 = 2;
+pub(crate) const WINDOW_SHEDS: u32 = 15;
 
-/// What decides on retries and at entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Policy {
-    /// A token bucket for the retries of each daemon.
-    Bucket,
-    /// The retry window, first come first served.
-    Window,
-    /// The retries of the window go to whole requests.
-    Order,
-}
-
-/// A kind of request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RequestKind {
-    pub(crate) rule: &'static str,
-    pub(crate) class: Class,
-    /// Requests a second at the full size.
-    pub(crate) rate: f64,
-    /// Concurrent branches, and successive calls in each.
-    pub(crate) branches: usize,
-    pub(crate) calls: u32,
-    /// Whether callers send a failed request again at once, one time.
-    pub(crate) resends: bool,
-}
-
-/// What became of the requests of a kind that were first sent in one part of the time.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Tally {
-    pub(crate) offered: u32,
-    pub(crate) finished: u32,
-    /// Requests that were never let in.
-    pub(crate) refused: u32,
-    /// Requests that were let in and did not finish.
-    pub(crate) failed: u32,
-    /// Calls that ran for requests, or runs of them, that failed.
-    pub(crate) wasted: u32,
-}
-
-/// Result of a simulation: tallies by kind, in the fault and outside of it.
-#[derive(Debug)]
-pub(crate) struct Outcome {
-    pub(crate) kinds: Vec<RequestKind>,
-    pub(crate) during: Vec<Tally>,
-    pub(crate) outside: Vec<Tally>,
-    pub(crate) arrivals: Arrivals,
-    /// Number of daemons.
-    pub(crate) daemons: usize,
-}
-
-struct Daemon {
-    ratio: RetryRatio,
-    ingress: IngressAdmission,
-    pressures: Pressures,
+pub(crate) struct Daemon {
+    pub(crate) ratio: RetryRatio,
+    pub(crate) ingress: IngressAdmission,
+    pub(crate) pressures: Pressures,
 }
 
-struct Branch {
-    daemon: usize,
-    calls_left: u32,
-    credit: Credit,
-    free_sheds: u32,
-    deadline: Instant,
-    tried: Vec<usize>,
+pub(crate) struct Branch {
+    pub(crate) daemon: usize,
+    pub(crate) calls_left: u32,
+    pub(crate) credit: Credit,
+    pub(crate) free_sheds: u32,
+    pub(crate) deadline: Instant,
+    pub(crate) tried: Vec<usize>,
 }
 
-struct Request {
-    kind: usize,
-    ingress: usize,
-    first: u64,
+pub(crate) struct Request {
+    pub(crate) kind: usize,
+    pub(crate) ingress: usize,
+    pub(crate) first: u64,
     /// Number of times that the caller has sent it before.
-    attempt: u32,
-    order: RetryOrder,
+    pub(crate) attempt: u32,
+    pub(crate) rank: Rank,
+    pub(crate) order: RetryOrder,
     /// Whether an earlier sending was let in.
-    was_let_in: bool,
-    credit: Credit,
-    branches: Vec<Branch>,
-    ran: u32,
-    failed: bool,
+    pub(crate) was_let_in: bool,
+    /// Whether the daemon takes it for a request that was sent before.
+    pub(crate) is_counted: bool,
+    pub(crate) credit: Credit,
+    pub(crate) branches: Vec<Branch>,
+    pub(crate) ran: u32,
+    pub(crate) failed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(crate) enum Event {
     Arrive(usize),
     Shed(usize, usize),
     Answered(usize, usize),
 }
 
 pub(crate) struct Simulation {
-    policy: Policy,
-    start: Instant,
-    micros: u64,
-    rng: SmallRng,
-    kinds: Vec<RequestKind>,
-    daemons: Vec<Daemon>,
-    requests: Vec<Request>,
+    pub(crate) policy: Policy,
+    pub(crate) start: Instant,
+    pub(crate) micros: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) kinds: Vec<RequestKind>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) requests: Vec<Request>,
     /// Events by time in microseconds; the second number keeps their order.
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    scheduled: u64,
-    outcome: Outcome,
+    pub(crate) events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    pub(crate) scheduled: u64,
+    pub(crate) outcome: Outcome,
 }
 
 impl Simulation {
@@ -162,7 +114,10 @@
                     time: WORK * calls,
                     calls,
                 };
-                ingress.record_work(&kind.rule.into(), &[work]);
+                ingress.record_work(&kind.rule.into(), std::slice::from_ref(&work));
+                if policy >= Policy::Ingress {
+                    ingress.record_calls(&kind.rule.into(), &[work]);
+                }
             }
             Daemon {
                 ratio: RetryRatio::new(start, options),
@@ -199,8 +154,8 @@
                 for _ in 0..count {
                     let ingress = self.rng.random_range(0..self.daemons.len());
                     let at = millis * 1_000 + self.rng.random_range(0..1_000);
-                    let order = self.retry_order(kind);
-                    let request = self.request(kind, ingress, at, order);
+                    let rank = (1 << 24) + self.rng.random_range(0..1 << 24);
+                    let request = self.request(kind, ingress, at, rank);
                     self.schedule(at, Event::Arrive(request));
                     self.tally(request, |tally| tally.offered += 1);
                 }
@@ -211,25 +166,23 @@
         self.outcome
     }
 
-    fn retry_order(&mut self, kind: usize) -> RetryOrder {
-        if self.policy < Policy::Order {
-            return 0;
-        }
-        let rank = (1 << 24) + self.rng.random_range(0..1_u64 << 24);
-        let kind = &self.kinds[kind];
-        let calls = kind.branches as u64 * u64::from(kind.calls);
-        (u64::from(kind.class) << 32) | (rank * calls)
-    }
-
     /// Adds a request that a caller first sends at the time `first`.
-    fn request(&mut self, kind: usize, ingress: usize, first: u64, order: RetryOrder) -> usize {
+    fn request(&mut self, kind: usize, ingress: usize, first: u64, rank: Rank) -> usize {
+        let described = &self.kinds[kind];
+        let calls = (described.branches as u64) * u64::from(described.calls);
+        let order = match self.policy {
+            Policy::Bucket | Policy::Window => 0,
+            _ => (u64::from(described.class) << 32) | (u64::from(rank) * calls),
+        };
         self.requests.push(Request {
             kind,
             ingress,
             first,
             attempt: 0,
+            rank,
             order,
             was_let_in: false,
+            is_counted: false,
             credit: Credit::new(CREDIT),
             branches: Vec::new(),
             ran: 0,
@@ -239,27 +192,30 @@
     }
 
     /// Adds a request that its caller sends again.
-    fn request_again(&mut self, request: usize, was_let_in: bool) -> usize {
+    pub(crate) fn request_again(&mut self, request: usize, was_let_in: bool) -> usize {
         let Request {
             kind,
             ingress,
             first,
-            order,
+            rank,
             ..
         } = self.requests[request];
-        let again = self.request(kind, ingress, first, order);
+        let again = self.request(kind, ingress, first, rank);
         let state = &mut self.requests[again];
         state.attempt = 1;
         state.was_let_in = was_let_in;
-        state.credit = Credit::new(0);
+        state.is_counted = was_let_in || self.policy < Policy::Order;
+        if state.is_counted {
+            state.credit = Credit::new(0);
+        }
         again
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.start + Duration::from_micros(self.micros)
     }
 
-    fn schedule(&mut self, at: u64, event: Event) {
+    pub(crate) fn schedule(&mut self, at: u64, event: Event) {
         self.scheduled += 1;
         self.events.push(Reverse((at, self.scheduled, event)));
     }
@@ -279,7 +235,7 @@
         }
     }
 
-    fn tally(&mut self, request: usize, update: impl FnOnce(&mut Tally)) {
+    pub(crate) fn tally(&mut self, request: usize, update: impl FnOnce(&mut Tally)) {
         let state = &self.requests[request];
         let tallies = if FAULT_MILLIS.contains(&(state.first / 1_000)) {
             &mut self.outcome.during
@@ -299,6 +255,7 @@
         let ingress_request = IngressRequest {
             rule: &rule,
             class: kind.class,
+            rank: state.rank,
             objective: Duration::from_millis(1_500),
         };
         let admitted = daemon
@@ -331,153 +288,20 @@
         }
     }
 
-    fn start_call(&mut self, request: usize, branch: usize) {
-        let now = self.now();
-        let state = &mut self.requests[request];
-        let lent = state.credit.lend();
-        let progress = &mut state.branches[branch];
-        progress.credit = lent;
-        progress.free_sheds = if self.policy < Policy::Order {
-            FREE_SHEDS
-        } else {
-            WINDOW_SHEDS
-        };
-        progress.deadline = now + CALL_DEADLINE;
-        progress.tried.clear();
-        let ratio = &mut self.daemons[progress.daemon].ratio;
-        if state.attempt > 0 {
-            ratio.charge(now);
-        } else {
-            ratio.earn(now, state.order);
-        }
-        let is_repeat = state.was_let_in;
-        self.send(request, branch, is_repeat);
-    }
-
-    fn send(&mut self, request: usize, branch: usize, is_repeat: bool) {
-        let progress = &mut self.requests[request].branches[branch];
-        if self.policy >= Policy::Order && progress.tried.len() == UPSTREAMS {
-            progress.tried.clear();
-        }
-        let untried: Vec<usize> = (0..UPSTREAMS)
-            .filter(|upstream| !progress.tried.contains(upstream))
-            .collect();
-        progress
-            .tried
-            .push(untried[self.rng.random_range(0..untried.len())]);
-        self.outcome.arrivals.count(self.micros / 1_000, is_repeat);
-        let sheds =
-            FAULT_MILLIS.contains(&(self.micros / 1_000)) && self.rng.random_bool(SHED_PROBABILITY);
-        let hops = self.micros + 2 * HOP_MICROS;
-        if sheds {
-            self.schedule(hops, Event::Shed(request, branch));
-        } else {
-            let work = WORK.mul_f64(self.rng.random_range(0.5..1.5));
-            let at = hops + work.as_micros() as u64;
-            self.schedule(at, Event::Answered(request, branch));
-        }
-    }
-
     /// Learns the load of the service, as from the reply of one of its upstreams.
-    fn observe(&mut self, daemon: usize) {
+    pub(crate) fn observe(&mut self, daemon: usize) {
         let now = self.now();
+        let status = (self.policy >= Policy::Ingress)
+            .then(|| self.daemons[daemon].ratio.status(now))
+            .flatten();
         let report = Pressure {
             service: SERVICE.into(),
             occupied: 40,
             capacity: 100,
             age: Duration::ZERO,
+            refused: status.map(|status| (status.refused * 1_000.0).round() as u32),
+            cutoff: status.and_then(|status| status.cutoff),
         };
         self.daemons[daemon].pressures.merge(now, &[report]);
     }
-
-    fn handle_shed(&mut self, request: usize, branch: usize) {
-        let now = self.now();
-        let state = &mut self.requests[request];
-        let kind = self.kinds[state.kind];
-        let progress = &mut state.branches[branch];
-        let daemon = progress.daemon;
-        let refusal = Refusal::new(Kind::BackendShed, "");
-        let options = RetryOptions {
-            idempotent: true,
-            remaining: progress.deadline.saturating_duration_since(now),
-            expected: WORK,
-            free_failovers: 0,
-            free_sheds: progress.free_sheds,
-            claim: RetryClaim {
-                class: kind.class,
-                order: state.order,
-                fleet: None,
-            },
-        };
-        let failed_attempt = FailedAttempt {
-            refusal: &refusal,
-            retried: false,
-        };
-        let ratio = &mut self.daemons[daemon].ratio;
-        ratio.record(now, true);
-        let decision = decide_retry(now, options, failed_attempt, &mut progress.credit, ratio);
-        progress.free_sheds = progress.free_sheds.saturating_sub(1);
-        let has_untried = self.policy >= Policy::Order || progress.tried.len() < UPSTREAMS;
-        self.observe(daemon);
-        if decision.is_ok() && has_untried {
-            self.send(request, branch, true);
-        } else {
-            self.fail(request, branch);
-        }
-    }
-
-    fn handle_answer(&mut self, request: usize, branch: usize) {
-        let now = self.now();
-        let state = &mut self.requests[request];
-        let progress = &mut state.branches[branch];
-        let daemon = progress.daemon;
-        self.daemons[daemon].ratio.record(now, false);
-        if now > progress.deadline {
-            self.fail(request, branch);
-            return;
-        }
-        let unused = std::mem::take(&mut progress.credit);
-        progress.calls_left -= 1;
-        state.ran += 1;
-        state.credit.reclaim(unused, unused.left());
-        let has_failed = state.failed;
-        let has_next = progress.calls_left > 0;
-        let is_finished = state.branches.iter().all(|branch| branch.calls_left == 0);
-        self.observe(daemon);
-        if has_failed {
-            self.tally(request, |tally| tally.wasted += 1);
-        } else if has_next {
-            self.start_call(request, branch);
-        } else if is_finished {
-            self.reply(request, daemon);
-            self.tally(request, |tally| tally.finished += 1);
-        }
-    }
-
-    /// A request fails with its first failed call, and all calls that ran for it are wasted.
-    fn fail(&mut self, request: usize, branch: usize) {
-        let daemon = self.requests[request].branches[branch].daemon;
-        if std::mem::replace(&mut self.requests[request].failed, true) {
-            return;
-        }
-        self.reply(request, daemon);
-        let state = &self.requests[request];
-        let ran = state.ran;
-        let resends = self.kinds[state.kind].resends && state.attempt == 0;
-        self.tally(request, |tally| tally.wasted += ran);
-        if resends {
-            let again = self.request_again(request, true);
-            self.schedule(self.micros + HOP_MICROS, Event::Arrive(again));
-        } else {
-            self.tally(request, |tally| tally.failed += 1);
-        }
-    }
-
-    /// The ingress daemon learns what the daemon that made the calls knows.
-    fn reply(&mut self, request: usize, daemon: usize) {
-        let now = self.now();
-        let reports = self.daemons[daemon].pressures.reports(now);
-        let ingress = self.requests[request].ingress;
-        self.daemons[ingress].pressures.merge(now, &reports);
-    }
 }
--- a/crates/indigospur-budget/src/order_cutoff.rs
+++ b/crates/indigospur-budget/src/order_cutoff.rs
@@ -6,22 +6,27 @@
 use std::time::{Duration, Instant};
 
 /// Time over which attempts and refusals lose their weight in the refused share.
-const SHARE_DECAY: Duration = Duration::from_millis(500);
-/// Attempts that are taken to have succeeded before any was made, so that a single refusal at a service
-/// that is seldom called is no large share.
-const PRIOR_ATTEMPTS: f64 = 4.0;
+const SHARE_DECAY: Duration = Duration::from_millis(250);
+/// Number of recent attempts that the refused share is taken of where fewer were made, so that a single
+/// refusal at a service that is seldom called is no large share.
+const MIN_ATTEMPTS: f64 = 6.0;
 /// Largest share of refused attempts that is reckoned with. Above it a call would need more attempts
 /// than its deadline allows.
 const MAX_SHARE: f64 = 0.9;
+/// Pace of retries, in windows' allowances for each window. Above one, since in a shorter fault a part
+/// would be left over; in a longer one retries run short for a while in each window.
+const PACE: f64 = 1.2;
 /// Time between two computations of the cutoff.
-const INTERVAL: Duration = Duration::from_millis(50);
+const INTERVAL: Duration = Duration::from_millis(20);
 /// Age at which a cutoff is no longer in force, since no call has asked for a retry.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Longest time of retries at the pace that is made up for after it was not used, or was exceeded.
 const MAX_CREDIT: Duration = Duration::from_millis(500);
 const MAX_DEBT: Duration = Duration::from_secs(1);
 /// Time in which retries above or below the pace are made up for.
-const CORRECTION: Duration = Duration::from_secs(1);
+const CORRECTION: Duration = Duration::from_secs(2);
+/// Time for which the retries that are left must suffice.
+const RESERVE: Duration = Duration::from_secs(2);
 /// First sends below which nothing is known about the order of requests.
 const MIN_SAMPLES: usize = 20;
 /// Reciprocal of the part by which a request may lie above the fleet's cutoff, which moves while the
@@ -90,7 +95,7 @@
         let decay = self.decay(now);
         let is_fresh = |at| now.saturating_duration_since(at) < MAX_AGE;
         RetryStatus {
-            refused: self.refused * decay / (self.attempts * decay + PRIOR_ATTEMPTS),
+            refused: self.refused * decay / (self.attempts * decay).max(MIN_ATTEMPTS),
             cutoff: self.cutoff.filter(|_| self.computed.is_some_and(is_fresh)),
         }
     }
@@ -129,14 +134,16 @@
         window: &mut RetryWindow,
         percent: u32,
     ) {
-        let pace = window.pace(now, percent);
+        let pace = PACE * window.pace(now, percent);
         // After a time without failures nothing is left over from before.
         self.level = since.map_or(0.0, |since| self.level + pace * since.as_secs_f64());
         self.level = self.level.clamp(
             -pace * MAX_DEBT.as_secs_f64(),
             pace * MAX_CREDIT.as_secs_f64(),
         );
-        let allowed = (pace + self.level / CORRECTION.as_secs_f64()).max(0.0);
+        // What is left must last for a while, for the calls that come first.
+        let left = window.available(now, percent).max(0.0) / RESERVE.as_secs_f64();
+        let allowed = (pace + self.level / CORRECTION.as_secs_f64()).clamp(0.0, left);
         let refused = fleet.map_or(self.status(now).refused, |fleet| fleet.refused);
         let refused = refused.clamp(0.0, MAX_SHARE);
         let retries_per_call = refused / (1.0 - refused);
@@ -147,7 +154,7 @@
             return;
         }
         let mut needed = 0.0;
-        let mut last = 0;
+        let mut last = rates[0].0.saturating_sub(1);
         for (order, rate) in rates {
             needed += rate * retries_per_call;
             if needed > allowed {
--- a/crates/indigospur-budget/tests/window.rs
+++ b/crates/indigospur-budget/tests/window.rs
@@ -1,7 +1,11 @@
 //! The bound on repeats in every sliding window, summed over daemons, for random loads that move
 //! between them.
 
-use indigospur_budget::{RatioOptions, RetryClaim, RetryRatio, WindowOptions};
+use indigospur_budget::{
+    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, RetryStatus,
+    WindowOptions, decide_retry,
+};
+use indigospur_protocol::{Kind, Refusal, RetryReason};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::{Duration, Instant};
@@ -111,3 +115,80 @@
         .count();
     assert_eq!(retries, 3);
 }
+
+/// A window of a daemon that has made calls at the positions 1 to 100, ten a second of each, half of
+/// which the service refuses now.
+fn scarce(start: Instant) -> (RetryRatio, Instant) {
+    let mut ratio = window(start, 16);
+    for millis in 0..20_000_u64 {
+        let now = start + Duration::from_millis(millis);
+        ratio.earn(now, 1 + millis * 7 % 100);
+    }
+    let now = start + Duration::from_secs(20);
+    for _ in 0..50 {
+        ratio.record(now, true);
+        ratio.record(now, false);
+    }
+    (ratio, now)
+}
+
+/// Retries that are spread over all requests finish hardly any request of several calls.
+#[test]
+fn where_retries_are_scarce_only_requests_below_the_cutoff_get_any() {
+    let (mut ratio, now) = scarce(Instant::now());
+    let at = |order| RetryClaim {
+        order,
+        ..RetryClaim::default()
+    };
+    assert!(!ratio.spend(now, at(90)));
+    let cutoff = ratio.status(now).and_then(|status| status.cutoff);
+    // 160 retries a second and a fifth more, for 1,000 calls of which each needs one.
+    assert!(
+        cutoff.is_some_and(|cutoff| (14..=25).contains(&cutoff)),
+        "{cutoff:?}"
+    );
+    assert!(ratio.spend(now, at(10)));
+    assert!(ratio.spend(now, at(0)));
+}
+
+/// Daemons that see a part of the calls have different cutoffs; a request admitted by the fleet's must get
+/// its retries at each of them.
+#[test]
+fn a_request_below_the_cutoff_of_the_fleet_gets_retries() {
+    let (mut ratio, now) = scarce(Instant::now());
+    let claim = RetryClaim {
+        class: 0,
+        order: 60,
+        fleet: Some(RetryStatus {
+            refused: 0.5,
+            cutoff: Some(64),
+        }),
+    };
+    assert!(ratio.spend(now, claim));
+}
+
+/// Credit is lent by three quarters, so calls deep in a chain have none; the window decides there.
+#[test]
+fn a_refusal_by_the_backend_server_needs_no_credit_within_the_window() {
+    let now = Instant::now();
+    let refusal = Refusal::new(Kind::BackendShed, "");
+    let options = RetryOptions {
+        idempotent: false,
+        remaining: Duration::from_millis(500),
+        expected: Duration::from_millis(86),
+        free_failovers: 0,
+        free_sheds: 15,
+        claim: RetryClaim::default(),
+    };
+    let failed = FailedAttempt {
+        refusal: &refusal,
+        retried: true,
+    };
+    let credit = &mut Credit::new(0);
+    let mut with_window = window(now, 16);
+    let decision = decide_retry(now, options, failed, credit, &mut with_window);
+    assert_eq!(decision, Ok(RetryReason::NotRun));
+    let mut bucket = RetryRatio::new(now, RatioOptions::default());
+    let decision = decide_retry(now, options, failed, credit, &mut bucket);
+    assert_eq!(decision, Err(RetryReason::RetriedBelow));
+}
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -91,11 +91,15 @@
 /// Updates the mean slot time that a request of the rule takes at each service, from a request that
 /// was answered, and its mean numbers of calls, from one that succeeded.
 fn learn_work(daemon: &Daemon, rule: Option<&Arc<str>>, reply: &Reply) {
-    if let (Some(rule), Outcome::Answered(answer)) = (rule, &reply.outcome) {
-        let mut ingress = lock(&daemon.ingress);
+    let Some(rule) = rule else { return };
+    let mut ingress = lock(&daemon.ingress);
+    let mut succeeded = false;
+    if let Outcome::Answered(answer) = &reply.outcome {
         ingress.record_work(rule, &reply.work);
         if answer.status < 400 {
             ingress.record_calls(rule, &reply.work);
         }
+        succeeded = answer.status < 500;
     }
+    ingress.record_outcome(rule, succeeded);
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::configuration::{ConfigurationSource, NewestConfiguration};
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
@@ -260,6 +261,7 @@
         if let Some(backend) = self.backend() {
             self.metrics.record_load(backend.slots.load());
         }
+        record_shedding(self);
         self.metrics.render()
     }
 
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -31,8 +31,13 @@
     parent_hints: Counter<u64>,
     source_failures: Counter<u64>,
     rejected_settings: Counter<u64>,
+    refused_share: Gauge<f64>,
+    retry_cutoff: Gauge<f64>,
 }
 
+/// Value of the gauge of the cutoff while all requests get retries; above that of every class.
+const NO_CUTOFF: f64 = 256.0;
+
 impl Metrics {
     pub(crate) fn new() -> Metrics {
         let registry = Registry::new();
@@ -70,6 +75,8 @@
             parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
             rejected_settings: meter.u64_counter("indigospur_settings_skipped").build(),
             source_failures: meter.u64_counter("indigospur_source_failures").build(),
+            refused_share: meter.f64_gauge("indigospur_refused_share").build(),
+            retry_cutoff: meter.f64_gauge("indigospur_retry_cutoff").build(),
             registry,
             _provider: provider,
         }
@@ -93,6 +100,15 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records the share of calls that a service refuses, and the cutoff of the retries at it: its class
+    /// plus the part of the class that gets retries.
+    pub(crate) fn record_shedding(&self, service: &str, refused: f64, cutoff: Option<f64>) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.refused_share.record(refused, &labels);
+        self.retry_cutoff
+            .record(cutoff.unwrap_or(NO_CUTOFF), &labels);
+    }
+
     pub(crate) fn count_preemption(&self) {
         self.preemptions.add(1, &[]);
     }
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -2,7 +2,7 @@
 
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
-use crate::retry_budget::{count_in_ratio, is_shed, record_in_ratio};
+use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
 use crate::{inbound, peers};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
@@ -240,8 +240,8 @@
     open_attempt.finish(classify(attempt, &reply.outcome), &reply);
     progress.credit.reclaim(lent, reply.retries_left);
     progress.retried |= reply.retried;
-    apply_reply_info(daemon, &service, &reply);
     record_in_ratio(daemon, &service, &reply.outcome);
+    apply_reply_info(daemon, &service, &reply);
     progress.crashes.extend(reply.crashes.iter().cloned());
     add_work(&mut progress.work, &reply.work);
     if let Outcome::Refused(refusal) = &reply.outcome {
@@ -277,9 +277,22 @@
     if !reply.crashes.is_empty() {
         lock(&daemon.fleet).suspects.merge(&reply.crashes);
     }
-    let own_pressure = lock(&daemon.router).pressure(now, service);
+    let mut own_pressure = lock(&daemon.router).pressure(now, service);
+    let status = daemon.with_retry_ratio(service, now, |ratio| ratio.status(now));
+    if let (Some(pressure), Some(status)) = (&mut own_pressure, status) {
+        pressure.refused = Some((status.refused * 1_000.0).round() as u32);
+        pressure.cutoff = status.cutoff;
+    }
+    let mut reported = reply.pressures.clone();
+    if status.is_none() {
+        // Refusals at ingress are for daemons whose retries are bounded by a window.
+        for pressure in &mut reported {
+            pressure.refused = None;
+            pressure.cutoff = None;
+        }
+    }
     let mut pressures = lock(&daemon.pressures);
-    pressures.merge(now, &reply.pressures);
+    pressures.merge(now, &reported);
     pressures.merge(now, own_pressure.as_slice());
 }
 
@@ -334,7 +347,7 @@
         claim: RetryClaim {
             class: message.context.class,
             order: message.context.retry_order,
-            fleet: None,
+            fleet: fleet_status(daemon, now, service),
         },
     };
     let credit = &mut progress.credit;
@@ -352,6 +365,7 @@
         upstream = &*member.host,
         class = message.context.class,
         order = message.context.retry_order,
+        cutoff:? = options.claim.fleet.and_then(|fleet| fleet.cutoff),
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
         detail = &*refusal.detail,
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -72,7 +72,7 @@
     let (rule, treatment) = decide(&rules, received, &head, &origin)?;
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     if !origin.in_chain {
-        admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment).inspect_err(|_| {
+        admit_ingress(daemon, &origin, rule.as_ref(), &treatment).inspect_err(|_| {
             if daemon.settings().retry_window.is_some() {
                 lock(&daemon.request_counts).undo(&origin.request_id);
             }
@@ -231,7 +231,7 @@
 /// capacity for it.
 fn admit_ingress(
     daemon: &Daemon,
-    request: &RequestId,
+    origin: &RequestOrigin,
     rule: Option<&Arc<str>>,
     treatment: &Treatment,
 ) -> Result<(), Refusal> {
@@ -239,6 +239,7 @@
     let ingress_request = IngressRequest {
         rule,
         class: treatment.class,
+        rank: treatment.rank(&origin.customer, &origin.request_id),
         objective: treatment.objective,
     };
     let pressures = lock(&daemon.pressures);
@@ -246,13 +247,16 @@
     drop(pressures);
     admitted.map_err(|refusal| {
         log::info!(
-            request = &**request,
+            request = &*origin.request_id,
             rule = &**rule,
             class = treatment.class,
             service = &*refusal.service,
             level = refusal.level,
             age_ms = refusal.age.as_millis() as u64,
-            share = refusal.share;
+            share = refusal.share,
+            order = refusal.order,
+            cutoff:? = refusal.cutoff,
+            chance:? = refusal.chance;
             "request refused on arrival; a service that it needs is overloaded"
         );
         let detail = format!("{} has no room for it", refusal.service);
--- a/crates/indigospur-daemon/src/retry_budget.rs
+++ b/crates/indigospur-daemon/src/retry_budget.rs
@@ -1,10 +1,13 @@
 //! The retry bucket or window of each service that this daemon calls.
 
 use crate::daemon::{Daemon, lock};
-use indigospur_budget::{RatioOptions, RetryRatio, WindowOptions};
+use indigospur_budget::{RatioOptions, RetryRatio, RetryStatus, WindowOptions};
 use indigospur_protocol::{Kind, Outcome, Ran, Refusal, RelayMessage, ServiceName};
 use std::time::Instant;
 
+/// Services with gauges of their own, in the order of their names.
+const MAX_METRIC_SERVICES: usize = 64;
+
 impl Daemon {
     /// Applies `update` to the token bucket or the window that bounds the retries of calls to a
     /// service. Its capacity or slack is this daemon's share of the fleet's.
@@ -63,3 +66,29 @@
     let now = Instant::now();
     daemon.with_retry_ratio(service, now, |ratio| ratio.record(now, refused));
 }
+
+/// What the daemons that call a service report on it; `None` where retries are not bounded by a window.
+pub(crate) fn fleet_status(daemon: &Daemon, now: Instant, service: &str) -> Option<RetryStatus> {
+    daemon.settings().retry_window?;
+    let pressures = lock(&daemon.pressures);
+    Some(RetryStatus {
+        refused: pressures.refused(now, service),
+        cutoff: pressures.cutoff(now, service),
+    })
+}
+
+/// Updates the gauges of the refused share and the cutoff of the services that are called.
+pub(crate) fn record_shedding(daemon: &Daemon) {
+    if daemon.settings().retry_window.is_none() {
+        return;
+    }
+    let now = Instant::now();
+    let mut services: Vec<ServiceName> = lock(&daemon.retry_ratios).keys().cloned().collect();
+    services.sort();
+    let pressures = lock(&daemon.pressures);
+    for service in services.iter().take(MAX_METRIC_SERVICES) {
+        let refused = pressures.refused(now, service);
+        let cutoff = pressures.cutoff_place(now, service);
+        daemon.metrics.record_shedding(service, refused, cutoff);
+    }
+}
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -1,6 +1,6 @@
 //! Results of calls, and the load reports that are returned with them.
 
-use crate::call::{Crash, Header, find_header};
+use crate::call::{Crash, Header, RetryOrder, find_header};
 use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
 use std::sync::Arc;
@@ -105,7 +105,7 @@
     pub work: Vec<Work>,
 }
 
-/// Slot occupancy of a service, summed over its upstreams.
+/// Slot occupancy of a service, summed over its upstreams, and its refusals as its callers see them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pressure {
     /// Name of the service.
@@ -116,6 +116,11 @@
     pub capacity: u32,
     /// Time since the upstreams reported it.
     pub age: Duration,
+    /// Share of calls that its backend servers refuse themselves, in thousandths; `None` from hosts
+    /// that do not measure it.
+    pub refused: Option<u32>,
+    /// Position in the retry order up to which requests get retries; `None` if all do.
+    pub cutoff: Option<RetryOrder>,
 }
 
 /// Slot time and calls that a call used at a service.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -134,6 +134,8 @@
             occupied: pressure.occupied,
             capacity: pressure.capacity,
             age_millis: u32::try_from(pressure.age.as_millis()).unwrap_or(u32::MAX),
+            refused: pressure.refused,
+            cutoff: pressure.cutoff,
         }
     }
 }
@@ -145,6 +147,8 @@
             occupied: wire.occupied,
             capacity: wire.capacity,
             age: Duration::from_millis(u64::from(wire.age_millis)),
+            refused: wire.refused,
+            cutoff: wire.cutoff,
         }
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -110,6 +110,13 @@
     pub capacity: u32,
     #[prost(uint32, tag = "4")]
     pub age_millis: u32,
+    /// Share of calls that the service's backend servers refuse themselves, in thousandths; absent if
+    /// not measured.
+    #[prost(uint32, optional, tag = "5")]
+    pub refused: ::core::option::Option<u32>,
+    /// Position in the retry order up to which requests get retries; absent if all do.
+    #[prost(uint64, optional, tag = "6")]
+    pub cutoff: ::core::option::Option<u64>,
 }
 /// Slot time that a call and the calls below it in the chain used at a service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -87,6 +87,8 @@
             occupied: 50,
             capacity: 36,
             age: Duration::from_millis(30),
+            refused: Some(550),
+            cutoff: Some((1 << 32) | 5),
         }],
         work: vec![Work {
             service: "accounts".into(),
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -153,6 +153,8 @@
             occupied,
             capacity,
             age: Duration::ZERO,
+            refused: None,
+            cutoff: None,
         })
     }
 
