--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -9,10 +9,12 @@
 mod fair_queue;
 mod ingress;
 mod limit;
+mod needs;
 mod pace;
 mod pressure;
 mod queue;
 mod rate_limiter;
+mod shedding;
 
 pub use admission::{Admission, Options};
 pub use effect::{AdmissionRefusal, Arrival, Completion, Effect, Ticket, Verdict};
--- a/crates/indigospur-bench/src/bin/decision-cost.rs
+++ b/crates/indigospur-bench/src/bin/decision-cost.rs
@@ -3,7 +3,9 @@
 
 use indigospur_admission::{Admission, Arrival, Completion, LimitPolicy, Options, Verdict};
 use indigospur_bench::Table;
-use indigospur_budget::{Credit, FailedAttempt, RetryOptions, RetryRatio, decide_retry};
+use indigospur_budget::{
+    Credit, FailedAttempt, RatioOptions, RetryClaim, RetryOptions, RetryRatio, decide_retry,
+};
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{EpochRecord, Key, Kind, Member, MemberId, Refusal, State};
 use indigospur_routing::{AttemptResult, Criteria, Router};
@@ -223,9 +225,10 @@
         expected: Duration::from_millis(10),
         free_failovers: 0,
         free_sheds: 0,
-        class: 0,
+        claim: RetryClaim::default(),
     };
-    let mut ratio = RetryRatio::default();
+    let now = Instant::now();
+    let mut ratio = RetryRatio::new(now, RatioOptions::default());
     fastest_ns(|_| {
         let mut credit = Credit::new(3);
         let failed_attempt = FailedAttempt {
@@ -233,6 +236,7 @@
             retried: false,
         };
         let _ = black_box(decide_retry(
+            now,
             options,
             failed_attempt,
             &mut credit,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -3,16 +3,17 @@
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
 use crate::placement::{self, PlacementSummary};
+use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
 use crate::{inbound, peers};
 use indigospur_budget::{
-    Credit, FailedAttempt, RetryOptions, RetryRatio, add_work, decide_retry, is_passed_over,
+    Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
 };
 use indigospur_protocol::{
     Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, RetryReason,
     ServiceName, Work,
 };
-use indigospur_relay::{LinkError, runtime};
+use indigospur_relay::runtime;
 use indigospur_routing::{AttemptResult, Criteria, Placement};
 use std::sync::Arc;
 use std::time::Instant;
@@ -23,12 +24,18 @@
 /// Refusals by backend servers themselves after which one call may be sent to another upstream
 /// without spending retry credit; enough to try all upstreams of the smallest services.
 const MAX_FREE_SHEDS: u32 = 2;
+/// The same where retries are bounded by a window, which then decides. At a service that refuses 55 %, one
+/// call in 14,000 needs more.
+const MAX_WINDOW_SHEDS: u32 = 15;
 
 /// Progress of one call over its attempts.
 struct CallProgress {
     credit: Credit,
     /// Hosts that were tried or are excluded from the start.
     excluded: Vec<HostId>,
+    /// Those of `excluded` whose backend servers refused the call, and may accept it later; only where
+    /// retries are bounded by a window.
+    shedding: Vec<HostId>,
     /// Number of upstreams on which the call may still run.
     runs_left: u32,
     /// Whether any attempt so far has run the call.
@@ -57,15 +64,21 @@
     mut message: RelayMessage,
     limits: SendLimits,
 ) -> Reply {
+    let has_window = daemon.settings().retry_window.is_some();
     let mut progress = CallProgress {
         credit: Credit::new(message.context.retries),
         excluded: limits.excluded,
+        shedding: Vec::new(),
         runs_left: limits.max_runs,
         ran: Ran::No,
         retried: false,
         attempts: 0,
         free_failovers: MAX_FREE_FAILOVERS,
-        free_sheds: MAX_FREE_SHEDS,
+        free_sheds: if has_window {
+            MAX_WINDOW_SHEDS
+        } else {
+            MAX_FREE_SHEDS
+        },
         deadline: Deadline::after(Moment::now(), message.context.remaining),
         crashes: Vec::new(),
         work: Vec::new(),
@@ -73,7 +86,7 @@
     count_in_ratio(daemon, &message);
     let mut last_refusal: Option<Refusal> = None;
     loop {
-        let Some(placement) = choose_upstream(daemon, &message, &progress) else {
+        let Some(placement) = choose_again(daemon, &message, &mut progress) else {
             let refusal =
                 last_refusal.unwrap_or_else(|| no_upstream(daemon, &message.call.service));
             return progress.into_reply(Outcome::Refused(refusal));
@@ -95,6 +108,9 @@
         if !decide_and_log_retry(daemon, &message, &mut progress, &placement, failed_attempt) {
             return progress.into_reply(Outcome::Refused(refusal));
         }
+        if has_window && is_shed(&refusal) {
+            progress.shedding.push(placement.member.host.clone());
+        }
         progress.excluded.push(placement.member.host);
         last_refusal = Some(refusal);
     }
@@ -115,6 +131,22 @@
     }
 }
 
+/// Chooses an upstream that was not tried, or else one whose backend server refused the call: one
+/// that refuses a share of its calls at random may accept it now.
+fn choose_again(
+    daemon: &Daemon,
+    message: &RelayMessage,
+    progress: &mut CallProgress,
+) -> Option<Placement> {
+    let chosen = choose_upstream(daemon, message, progress);
+    if chosen.is_some() || progress.shedding.is_empty() {
+        return chosen;
+    }
+    let shedding = std::mem::take(&mut progress.shedding);
+    progress.excluded.retain(|host| !shedding.contains(host));
+    choose_upstream(daemon, message, progress)
+}
+
 fn choose_upstream(
     daemon: &Daemon,
     message: &RelayMessage,
@@ -202,6 +234,7 @@
     open_attempt.finish(classify(attempt, &reply.outcome), &reply);
     progress.credit.reclaim(lent, reply.retries_left);
     progress.retried |= reply.retried;
+    record_in_ratio(daemon, &service, &reply.outcome);
     apply_reply_info(daemon, &service, &reply);
     progress.crashes.extend(reply.crashes.iter().cloned());
     add_work(&mut progress.work, &reply.work);
@@ -238,9 +271,22 @@
     if !reply.crashes.is_empty() {
         lock(&daemon.fleet).suspects.merge(&reply.crashes);
     }
-    let own_pressure = lock(&daemon.router).pressure(now, service);
+    let mut own_pressure = lock(&daemon.router).pressure(now, service);
+    let status = daemon.with_retry_ratio(service, now, |ratio| ratio.status(now));
+    if let (Some(pressure), Some(status)) = (&mut own_pressure, status) {
+        pressure.refused = Some((status.refused * 1_000.0).round() as u32);
+        pressure.cutoff = status.cutoff;
+    }
+    let mut reported = reply.pressures.clone();
+    if status.is_none() {
+        // Refusals at ingress are for daemons whose retries are bounded by a window.
+        for pressure in &mut reported {
+            pressure.refused = None;
+            pressure.cutoff = None;
+        }
+    }
     let mut pressures = lock(&daemon.pressures);
-    pressures.merge(now, &reply.pressures);
+    pressures.merge(now, &reported);
     pressures.merge(now, own_pressure.as_slice());
 }
 
@@ -260,7 +306,7 @@
         runtime::timeout(remaining, peers::relay(daemon, &member.address, message)).await;
     match received {
         Some(Ok(reply)) => (AttemptResult::Replied, reply),
-        Some(Err(error)) => link_failure(error, message.context.retries),
+        Some(Err(error)) => peers::link_failure(error, message.context.retries),
         None => {
             let refusal = Refusal::new(
                 Kind::DeadlineRunning,
@@ -271,55 +317,6 @@
     }
 }
 
-/// Translates a link failure. A connection that has worked before it broke does not count as a
-/// failure of the host; one that never worked does. The lent retry credit comes back only where it
-/// is certain that nothing was sent.
-fn link_failure(error: LinkError, lent: u32) -> (AttemptResult, Reply) {
-    let (attempt, kind, detail) = match error {
-        LinkError::Connect => (
-            AttemptResult::Failed,
-            Kind::ConnectFailed,
-            "the upstream's daemon takes no connection",
-        ),
-        LinkError::Mute => (
-            AttemptResult::Failed,
-            Kind::LinkLost,
-            "the upstream's daemon gives no sign of life",
-        ),
-        LinkError::Lost => (
-            AttemptResult::Abandoned,
-            Kind::LinkLost,
-            "the connection to the upstream's daemon broke",
-        ),
-        LinkError::Busy => (
-            AttemptResult::Replied,
-            Kind::Overloaded,
-            "the upstream's daemon has no memory for the message",
-        ),
-        LinkError::Protocol => (
-            AttemptResult::Failed,
-            Kind::Internal,
-            "the upstream's daemon does not understand",
-        ),
-    };
-    let is_unsent = matches!(error, LinkError::Connect | LinkError::Busy);
-    let credit_left = if is_unsent { lent } else { 0 };
-    (
-        attempt,
-        Reply::refused(Refusal::new(kind, detail), credit_left),
-    )
-}
-
-/// Counts a call in the retry ratio of its service: as a retry if it is nested in a call that is
-/// itself a retry, else as a first attempt.
-fn count_in_ratio(daemon: &Daemon, message: &RelayMessage) {
-    if message.context.repeated {
-        daemon.with_retry_ratio(&message.call.service, RetryRatio::charge);
-    } else {
-        daemon.with_retry_ratio(&message.call.service, RetryRatio::earn);
-    }
-}
-
 /// Decides whether to retry after a failed attempt, spends what the retry costs and logs the
 /// decision.
 fn decide_and_log_retry(
@@ -334,19 +331,24 @@
     if refusal.ran != Ran::No {
         progress.runs_left = progress.runs_left.saturating_sub(1);
     }
+    let now = Instant::now();
     let options = RetryOptions {
         idempotent: message.context.idempotent,
         remaining: progress.deadline.remaining(Moment::now()),
         expected: lock(&daemon.router).expected_service_time(service),
         free_failovers: progress.free_failovers,
         free_sheds: progress.free_sheds,
-        class: message.context.class,
+        claim: RetryClaim {
+            class: message.context.class,
+            order: message.context.retry_order,
+            fleet: fleet_status(daemon, now, service),
+        },
     };
     let credit = &mut progress.credit;
     let decision = match progress.runs_left {
         0 => Err(RetryReason::AttemptsSpent),
-        _ => daemon.with_retry_ratio(service, |ratio| {
-            decide_retry(options, failed_attempt, credit, ratio)
+        _ => daemon.with_retry_ratio(service, now, |ratio| {
+            decide_retry(now, options, failed_attempt, credit, ratio)
         }),
     };
     let (Ok(reason) | Err(reason)) = decision;
@@ -357,6 +359,8 @@
         upstream = &*placement.member.host,
         placement:% = PlacementSummary(placement),
         class = message.context.class,
+        order = message.context.retry_order,
+        cutoff:? = options.claim.fleet.and_then(|fleet| fleet.cutoff),
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
         detail = &*refusal.detail,
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -86,7 +86,11 @@
     }
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     if !origin.in_chain {
-        admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment)?;
+        admit_ingress(daemon, &origin, rule.as_ref(), &treatment).inspect_err(|_| {
+            if daemon.settings().retry_window.is_some() {
+                lock(&daemon.request_counts).undo(&origin.request_id);
+            }
+        })?;
     }
     let service = choose_service(daemon, rule.as_ref(), &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &received.path);
@@ -98,7 +102,11 @@
         headers: std::mem::take(&mut received.headers),
         body: received.body.clone(),
     };
-    let context = build_context(daemon, &origin, &treatment, remaining, key, &call);
+    let mut context = build_context(daemon, &origin, &treatment, remaining, key, &call);
+    if origin.parent_context.is_none() {
+        let ingress = lock(&daemon.ingress);
+        context.retry_order = ingress.retry_order(rule.as_deref(), context.class, context.rank);
+    }
     Ok(Prepared {
         message: RelayMessage { call, context },
         parent: origin.parent,
@@ -248,6 +256,7 @@
         attempt: origin.attempt,
         crashes: Vec::new(),
         repeated: false,
+        retry_order: 0,
     };
     if let (Some(parent_context), Some(token)) = (&origin.parent_context, &origin.parent) {
         context.retries = lock(&daemon.ledger).lend(token);
@@ -266,7 +275,7 @@
 /// capacity for it.
 fn admit_ingress(
     daemon: &Daemon,
-    request: &RequestId,
+    origin: &RequestOrigin,
     rule: Option<&Arc<str>>,
     treatment: &Treatment,
 ) -> Result<(), Refusal> {
@@ -274,6 +283,7 @@
     let ingress_request = IngressRequest {
         rule,
         class: treatment.class,
+        rank: treatment.rank(&origin.customer, &origin.request_id),
         objective: treatment.objective,
     };
     let pressures = lock(&daemon.pressures);
@@ -281,13 +291,16 @@
     drop(pressures);
     admitted.map_err(|refusal| {
         log::info!(
-            request = &**request,
+            request = &*origin.request_id,
             rule = &**rule,
             class = treatment.class,
             service = &*refusal.service,
             level = refusal.level,
             age_ms = refusal.age.as_millis() as u64,
-            share = refusal.share;
+            share = refusal.share,
+            order = refusal.order,
+            cutoff:? = refusal.cutoff,
+            chance:? = refusal.chance;
             "request refused on arrival; a service that it needs is overloaded"
         );
         let detail = format!("{} has no room for it", refusal.service);
@@ -301,6 +314,7 @@
     context.depth = parent.depth;
     context.remaining = context.remaining.min(parent.remaining);
     context.repeated = parent.repeated;
+    context.retry_order = parent.retry_order;
 }
 
 /// The token of the parent call, if that runs on this host.
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -96,6 +96,9 @@
     /// How the upstream for a call is chosen (`routing.policy`), and the time that leaving the data
     /// centre must save (`routing.stay`).
     pub placement: Policy,
+    /// Length of the window in which retries are bounded (`retries.window`); `None` if they are bounded
+    /// by what a daemon accumulates.
+    pub retry_window: Option<Duration>,
 }
 
 impl Settings {
@@ -252,6 +255,7 @@
         retry_capacity: as_u32(retries.integer("saved", 1..=100_000)).unwrap_or(10),
         fleet_retry_capacity: as_u32(retries.integer("fleet", 1..=1_000_000)).unwrap_or(100_000),
         placement: placement(&routing),
+        retry_window: retries.duration("window", SECOND..=SECOND * 600),
     };
     for table in [host, listen, log, peers, limits, keys, retries, routing] {
         table.finish();
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -1,6 +1,6 @@
 //! Results of calls, and the load reports that are returned with them.
 
-use crate::call::{Crash, Header, find_header};
+use crate::call::{Crash, Header, RetryOrder, find_header};
 use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
 use std::ops::RangeInclusive;
@@ -160,7 +160,7 @@
     pub work: Vec<Work>,
 }
 
-/// Slot occupancy of a service, summed over its upstreams.
+/// Slot occupancy of a service, summed over its upstreams, and its refusals as its callers see them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pressure {
     /// Name of the service.
@@ -171,15 +171,22 @@
     pub capacity: u32,
     /// Time since the upstreams reported it.
     pub age: Duration,
+    /// Share of calls that its backend servers refuse themselves, in thousandths; `None` from hosts
+    /// that do not measure it.
+    pub refused: Option<u32>,
+    /// Position in the retry order up to which requests get retries; `None` if all do.
+    pub cutoff: Option<RetryOrder>,
 }
 
-/// Slot time that a call used at a service.
+/// Slot time and calls that a call used at a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// Name of the service.
     pub service: ServiceName,
     /// Time for which the call occupied a slot.
     pub time: Duration,
+    /// Number of calls that the service answered; zero from hosts of earlier versions.
+    pub calls: u32,
 }
 
 impl Reply {
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -70,6 +70,7 @@
             attempt: context.attempt,
             suspects: context.crashes.iter().map(Into::into).collect(),
             repeated: context.repeated,
+            retry_order: context.retry_order,
         }
     }
 }
@@ -99,6 +100,7 @@
             attempt: wire.attempt,
             crashes: wire.suspects.into_iter().map(Into::into).collect(),
             repeated: wire.repeated,
+            retry_order: wire.retry_order,
         })
     }
 }
@@ -132,6 +134,8 @@
             occupied: pressure.occupied,
             capacity: pressure.capacity,
             age_millis: u32::try_from(pressure.age.as_millis()).unwrap_or(u32::MAX),
+            refused: pressure.refused,
+            cutoff: pressure.cutoff,
         }
     }
 }
@@ -143,6 +147,8 @@
             occupied: wire.occupied,
             capacity: wire.capacity,
             age: Duration::from_millis(u64::from(wire.age_millis)),
+            refused: wire.refused,
+            cutoff: wire.cutoff,
         }
     }
 }
@@ -152,6 +158,7 @@
         peer::Work {
             service: work.service.to_string(),
             micros: u32::try_from(work.time.as_micros()).unwrap_or(u32::MAX),
+            calls: work.calls,
         }
     }
 }
@@ -161,6 +168,7 @@
         Work {
             service: wire.service.into(),
             time: Duration::from_micros(u64::from(wire.micros)),
+            calls: wire.calls,
         }
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -46,6 +46,10 @@
     /// Whether a call above this one in the chain is a retry.
     #[prost(bool, tag = "17")]
     pub repeated: bool,
+    /// Position of the request among those that compete for retries, lower ones first; zero from
+    /// earlier versions.
+    #[prost(uint64, tag = "18")]
+    pub retry_order: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayRequest {
@@ -112,6 +116,13 @@
     pub capacity: u32,
     #[prost(uint32, tag = "4")]
     pub age_millis: u32,
+    /// Share of calls that the service's backend servers refuse themselves, in thousandths; absent if
+    /// not measured.
+    #[prost(uint32, optional, tag = "5")]
+    pub refused: ::core::option::Option<u32>,
+    /// Position in the retry order up to which requests get retries; absent if all do.
+    #[prost(uint64, optional, tag = "6")]
+    pub cutoff: ::core::option::Option<u64>,
 }
 /// Slot time that a call and the calls below it in the chain used at a service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -120,6 +131,9 @@
     pub service: ::prost::alloc::string::String,
     #[prost(uint32, tag = "2")]
     pub micros: u32,
+    /// Number of calls that the service answered; zero from earlier versions.
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayReply {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -45,6 +45,7 @@
         attempt: 0,
         crashes: vec![crash(7, true)],
         repeated: key.is_some(),
+        retry_order: (u64::from(class) << 32) | 5,
     };
     RelayMessage { call, context }
 }
@@ -121,10 +122,13 @@
             occupied: 50,
             capacity: 36,
             age: Duration::from_millis(30),
+            refused: Some(550),
+            cutoff: Some((1 << 32) | 5),
         }],
         work: vec![Work {
             service: "accounts".into(),
             time: Duration::from_millis(240),
+            calls: 4,
         }],
         ..Reply::refused(Refusal::new(Kind::BackendLost, "gone"), 0)
     };
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -228,6 +228,8 @@
             occupied,
             capacity,
             age: Duration::ZERO,
+            refused: None,
+            cutoff: None,
         })
     }
 
