--- a/crates/indigospur-daemon/tests/settings.rs
+++ b/crates/indigospur-daemon/tests/settings.rs
@@ -80,3 +80,21 @@
         let _ = Settings::parse("any", &text);
     }
 }
+
+/// Without the setting retries are bounded as before; a window that is no duration must be reported.
+#[test]
+fn the_retry_window_is_a_duration_and_off_unless_set() {
+    let with = |line: &str| format!("{}\n[retries]\n{line}\n", EXAMPLES[0]);
+    let window = |text: &str| {
+        let settings = Settings::parse("settings.toml", text).expect("valid settings");
+        settings.retry_window
+    };
+    assert_eq!(window(&with("")), None);
+    let ten = std::time::Duration::from_secs(10);
+    assert_eq!(window(&with("window = \"10s\"")), Some(ten));
+    let found = problems(&with("window = \"0s\"")).join("\n");
+    assert!(
+        found.contains("retries.window: \"0s\" is not allowed"),
+        "{found}"
+    );
+}
