Weigh reports on refusals by the attempts behind them

The many light reports, of requests of the least urgent class, pulled the fleet's cutoff up a class, so that ingress let in what the heavy callers had no retries for. Pressure now carries the recent attempts behind a report, its weight; passed on it counts half.

A threshold on attempts would leave fleets of light callers without reports.

Ingress daemons that hear nothing for 1 s let requests in which fail; reports would have to reach them by other ways than replies.

--- a/crates/indigospur-admission/src/pressure.rs
+++ b/crates/indigospur-admission/src/pressure.rs
@@ -13,11 +13,27 @@
 /// call with the usual rank.
 const UNIT: f64 = 16_777_216.0;
 /// Weight of the latest report in the refused share and the cutoff.
-const REPORT_WEIGHT: f64 = 1.0 / 8.0;
+const REPORT_WEIGHT: f64 = 1.0 / 4.0;
 /// Age up to which a report counts in them. Reports of other callers are older than the latest own one,
 /// and must count beside it.
 const MAX_REFUSAL_AGE: Duration = Duration::from_millis(250);
 
+/// Weight of a report that is passed on: it is no new measurement, and what daemons know from each other
+/// must fade beside what is measured.
+const PASSED_ON: f64 = 0.5;
+
+/// Smallest number of attempts behind a report that counts, as a part of the mean of those before: a
+/// daemon that makes few calls measures little, and must not make older, better reports look fresh.
+const MIN_WEIGHT: f64 = 0.125;
+/// Time over which reports lose their weight beside a new one. A daemon that gets few replies would
+/// otherwise follow a change for seconds.
+const WEIGHT_DECAY: Duration = Duration::from_millis(500);
+/// Factor of the weight of a report of a lower cutoff: a request let in by a cutoff that is too high fails at
+/// the cost of its retries, one refused by a cutoff that is too low can come back.
+const FALL_FACTOR: f64 = 3.0;
+/// Age up to which a refused share counts as a whole.
+const HOLD_AGE: Duration = Duration::from_secs(1);
+
 /// The latest report on one service.
 #[derive(Clone, Copy, Debug)]
 struct Observation {
@@ -32,8 +48,9 @@
     }
 }
 
-/// What the callers of a service report on its refusals, smoothed over the reporters. Each of them sees
-/// a part of the calls only.
+/// What the callers of a service report on its refusals, smoothed over the reporters and weighted by the
+/// attempts that each of them makes. Few daemons may make most of the calls, of other requests than
+/// the many whose reports are as frequent.
 #[derive(Clone, Copy, Debug)]
 struct Refusals {
     /// Time of the latest report.
@@ -44,6 +61,8 @@
     cut: f64,
     /// Mean of their cutoffs, see [`place`].
     cutoff: f64,
+    /// Mean number of recent attempts behind a report.
+    attempts: f64,
 }
 
 /// Place of a position in the retry order on a scale on which means make sense: the class, plus the share
@@ -62,30 +81,48 @@
 }
 
 impl Refusals {
-    fn new(at: Instant, refused: f64, cutoff: Option<RetryOrder>) -> Refusals {
+    fn new(at: Instant, refused: f64, cutoff: Option<RetryOrder>, attempts: u32) -> Refusals {
         Refusals {
             at,
             refused,
             cut: if cutoff.is_some() { 1.0 } else { 0.0 },
             cutoff: cutoff.map_or(0.0, place),
+            attempts: f64::from(attempts),
         }
     }
 
     fn update(&mut self, report: Refusals) {
+        if report.attempts < MIN_WEIGHT * self.attempts {
+            return;
+        }
+        self.attempts = self.weight(report.at);
         self.at = self.at.max(report.at);
-        self.refused += REPORT_WEIGHT * (report.refused - self.refused);
+        self.attempts += REPORT_WEIGHT * (report.attempts - self.attempts);
+        let weight = REPORT_WEIGHT * report.attempts / self.attempts;
+        self.refused += weight * (report.refused - self.refused);
         if report.cut > 0.0 {
             // The first cutoff after a time without one counts as a whole.
-            let weight = if self.cut > 0.01 { REPORT_WEIGHT } else { 1.0 };
-            self.cutoff += weight * (report.cutoff - self.cutoff);
+            let cutoff_weight = match report.cutoff < self.cutoff {
+                _ if self.cut <= 0.01 => 1.0,
+                true => (weight * FALL_FACTOR).min(1.0),
+                false => weight,
+            };
+            self.cutoff += cutoff_weight * (report.cutoff - self.cutoff);
         }
-        self.cut += REPORT_WEIGHT * (report.cut - self.cut);
+        self.cut += weight * (report.cut - self.cut);
     }
 
-    /// The share at `now`; without new reports it falls to zero within [`MAX_AGE`].
-    fn refused(&self, now: Instant) -> f64 {
+    /// Weight of what was reported, beside a report made at `now`.
+    fn weight(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at);
-        self.refused * (1.0 - age.as_secs_f64() / MAX_AGE.as_secs_f64()).max(0.0)
+        self.attempts * (-age.as_secs_f64() / WEIGHT_DECAY.as_secs_f64()).exp()
+    }
+
+    /// The share at `now`; without new reports it falls to zero from [`HOLD_AGE`] to [`MAX_AGE`].
+    fn refused(&self, now: Instant) -> f64 {
+        let left = MAX_AGE.saturating_sub(now.saturating_duration_since(self.at));
+        let falls = MAX_AGE - HOLD_AGE;
+        self.refused * (left.as_secs_f64() / falls.as_secs_f64()).min(1.0)
     }
 
     /// The cutoff, if at least half of the reporters have one.
@@ -127,13 +164,14 @@
     }
 
     fn merge_refusals(&mut self, now: Instant, pressures: &[Pressure]) {
-        for pressure in pressures.iter().filter(|it| it.age < MAX_REFUSAL_AGE) {
+        let is_counted = |it: &&Pressure| it.age < MAX_REFUSAL_AGE && it.attempts > 0;
+        for pressure in pressures.iter().filter(is_counted) {
             let (Some(at), Some(refused)) = (now.checked_sub(pressure.age), pressure.refused)
             else {
                 continue;
             };
             let refused = (f64::from(refused) / 1_000.0).min(1.0);
-            let report = Refusals::new(at, refused, pressure.cutoff);
+            let report = Refusals::new(at, refused, pressure.cutoff, pressure.attempts);
             match self.refusals.get_mut(&pressure.service) {
                 Some(known) if now.saturating_duration_since(known.at) < MAX_AGE => {
                     known.update(report);
@@ -187,6 +225,9 @@
                     is_fresh.then(|| (refusals.refused(now) * 1_000.0).round() as u32)
                 }),
                 cutoff: self.cutoff(now, service),
+                attempts: self.refusals.get(service).map_or(0, |refusals| {
+                    (refusals.weight(now) * PASSED_ON).ceil() as u32
+                }),
             })
             .collect()
     }
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -214,6 +214,7 @@
             age: MILLI * REPORT_DELAY_MILLIS as u32,
             refused: None,
             cutoff: None,
+            attempts: 0,
         });
         if self.delayed_reports.len() > REPORT_DELAY_MILLIS {
             let report = self.delayed_reports.pop_front();
@@ -457,6 +458,7 @@
         age: Duration::ZERO,
         refused: None,
         cutoff: None,
+        attempts: 0,
     };
     let rule: Arc<str> = "quotes".into();
     let admitted_count = |occupied, now: &mut Instant| {
--- a/crates/indigospur-admission/tests/shed_entry.rs
+++ b/crates/indigospur-admission/tests/shed_entry.rs
@@ -34,6 +34,7 @@
         age: Duration::ZERO,
         refused,
         cutoff,
+        attempts: 100,
     };
     pressures.merge(now, &[report]);
     pressures
@@ -109,3 +110,31 @@
         assert_eq!(admit(&mut ingress, now, "four", &relaxed), Ok(()));
     }
 }
+
+/// Many daemons that make few calls report as often as the few that make most; their cutoff, which lies
+/// above all requests of several calls, must not replace that of the few.
+#[test]
+fn reports_of_daemons_that_make_few_calls_do_not_move_the_cutoff() {
+    let now = Instant::now();
+    let cutoff = u64::from(RANK);
+    let mut pressures = pressures(now, Some(550), Some(cutoff));
+    let known = pressures.cutoff(now, SERVICE);
+    let light = Pressure {
+        service: SERVICE.into(),
+        occupied: 10,
+        capacity: 100,
+        age: Duration::ZERO,
+        refused: Some(100),
+        cutoff: Some(2 << 32),
+        attempts: 1,
+    };
+    for _ in 0..100 {
+        pressures.merge(now, std::slice::from_ref(&light));
+    }
+    assert_eq!(pressures.cutoff(now, SERVICE), known);
+    assert!(pressures.refused(now, SERVICE) > 0.5);
+    // Where nobody makes more calls, they are all there is to go by.
+    let mut only = Pressures::default();
+    only.merge(now, &[light]);
+    assert!(only.cutoff(now, SERVICE).is_some());
+}
--- a/crates/indigospur-admission/tests/shedding/calls.rs
+++ b/crates/indigospur-admission/tests/shedding/calls.rs
@@ -68,6 +68,7 @@
             RetryStatus {
                 refused: pressures.refused(now, SERVICE),
                 cutoff: pressures.cutoff(now, SERVICE),
+                attempts: 0.0,
             }
         });
         let refusal = Refusal::new(Kind::BackendShed, "");
--- a/crates/indigospur-admission/tests/shedding/main.rs
+++ b/crates/indigospur-admission/tests/shedding/main.rs
@@ -175,6 +175,69 @@
     }
 }
 
+/// Requests of several calls reach the service through a few daemons, the least urgent ones of one call
+/// through all: 330 calls a second at each of the few, 1.6 at all others.
+const UNEVEN: [RequestKind; 3] = [
+    RequestKind {
+        class: 2,
+        rate: 128.0,
+        ..KINDS[ONE]
+    },
+    RequestKind {
+        rate: 315.0,
+        ..KINDS[FOUR]
+    },
+    RequestKind {
+        class: 0,
+        rate: 331.0,
+        resends: true,
+        ..KINDS[EIGHT]
+    },
+];
+
+/// Daemons, and those of them that make most of the calls.
+const UNEVEN_SIZES: [(usize, usize); 2] = [(27, 4), (78, 10)];
+
+/// Outcomes at each of the sizes, and with each of two seeds.
+fn uneven_outcomes() -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    for (size, heavy) in UNEVEN_SIZES {
+        for seed in 1..=2 {
+            let simulation = Simulation::new(seed, size, &UNEVEN, Policy::Ingress);
+            let outcome = simulation.with_heavy(heavy).run();
+            print(&format!("{heavy} heavy callers, seed {seed}"), &outcome);
+            outcomes.push(outcome);
+        }
+    }
+    outcomes
+}
+
+/// The cutoffs of many daemons that see only requests of one call must not let requests in for which the
+/// few daemons that make their calls have no retries. With equal weights of all reports 60 % of the
+/// eight-call requests are let in and fail, and 7 % finish.
+#[test]
+fn light_callers_do_not_raise_the_cutoff_of_heavy_ones() {
+    for outcome in uneven_outcomes() {
+        let eight = outcome.during[EIGHT];
+        assert!(percent(eight.failed, eight.offered) < 12.0);
+        assert!(percent(eight.finished, eight.offered) > 15.0);
+        let tightest = tightest(&outcome);
+        assert!(f64::from(tightest.repeats) <= tightest.allowed);
+    }
+}
+
+/// Requests that are let in must not fail where few daemons make most calls. Ingress daemons that hear
+/// nothing of a service for a second let some requests in only to learn that it still sheds.
+#[test]
+fn what_is_let_in_finishes_where_few_daemons_make_most_calls() {
+    for outcome in uneven_outcomes() {
+        for kind in [FOUR, EIGHT] {
+            let tally = outcome.during[kind];
+            assert!(percent(tally.failed, tally.offered) < 5.0, "{kind}");
+        }
+    }
+}
+
 /// Faults of other lengths, and after a longer time of normal load: the whole window pays, the retries of
 /// a long fault run out, and the bound holds all the same.
 const FAULTS: [std::ops::Range<u64>; 4] = [
--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -79,6 +79,8 @@
     pub(crate) policy: Policy,
     /// Time in which upstreams shed, in milliseconds.
     pub(crate) fault: std::ops::Range<u64>,
+    /// Daemons that make the calls of requests of several calls; all daemons make those of one call.
+    pub(crate) heavy: usize,
     pub(crate) start: Instant,
     pub(crate) micros: u64,
     pub(crate) rng: SmallRng,
@@ -131,6 +133,7 @@
         Simulation {
             policy,
             fault: FAULT_MILLIS,
+            heavy: daemon_count,
             start,
             micros: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -155,6 +158,12 @@
         self
     }
 
+    /// Has the first `heavy` daemons make the calls of all requests of several calls.
+    pub(crate) fn with_heavy(mut self, heavy: usize) -> Simulation {
+        self.heavy = heavy;
+        self
+    }
+
     pub(crate) fn run(mut self) -> Outcome {
         let scale = self.daemons.len() as f64 / FULL_SIZE as f64;
         for millis in 0..self.fault.end + AFTER_MILLIS {
@@ -284,8 +293,13 @@
             }
             return;
         }
+        let callers = if kind.calls > 1 {
+            self.heavy
+        } else {
+            self.daemons.len()
+        };
         for branch in 0..kind.branches {
-            let daemon = self.rng.random_range(0..self.daemons.len());
+            let daemon = self.rng.random_range(0..callers);
             self.requests[request].branches.push(Branch {
                 daemon,
                 calls_left: kind.calls,
@@ -311,6 +325,7 @@
             age: Duration::ZERO,
             refused: status.map(|status| (status.refused * 1_000.0).round() as u32),
             cutoff: status.and_then(|status| status.cutoff),
+            attempts: status.map_or(0, |status| status.attempts.ceil() as u32),
         };
         self.daemons[daemon].pressures.merge(now, &[report]);
     }
--- a/crates/indigospur-budget/src/order_cutoff.rs
+++ b/crates/indigospur-budget/src/order_cutoff.rs
@@ -37,6 +37,8 @@
     pub refused: f64,
     /// Position in the retry order up to which requests get retries; `None` if all do.
     pub cutoff: Option<RetryOrder>,
+    /// Recent attempts of the reporter, the weight of its report; not used for the fleet's.
+    pub attempts: f64,
 }
 
 /// The position in the retry order up to which calls get retries.
@@ -94,6 +96,7 @@
         RetryStatus {
             refused: self.refused * decay / (self.attempts * decay).max(MIN_ATTEMPTS),
             cutoff: self.cutoff.filter(|_| self.computed.is_some_and(is_fresh)),
+            attempts: self.attempts * decay,
         }
     }
 
--- a/crates/indigospur-budget/tests/window.rs
+++ b/crates/indigospur-budget/tests/window.rs
@@ -162,6 +162,7 @@
         fleet: Some(RetryStatus {
             refused: 0.5,
             cutoff: Some(64),
+            attempts: 0.0,
         }),
     };
     assert!(ratio.spend(now, claim));
--- a/crates/indigospur-daemon/src/retry_budget.rs
+++ b/crates/indigospur-daemon/src/retry_budget.rs
@@ -74,6 +74,7 @@
     Some(RetryStatus {
         refused: pressures.refused(now, service),
         cutoff: pressures.cutoff(now, service),
+        attempts: 0.0,
     })
 }
 
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -121,6 +121,9 @@
     pub refused: Option<u32>,
     /// Position in the retry order up to which requests get retries; `None` if all do.
     pub cutoff: Option<RetryOrder>,
+    /// Recent attempts on which `refused` and `cutoff` rest: their weight beside other reports. Those
+    /// of a report without weight are ignored.
+    pub attempts: u32,
 }
 
 /// Slot time and calls that a call used at a service.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -136,6 +136,7 @@
             age_millis: u32::try_from(pressure.age.as_millis()).unwrap_or(u32::MAX),
             refused: pressure.refused,
             cutoff: pressure.cutoff,
+            attempts: pressure.attempts,
         }
     }
 }
@@ -149,6 +150,7 @@
             age: Duration::from_millis(u64::from(wire.age_millis)),
             refused: wire.refused,
             cutoff: wire.cutoff,
+            attempts: wire.attempts,
         }
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -117,6 +117,9 @@
     /// Position in the retry order up to which requests get retries; absent if all do.
     #[prost(uint64, optional, tag = "6")]
     pub cutoff: ::core::option::Option<u64>,
+    /// Recent attempts on which `refused` and `cutoff` rest; zero if not measured.
+    #[prost(uint32, tag = "7")]
+    pub attempts: u32,
 }
 /// Slot time that a call and the calls below it in the chain used at a service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -89,6 +89,7 @@
             age: Duration::from_millis(30),
             refused: Some(550),
             cutoff: Some((1 << 32) | 5),
+            attempts: 120,
         }],
         work: vec![Work {
             service: "accounts".into(),
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -155,6 +155,7 @@
             age: Duration::ZERO,
             refused: None,
             cutoff: None,
+            attempts: 0,
         })
     }
 
