Log how long requests and responses wait behind others of their connection

Nothing showed that a response was ready and held back by an earlier one, or that a request used up its time before its turn. A response that is held for 100 ms or more is logged with its path and held_ms; request refused has waited_ms, from the first byte to the start of handling. A metric was ruled out for now: it would need a recorder in the relay, and the cause is an earlier request of the same caller, which a sum over callers does not show.

--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -6,7 +6,7 @@
 use indigospur_protocol::{Answer, Outcome, Refusal, Reply, RequestId};
 use indigospur_relay::ReceivedRequest;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Handles a caller's request and returns the answer or the refusal to send back.
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: ReceivedRequest) -> Answer {
@@ -24,7 +24,7 @@
         Outcome::Refused(refusal) => {
             let refusal = daemon.with_retry_advice(refusal);
             daemon.metrics.count_refusal(refusal.kind);
-            log_refusal(&daemon, &refusal, &request_id, &received, started.elapsed());
+            log_refusal(&daemon, &refusal, &request_id, &received, started);
             daemon.dialect.write_refusal(&refusal)
         }
     }
@@ -35,8 +35,10 @@
     refusal: &Refusal,
     request: &str,
     received: &ReceivedRequest,
-    took: Duration,
+    started: Instant,
 ) {
+    // Includes the time for receiving the request.
+    let waited = started.saturating_duration_since(received.started);
     log::info!(
         request,
         version = daemon.accepted_version(),
@@ -45,7 +47,8 @@
         detail = &*refusal.detail,
         host = &*received.host,
         path = &*received.path,
-        took_ms = took.as_millis() as u64,
+        waited_ms = waited.as_millis() as u64,
+        took_ms = started.elapsed().as_millis() as u64,
         retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64);
         "request refused"
     );
--- a/crates/indigospur-relay/src/pipelined.rs
+++ b/crates/indigospur-relay/src/pipelined.rs
@@ -19,15 +19,21 @@
 use std::io;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 /// Maximum number of requests that run at the same time until the size of a response is known. Responses
 /// that are held behind a slow one use up the memory for bodies if 31 large ones are under way.
 const MAX_UNSIZED: usize = 8;
+/// Time from which on it is logged that a response waited for earlier ones. Shorter waits are no cause
+/// that an operator looks for.
+const HELD_LOG_THRESHOLD: Duration = Duration::from_millis(100);
 
 /// A request that was read and whose response is not written yet.
 pub(crate) struct Exchange {
     number: RequestNumber,
     method: Arc<str>,
+    /// Request target; empty if the head can't be read.
+    path: Arc<str>,
     /// Memory of the request and its response.
     held: HeldBody,
     _open: OpenRequest,
@@ -37,17 +43,24 @@
 enum State {
     Waiting(Box<ReceivedRequest>),
     Running(Handling, Part),
-    Finished(Answer),
+    /// The response, and when it was ready.
+    Finished(Answer, Instant),
     /// The response is being written.
     Writing,
 }
 
 impl Exchange {
     /// Creates the exchange of a request that is not handled yet, or already elsewhere.
-    pub(crate) fn new(method: Arc<str>, held: HeldBody, open: OpenRequest) -> Exchange {
+    pub(crate) fn new(
+        method: Arc<str>,
+        path: Arc<str>,
+        held: HeldBody,
+        open: OpenRequest,
+    ) -> Exchange {
         Exchange {
             number: 0,
             method,
+            path,
             held,
             _open: open,
             state: State::Writing,
@@ -229,7 +242,7 @@
             return;
         };
         let open = OpenRequest::new(self.service);
-        let exchange = Exchange::new(received.method.clone(), held, open);
+        let exchange = Exchange::new(received.method.clone(), received.path.clone(), held, open);
         let waiting = State::Waiting(Box::new(received));
         self.exchanges
             .push_back(exchange.with_state(number, waiting));
@@ -248,8 +261,9 @@
             return;
         };
         let held = self.service.memory().hold(MessageKind::Response);
-        let exchange = Exchange::new(method, held, OpenRequest::new(self.service));
-        let finished = State::Finished(self.service.encode_refusal(&refusal));
+        let open = OpenRequest::new(self.service);
+        let exchange = Exchange::new(method, "".into(), held, open);
+        let finished = State::Finished(self.service.encode_refusal(&refusal), Instant::now());
         self.exchanges
             .push_back(exchange.with_state(number, finished));
     }
@@ -296,7 +310,7 @@
             };
             exchange.held.add_held(answer.body.len());
             self.largest_response = self.largest_response.max(Some(answer.body.len()));
-            exchange.state = State::Finished(answer);
+            exchange.state = State::Finished(answer, Instant::now());
             self.pipeline.finish(exchange.number);
             has_finished = true;
         }
@@ -329,9 +343,11 @@
 
     fn start_writing(&mut self, next: NextResponse) -> Option<Writing> {
         let exchange = self.exchanges.front_mut()?;
-        let State::Finished(answer) = std::mem::replace(&mut exchange.state, State::Writing) else {
+        let State::Finished(answer, ready) = std::mem::replace(&mut exchange.state, State::Writing)
+        else {
             return None;
         };
+        log_wait(&exchange.path, answer.status, ready.elapsed());
         let bytes = encode_response(&answer, &exchange.method, next.closes);
         let mut output = self.output.clone();
         let written = async move {
@@ -344,3 +360,12 @@
         })
     }
 }
+
+fn log_wait(path: &str, status: u16, held: Duration) {
+    if held >= HELD_LOG_THRESHOLD {
+        log::info!(
+            path, status, held_ms = held.as_millis() as u64;
+            "response waited for those to earlier requests on its connection"
+        );
+    }
+}
--- a/crates/indigospur-relay/src/serving.rs
+++ b/crates/indigospur-relay/src/serving.rs
@@ -193,6 +193,7 @@
     } = accepted;
     let closes = request.closes;
     let method = request.received.method.clone();
+    let path = request.received.path.clone();
     let mut handling = Handling::start(service, request.received);
     let handled = poll_fn(|context| handling.poll(service, context));
     let response = match first_event(connection, handled, closes).await {
@@ -200,7 +201,7 @@
         Event::Disconnected => return Ok(Disposition::Close),
         Event::FurtherRequest => {
             let mut pipelined = PipelinedConnection::new(connection, service);
-            pipelined.add_running(Exchange::new(method, held, counted), handling);
+            pipelined.add_running(Exchange::new(method, path, held, counted), handling);
             return match serve_pipelined(pipelined, open).await? {
                 Some(disposition) => Ok(disposition),
                 None => refuse_for_room(connection, service).await,
