Let the soak's callers pipeline now and then

Callers that keep their connections send two to five reads in one write in a tenth of their turns. The body names the request, so that a response in another order, or to another request, is found as a wrong body; a request behind the response that closes the connection must not run (UnreadRan). Bytes after a response still become part of its body, which the check of the body finds.

--- a/crates/indigospur-soak/src/callers.rs
+++ b/crates/indigospur-soak/src/callers.rs
@@ -21,6 +21,10 @@
 /// Share of the requests that must run at most once.
 const KEYED_SHARE: f64 = 0.3;
 
+/// Share of the turns of a caller that keeps its connections in which it pipelines requests.
+const PIPELINE_SHARE: f64 = 0.1;
+/// Number of requests that are pipelined at a time.
+const PIPELINED: std::ops::Range<usize> = 2..6;
 /// Share of the slow requests, so that a stop finds calls running.
 const SLOW_SHARE: f64 = 0.06;
 /// Time that a slow request takes at the first backend server, in milliseconds.
@@ -136,7 +140,13 @@
     /// Sends requests until the soak is finished.
     fn run(mut self, shared: &Shared) {
         while !shared.finished.load(Ordering::Relaxed) {
-            let request = self.draw_request(shared);
+            if self.kind == CallerKind::KeepAlive && self.rng.random_bool(PIPELINE_SHARE) {
+                self.pipeline(shared);
+                let pause = Duration::from_millis(self.rng.random_range(PAUSE_MILLIS));
+                std::thread::sleep(pause);
+                continue;
+            }
+            let request = self.draw_request(shared, KEYED_SHARE);
             for attempt in 0..MAX_ATTEMPTS {
                 let record = self.attempt(shared, &request, attempt > 0);
                 // A truncated request is not retried: a complete retry may run under the same
@@ -153,10 +163,10 @@
         }
     }
 
-    fn draw_request(&mut self, shared: &Shared) -> Request {
+    fn draw_request(&mut self, shared: &Shared, keyed_share: f64) -> Request {
         let number = shared.next_number.fetch_add(1, Ordering::Relaxed);
         // Version 7 carries the creation time, from which a daemon knows the key's age.
-        let key = if self.rng.random_bool(KEYED_SHARE) {
+        let key = if self.rng.random_bool(keyed_share) {
             Uuid::now_v7().to_string()
         } else {
             String::new()
@@ -181,10 +191,7 @@
 
     /// Sends a request to the daemon of a random host; a retry sends the same key.
     fn attempt(&mut self, shared: &Shared, request: &Request, retry: bool) -> RequestRecord {
-        let host = {
-            let hosts = lock(&shared.hosts);
-            hosts[self.rng.random_range(0..hosts.len())].clone()
-        };
+        let host = self.draw_host(shared);
         let Request {
             number,
             query,
@@ -214,6 +221,7 @@
             query: query.clone(),
             host: host.name,
             connection,
+            pipelined: false,
             sent,
             completed: shared.elapsed(),
             status: response.status,
@@ -239,21 +247,75 @@
                 (response, connection)
             }
             CallerKind::KeepAlive => {
-                let name = host.name.clone();
-                let kept = self.connections.entry(name);
-                let kept = kept.or_insert_with(|| Connection::new(&host.caller_address));
-                // A restarted daemon may have another address; an open connection is used until it
-                // closes.
-                if !kept.is_open() {
-                    *kept = Connection::new(&host.caller_address);
-                }
-                let connection = if kept.is_open() {
-                    ConnectionUse::Reused
-                } else {
-                    ConnectionUse::New
-                };
+                let (kept, connection) = self.keep_connection(host);
                 (kept.request(call, ClientBehaviour::Normal), connection)
             }
         }
     }
+
+    /// Sends reads in one write to the daemon of a random host. The response to each is checked against
+    /// its own query, so that responses in another order are found as wrong bodies.
+    fn pipeline(&mut self, shared: &Shared) {
+        let host = self.draw_host(shared);
+        let count = self.rng.random_range(PIPELINED);
+        let requests: Vec<Request> = (0..count).map(|_| self.draw_request(shared, 0.0)).collect();
+        let paths: Vec<String> = requests
+            .iter()
+            .map(|request| format!("/quote?{}", request.query))
+            .collect();
+        let calls: Vec<Call<'_>> = paths
+            .iter()
+            .map(|path| Call {
+                service: "quoting",
+                path,
+                deadline_ms: DEADLINE.as_millis() as u64,
+                ..Call::default()
+            })
+            .collect();
+        let sent = shared.elapsed();
+        let (kept, connection) = self.keep_connection(&host);
+        let responses = kept.pipeline(&calls);
+        let completed = shared.elapsed();
+        let mut observations = lock(&shared.observations);
+        for (request, response) in requests.into_iter().zip(responses) {
+            let connection = match &response {
+                Some(_) => connection,
+                None => ConnectionUse::Unread,
+            };
+            let answered = response.map(|response| RequestRecord {
+                status: response.status,
+                kind: response.kind,
+                ran: response.ran,
+                body: response.body,
+                ..RequestRecord::default()
+            });
+            observations.requests.push(RequestRecord {
+                number: request.number,
+                query: request.query,
+                host: host.name.clone(),
+                connection,
+                pipelined: true,
+                sent,
+                completed,
+                ..answered.unwrap_or_default()
+            });
+        }
+    }
+
+    fn draw_host(&mut self, shared: &Shared) -> HostEntry {
+        let hosts = lock(&shared.hosts);
+        hosts[self.rng.random_range(0..hosts.len())].clone()
+    }
+
+    /// Returns the kept connection to a host, or a new one if that is closed.
+    fn keep_connection(&mut self, host: &HostEntry) -> (&mut Connection, ConnectionUse) {
+        let kept = self.connections.entry(host.name.clone());
+        let kept = kept.or_insert_with(|| Connection::new(&host.caller_address));
+        // A restarted daemon may have another address; an open connection is used until it closes.
+        if kept.is_open() {
+            return (kept, ConnectionUse::Reused);
+        }
+        *kept = Connection::new(&host.caller_address);
+        (kept, ConnectionUse::New)
+    }
 }
--- a/crates/indigospur-soak/src/checks.rs
+++ b/crates/indigospur-soak/src/checks.rs
@@ -33,6 +33,8 @@
     LateAnswer(u64, Duration),
     /// request {0} was sent only in part and ran {1} times
     TruncatedRan(u64, usize),
+    /// request {0} was behind a response that closed the connection and ran {1} times
+    UnreadRan(u64, usize),
     /// {0} exited unexpectedly, {1}; its log ends with: {2}
     UnexpectedExit(String, String, String),
     /// the daemon of {0} went back from rule set version {1} to {2} without a restart
@@ -92,6 +94,9 @@
     if record.connection == ConnectionUse::Truncated && count > 0 && !record.retry {
         breaches.push(Breach::TruncatedRan(number, count));
     }
+    if record.connection == ConnectionUse::Unread && count > 0 {
+        breaches.push(Breach::UnreadRan(number, count));
+    }
     if observations.is_planned_only(record) {
         let took = record.completed.saturating_sub(record.sent);
         if record.status == 0 && !races_stop(observations, record, count) {
--- a/crates/indigospur-soak/src/observations.rs
+++ b/crates/indigospur-soak/src/observations.rs
@@ -15,6 +15,8 @@
     Abandoned,
     /// The caller sent only a part of the request and closed the connection.
     Truncated,
+    /// The request was behind one whose response closed the connection: it counts as not read.
+    Unread,
 }
 
 impl ConnectionUse {
@@ -39,6 +41,8 @@
     pub host: String,
     /// How the connection was used.
     pub connection: ConnectionUse,
+    /// The request was sent in one write with others.
+    pub pipelined: bool,
     /// When the request was sent.
     pub sent: Duration,
     /// When the request was answered or the connection failed.
--- a/crates/indigospur-soak/src/report.rs
+++ b/crates/indigospur-soak/src/report.rs
@@ -22,6 +22,8 @@
     /// Number of requests on reused connections, and of those that were sent and completed while
     /// only planned work was done.
     pub coverage: (usize, usize),
+    /// Number of pipelined requests, and of those behind a response that closed the connection.
+    pub pipelined: (usize, usize),
     /// Number of rounds played.
     pub rounds: usize,
     /// Outcomes of the most recent requests whose callers awaited the answer, each with its count.
@@ -46,6 +48,11 @@
             f,
             "{reused} requests on reused connections, {planned} requests while only planned work was done"
         )?;
+        let (pipelined, unread) = self.pipelined;
+        writeln!(
+            f,
+            "{pipelined} pipelined requests, {unread} of them behind the close of their connection"
+        )?;
         for (outcome, count) in &self.last_outcomes {
             writeln!(f, "of the last {LAST_REQUESTS} requests: {count} {outcome}")?;
         }
--- a/crates/indigospur-soak/src/soak.rs
+++ b/crates/indigospur-soak/src/soak.rs
@@ -182,12 +182,17 @@
         let reused = requests
             .clone()
             .filter(|record| record.connection == ConnectionUse::Reused);
+        let pipelined = requests.clone().filter(|record| record.pipelined);
+        let unread = requests
+            .clone()
+            .filter(|record| record.connection == ConnectionUse::Unread);
         let planned = requests.filter(|record| observations.is_planned_only(record));
         Report {
             breaches,
             events: self.events.clone(),
             requests: (observations.requests.len(), served.count()),
             coverage: (reused.count(), planned.count()),
+            pipelined: (pipelined.count(), unread.count()),
             rounds,
             last_outcomes: count_outcomes(&observations.requests),
             logs: keep.then_some(logs),
--- a/crates/indigospur-soak/tests/checks.rs
+++ b/crates/indigospur-soak/tests/checks.rs
@@ -280,6 +280,30 @@
     assert_eq!(check(&observed(vec![retry], &[1])), []);
 }
 
+#[test]
+fn a_run_of_a_request_behind_the_close_of_its_connection_is_found() {
+    let unread = RequestRecord {
+        pipelined: true,
+        ..lost(ConnectionUse::Unread, "")
+    };
+    assert_eq!(check(&observed(vec![unread.clone()], &[])), []);
+    assert_eq!(
+        check(&observed(vec![unread], &[1])),
+        [Breach::UnreadRan(1, 1)]
+    );
+}
+
+#[test]
+fn pipelined_responses_in_another_order_are_found() {
+    let (mut first, mut second) = (served(1, false), served(2, false));
+    std::mem::swap(&mut first.body, &mut second.body);
+    let breaches = [
+        Breach::WrongBody(1, first.body.clone()),
+        Breach::WrongBody(2, second.body.clone()),
+    ];
+    assert_eq!(check(&observed(vec![first, second], &[1, 2])), breaches);
+}
+
 #[test]
 fn an_unexpected_exit_is_found_with_its_status_and_last_log_lines() {
     let mut observations = observed(Vec::new(), &[]);
--- a/crates/indigospur-test-support/src/connection.rs
+++ b/crates/indigospur-test-support/src/connection.rs
@@ -81,10 +81,54 @@
             stream.shutdown(Shutdown::Both)?;
             return Err(io::Error::other("left by the caller"));
         }
-        let (response, keep_alive) = read_response(&mut stream, behaviour)?;
+        let mut bytes = Vec::new();
+        let (mut response, keep_alive) = read_response(&mut stream, &mut bytes, behaviour)?;
+        append(&mut response, &bytes);
         self.stream = keep_alive.then_some(stream);
         Ok(response)
     }
+
+    /// Makes calls in one write, opening a connection if none is open, and reads the responses in the
+    /// order of the calls. Once the connection fails, the responses to the calls left have status zero.
+    /// `None` for the calls behind a response that closes the connection: they must not run.
+    pub fn pipeline(&mut self, calls: &[Call<'_>]) -> Vec<Option<Response>> {
+        if !self.is_open() {
+            self.stream = None;
+        }
+        let mut responses = Vec::new();
+        let outcome = self.exchange_all(calls, &mut responses);
+        let unanswered = outcome.err().map(Response::failed);
+        responses.resize(calls.len(), unanswered);
+        responses
+    }
+
+    fn exchange_all(
+        &mut self,
+        calls: &[Call<'_>],
+        responses: &mut Vec<Option<Response>>,
+    ) -> io::Result<()> {
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => connect(&self.address)?,
+        };
+        let encoded = calls.iter().map(|call| encode_request(&self.address, call));
+        stream.write_all(&encoded.collect::<Vec<_>>().concat())?;
+        let mut bytes = Vec::new();
+        for _ in calls {
+            let (mut response, keep_alive) =
+                read_response(&mut stream, &mut bytes, ClientBehaviour::Normal)?;
+            let is_last = !keep_alive || responses.len() + 1 == calls.len();
+            if is_last {
+                append(&mut response, &bytes);
+            }
+            responses.push(Some(response));
+            if !keep_alive {
+                return Ok(());
+            }
+        }
+        self.stream = Some(stream);
+        Ok(())
+    }
 }
 
 fn connect(address: &str) -> io::Result<TcpStream> {
@@ -137,17 +181,23 @@
     }
 }
 
-/// Reads a response; the flag says whether the connection stays open after it.
+/// Adds bytes after the last response to its body, so that a check of the body finds them.
+fn append(response: &mut Response, bytes: &[u8]) {
+    response.body.push_str(&String::from_utf8_lossy(bytes));
+}
+
+/// Reads a response, which may begin in `bytes`, and leaves in it what was read beyond the response.
+/// The flag says whether the connection stays open after it.
 fn read_response(
     stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
     behaviour: ClientBehaviour,
 ) -> io::Result<(Response, bool)> {
-    let mut bytes = Vec::new();
     let head_len = loop {
         let found = bytes.windows(4).position(|four| four == b"\r\n\r\n");
         match found {
             Some(at) => break at + 4,
-            None => read_more(stream, &mut bytes, behaviour)?,
+            None => read_more(stream, bytes, behaviour)?,
         }
     };
     let head = String::from_utf8_lossy(&bytes[..head_len]).into_owned();
@@ -163,14 +213,15 @@
     };
     let length: usize = header("content-length").parse().map_err(io::Error::other)?;
     while bytes.len() < head_len + length {
-        read_more(stream, &mut bytes, behaviour)?;
+        read_more(stream, bytes, behaviour)?;
     }
+    let message: Vec<u8> = bytes.drain(..head_len + length).collect();
     let response = Response {
         status,
         kind: header("indigospur-kind"),
         ran: header("indigospur-ran"),
         retry_after: header("retry-after"),
-        body: String::from_utf8_lossy(&bytes[head_len..]).into_owned(),
+        body: String::from_utf8_lossy(&message[head_len..]).into_owned(),
     };
     Ok((
         response,
