--- a/crates/indigospur-routing/src/locality.rs
+++ b/crates/indigospur-routing/src/locality.rs
@@ -20,6 +20,12 @@
 const RETURN_OCCUPANCY: f64 = 0.9;
 /// Calls ahead per call that may run at a time from which a more distant upstream has no room.
 const MAX_OCCUPANCY: f64 = 0.85;
+/// Part of the remaining time from which a call counts as almost late at the nearer upstreams: close to
+/// the objective it is refused there, before the expected time has passed it.
+const ALMOST_LATE: f64 = 0.8;
+/// Part of the expected time here below which an almost late call leaves for upstreams that are full.
+/// Without it calls are refused here while the queues elsewhere are short.
+const OVERLOAD_FRACTION: f64 = 0.5;
 /// Share from which the calls of a service count as leaving in logs.
 const REPORTED_SHARE: f64 = 0.05;
 
@@ -41,8 +47,13 @@
 }
 
 impl Comparison {
+    /// Whether the more distant candidate has room for this call.
     pub(crate) fn has_room(&self) -> bool {
+        let almost_late = self
+            .remaining
+            .is_some_and(|remaining| self.here > ALMOST_LATE * remaining);
         self.calls_ahead < MAX_OCCUPANCY
+            || almost_late && self.there < OVERLOAD_FRACTION * self.here
     }
 
     /// Time that leaving saves; nothing without room.
