--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -6,7 +6,7 @@
 use indigospur_protocol::{Answer, Outcome, Refusal, Reply, RequestId};
 use indigospur_relay::ReceivedRequest;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Handles a caller's request and returns the answer or the refusal to send back.
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: ReceivedRequest) -> Answer {
@@ -24,7 +24,7 @@
         Outcome::Refused(refusal) => {
             let refusal = daemon.with_retry_advice(refusal);
             daemon.metrics.count_refusal(refusal.kind);
-            log_refusal(&daemon, &refusal, &request_id, &received, started.elapsed());
+            log_refusal(&daemon, &refusal, &request_id, &received, started);
             daemon.dialect.write_refusal(&refusal)
         }
     }
@@ -35,8 +35,10 @@
     refusal: &Refusal,
     request: &str,
     received: &ReceivedRequest,
-    took: Duration,
+    started: Instant,
 ) {
+    // Includes the time for receiving the request.
+    let waited = started.saturating_duration_since(received.started);
     log::info!(
         request,
         version = daemon.accepted_version(),
@@ -45,7 +47,8 @@
         detail = &*refusal.detail,
         host = &*received.host,
         path = &*received.path,
-        took_ms = took.as_millis() as u64,
+        waited_ms = waited.as_millis() as u64,
+        took_ms = started.elapsed().as_millis() as u64,
         retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64);
         "request refused"
     );
@@ -89,9 +92,17 @@
 }
 
 /// Updates the mean slot time that a request of the rule takes at each service, from a request that
-/// was answered.
+/// was answered, and its mean numbers of calls, from one that succeeded.
 fn learn_work(daemon: &Daemon, rule: Option<&Arc<str>>, reply: &Reply) {
-    if let (Some(rule), Outcome::Answered(_)) = (rule, &reply.outcome) {
-        lock(&daemon.ingress).record_work(rule, &reply.work);
+    let Some(rule) = rule else { return };
+    let mut ingress = lock(&daemon.ingress);
+    let mut succeeded = false;
+    if let Outcome::Answered(answer) = &reply.outcome {
+        ingress.record_work(rule, &reply.work);
+        if answer.status < 400 {
+            ingress.record_calls(rule, &reply.work);
+        }
+        succeeded = answer.status < 500;
     }
+    ingress.record_outcome(rule, succeeded);
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -5,10 +5,12 @@
 use crate::contact::LastContact;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::placement;
+use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
-use indigospur_budget::{Ledger, RatioOptions, RequestCounts, RetryRatio, SenderId, Transmissions};
+use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
@@ -166,6 +168,8 @@
             suspects: Suspects::default(),
             exchange: Exchange::default(),
         };
+        let mut router = Router::new(settings.data_centre.clone(), settings.region.clone());
+        router.set_policy(settings.placement);
         let body_memory = Arc::new(BodyMemory::new(settings.body_memory()));
         Arc::new(Daemon {
             dialect,
@@ -194,10 +198,7 @@
             rules: Mutex::default(),
             traffic_split: Mutex::default(),
             epochs: Mutex::default(),
-            router: Mutex::new(Router::new(
-                settings.data_centre.clone(),
-                settings.region.clone(),
-            )),
+            router: Mutex::new(router),
             ledger: Mutex::default(),
             request_counts: Mutex::new(RequestCounts::new(REQUEST_ID_LIFETIME, MAX_REQUEST_IDS)),
             pressures: Mutex::default(),
@@ -244,6 +245,7 @@
             self.set_log_address(&settings.log_address);
         }
         self.body_memory.set_limit(settings.body_memory());
+        lock(&self.router).set_policy(settings.placement);
         self.update_caller_bounds();
         if let Some(backend) = self.backend() {
             backend.slots.set_options(settings.admission());
@@ -259,34 +261,13 @@
         }
     }
 
-    /// Applies `update` to the token bucket that bounds the retries of calls to a service. Its
-    /// capacity is this daemon's share of the fleet's.
-    pub(crate) fn with_retry_ratio<T>(
-        &self,
-        service: &ServiceName,
-        update: impl FnOnce(&mut RetryRatio) -> T,
-    ) -> T {
-        let members = lock(&self.fleet).members.len().max(1) as f64;
-        let settings = self.settings();
-        let options = RatioOptions {
-            percent: settings.retry_percent,
-            capacity: (f64::from(settings.fleet_retry_capacity) / members)
-                .min(f64::from(settings.retry_capacity))
-                .max(1.0),
-        };
-        let mut retry_ratios = lock(&self.retry_ratios);
-        let ratio = retry_ratios
-            .entry(service.clone())
-            .or_insert_with(|| RetryRatio::new(options));
-        ratio.set_options(options);
-        update(ratio)
-    }
-
     /// Updates the load gauges and renders all metrics as text.
     pub(crate) fn scrape(&self) -> Vec<u8> {
         if let Some(backend) = self.backend() {
             self.metrics.record_load(backend.slots.load());
         }
+        placement::record_shares(self);
+        record_shedding(self);
         self.metrics.render()
     }
 
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of the daemon, exported in the Prometheus text format.
 
 use indigospur_protocol::{Kind, Load, RetryReason};
+use indigospur_routing::Distance;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -16,6 +17,8 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     preemptions: Counter<u64>,
+    placements: Counter<u64>,
+    leaving_share: Gauge<f64>,
     call_seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
     queued: Gauge<u64>,
@@ -31,8 +34,13 @@
     parent_hints: Counter<u64>,
     source_failures: Counter<u64>,
     rejected_settings: Counter<u64>,
+    refused_share: Gauge<f64>,
+    retry_cutoff: Gauge<f64>,
 }
 
+/// Value of the gauge of the cutoff while all requests get retries; above that of every class.
+const NO_CUTOFF: f64 = 256.0;
+
 impl Metrics {
     pub(crate) fn new() -> Metrics {
         let registry = Registry::new();
@@ -53,6 +61,8 @@
             refusals: meter.u64_counter("indigospur_refusals").build(),
             retries: meter.u64_counter("indigospur_retries").build(),
             preemptions: meter.u64_counter("indigospur_preemptions").build(),
+            placements: meter.u64_counter("indigospur_placements").build(),
+            leaving_share: meter.f64_gauge("indigospur_leaving_share").build(),
             call_seconds: meter.f64_histogram("indigospur_call_seconds").build(),
             in_flight: meter.u64_gauge("indigospur_in_flight").build(),
             queued: meter.u64_gauge("indigospur_queued").build(),
@@ -70,6 +80,8 @@
             parent_hints: meter.u64_counter("indigospur_parent_hints").build(),
             rejected_settings: meter.u64_counter("indigospur_settings_skipped").build(),
             source_failures: meter.u64_counter("indigospur_source_failures").build(),
+            refused_share: meter.f64_gauge("indigospur_refused_share").build(),
+            retry_cutoff: meter.f64_gauge("indigospur_retry_cutoff").build(),
             registry,
             _provider: provider,
         }
@@ -93,10 +105,30 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records the share of calls that a service refuses, and the cutoff of the retries at it: its class
+    /// plus the part of the class that gets retries.
+    pub(crate) fn record_shedding(&self, service: &str, refused: f64, cutoff: Option<f64>) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.refused_share.record(refused, &labels);
+        self.retry_cutoff
+            .record(cutoff.unwrap_or(NO_CUTOFF), &labels);
+    }
+
     pub(crate) fn count_preemption(&self) {
         self.preemptions.add(1, &[]);
     }
 
+    /// Counts a call that is sent to an upstream.
+    pub(crate) fn count_placement(&self, distance: Distance) {
+        let labels = [KeyValue::new("distance", distance.name())];
+        self.placements.add(1, &labels);
+    }
+
+    pub(crate) fn record_leaving_share(&self, service: &str, share: f64) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.leaving_share.record(share, &labels);
+    }
+
     pub(crate) fn record_load(&self, load: Load) {
         self.in_flight.record(u64::from(load.in_flight), &[]);
         self.queued.record(u64::from(load.queued), &[]);
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,6 +1,6 @@
 //! Conversions between the wire messages and the types of this crate.
 
-use crate::answer::{Answer, Load, Outcome, Pressure, Refusal, Reply, Work};
+use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Work};
 use crate::call::{Call, Context, Crash, Header};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
@@ -70,6 +70,7 @@
             attempt: context.attempt,
             suspects: context.crashes.iter().map(Into::into).collect(),
             repeated: context.repeated,
+            retry_order: context.retry_order,
         }
     }
 }
@@ -99,6 +100,7 @@
             attempt: wire.attempt,
             crashes: wire.suspects.into_iter().map(Into::into).collect(),
             repeated: wire.repeated,
+            retry_order: wire.retry_order,
         })
     }
 }
@@ -132,6 +134,9 @@
             occupied: pressure.occupied,
             capacity: pressure.capacity,
             age_millis: u32::try_from(pressure.age.as_millis()).unwrap_or(u32::MAX),
+            refused: pressure.refused,
+            cutoff: pressure.cutoff,
+            attempts: pressure.attempts,
         }
     }
 }
@@ -143,6 +148,9 @@
             occupied: wire.occupied,
             capacity: wire.capacity,
             age: Duration::from_millis(u64::from(wire.age_millis)),
+            refused: wire.refused,
+            cutoff: wire.cutoff,
+            attempts: wire.attempts,
         }
     }
 }
@@ -152,6 +160,7 @@
         peer::Work {
             service: work.service.to_string(),
             micros: u32::try_from(work.time.as_micros()).unwrap_or(u32::MAX),
+            calls: work.calls,
         }
     }
 }
@@ -161,6 +170,7 @@
         Work {
             service: wire.service.into(),
             time: Duration::from_micros(u64::from(wire.micros)),
+            calls: wire.calls,
         }
     }
 }
@@ -210,6 +220,8 @@
             queued: load.queued,
             service_micros: micros(load.service_time),
             incarnation: load.incarnation,
+            pace: load.pace.percent(),
+            residence_micros: micros(load.residence),
         }
     }
 }
@@ -222,6 +234,8 @@
             queued: wire.queued,
             service_time: Duration::from_micros(wire.service_micros),
             incarnation: wire.incarnation,
+            pace: Pace::from_percent(wire.pace),
+            residence: Duration::from_micros(wire.residence_micros),
         }
     }
 }
