Admit callers' requests by the quotas of their workspaces

Cause: the decisions on quotas had no messages between daemons and no call site.

A home must answer within 500 ms; one that fails is passed over at once.

A request is taken from the quota once its workspace is known, before ingress admission. If it ends as not run, whatever refused it, its token is returned.

--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -3,7 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::preparation::{Prepared, prepare};
 use crate::{keyed, outbound};
-use indigospur_protocol::{Answer, Outcome, Refusal, Reply, RequestId};
+use indigospur_protocol::{Answer, Outcome, Ran, Refusal, Reply, RequestId};
 use indigospur_relay::ReceivedRequest;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +12,8 @@
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: ReceivedRequest) -> Answer {
     let started = Instant::now();
     let mut request_id: RequestId = "".into();
-    let outcome = match prepare(&daemon, &mut received, &mut request_id) {
+    let mut charged = None;
+    let outcome = match prepare(&daemon, &mut received, &mut request_id, &mut charged) {
         Ok(prepared) => execute(&daemon, prepared).await,
         Err(refusal) => Outcome::Refused(refusal),
     };
@@ -22,6 +23,9 @@
             answer
         }
         Outcome::Refused(refusal) => {
+            if let Some(workspace) = charged.filter(|_| refusal.ran == Ran::No) {
+                lock(&daemon.quotas.gate).refund(Instant::now(), &workspace.name);
+            }
             let refusal = daemon.with_retry_advice(refusal);
             daemon.metrics.count_refusal(refusal.kind);
             log_refusal(&daemon, &refusal, &request_id, &received, started.elapsed());
--- a/crates/indigospur-daemon/src/control/mod.rs
+++ b/crates/indigospur-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod epochs;
 mod gossip;
 mod log_reader;
+mod quota;
 mod registration;
 mod source_reader;
 mod start;
--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -1,6 +1,6 @@
 //! Starts the background tasks.
 
-use crate::control::{epochs, gossip, log_reader, source_reader};
+use crate::control::{epochs, gossip, log_reader, quota, source_reader};
 use crate::daemon::Daemon;
 use indigospur_relay::runtime;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
     if daemon.settings().at_most_once {
         supervise(daemon, "epochs", epochs::run);
     }
+    supervise(daemon, "quota", quota::run);
     supervise(daemon, "backend server", crate::backend::watch);
     runtime::spawn(crate::backend::limit_fleet_wait(daemon.clone()));
 }
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::contact::LastContact;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures};
@@ -85,6 +86,7 @@
     pub(crate) once: Mutex<Option<Once>>,
     pub(crate) waiters: Mutex<KeyWaiters>,
     pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) quotas: Quotas,
     pub(crate) follower: Mutex<Follower>,
     /// The newest configuration accepted from `source`.
     pub(crate) newest: Mutex<NewestConfiguration>,
@@ -187,6 +189,7 @@
             once: Mutex::default(),
             waiters: Mutex::default(),
             fleet: Mutex::new(fleet),
+            quotas: Quotas::new(Instant::now(), settings.name.clone(), incarnation),
             follower: Mutex::default(),
             newest: Mutex::default(),
             last_log_read: Mutex::default(),
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer_service;
 mod peers;
 mod preparation;
+mod quotas;
 mod run;
 mod settings;
 mod settings_file;
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -14,6 +14,7 @@
     _provider: SdkMeterProvider,
     calls: Counter<u64>,
     refusals: Counter<u64>,
+    quota_requests: Counter<u64>,
     retries: Counter<u64>,
     preemptions: Counter<u64>,
     call_seconds: Histogram<f64>,
@@ -51,6 +52,7 @@
         Metrics {
             calls: meter.u64_counter("indigospur_calls").build(),
             refusals: meter.u64_counter("indigospur_refusals").build(),
+            quota_requests: meter.u64_counter("indigospur_quota_requests").build(),
             retries: meter.u64_counter("indigospur_retries").build(),
             preemptions: meter.u64_counter("indigospur_preemptions").build(),
             call_seconds: meter.f64_histogram("indigospur_call_seconds").build(),
@@ -85,6 +87,16 @@
         self.refusals.add(1, &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts a request of a workspace with a quota; `workspace` is its label.
+    pub(crate) fn count_quota(&self, workspace: &str, is_admitted: bool) {
+        let outcome = if is_admitted { "admitted" } else { "refused" };
+        let labels = [
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.quota_requests.add(1, &labels);
+    }
+
     pub(crate) fn count_retry(&self, reason: RetryReason, made: bool) {
         let labels = [
             KeyValue::new("reason", reason.name()),
--- a/crates/indigospur-daemon/src/peer_service.rs
+++ b/crates/indigospur-daemon/src/peer_service.rs
@@ -1,12 +1,13 @@
 //! The gRPC service that other daemons call: relayed calls, claims, gossip, log records, key
-//! hand-over.
+//! hand-over, reports on quotas.
 
 use crate::daemon::{Daemon, lock};
-use crate::{control, inbound, keyed};
+use crate::{control, inbound, keyed, quotas};
 use indigospur_members::Message;
 use indigospur_once::HandOver;
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{Kind, Refusal, RelayMessage, Reply, WireError};
+use indigospur_quota::QuotaReport;
 use indigospur_relay::runtime;
 use prost::Message as _;
 use std::sync::Arc;
@@ -152,4 +153,17 @@
         let accepted = control::accept_hand_over(&self.0, &service, hand_over);
         Ok(Response::new(peer::HandOverReply { accepted }))
     }
+
+    async fn quota(
+        &self,
+        request: Request<peer::QuotaReport>,
+    ) -> Result<Response<peer::QuotaGrant>, Status> {
+        let metrics = &self.0.metrics;
+        let request = request.into_inner();
+        metrics.count_control_bytes(request.encoded_len());
+        let report = QuotaReport::try_from(request).map_err(invalid)?;
+        let grant = peer::QuotaGrant::from(&quotas::answer_report(&self.0, report));
+        metrics.count_control_bytes(grant.encoded_len());
+        Ok(Response::new(grant))
+    }
 }
--- a/crates/indigospur-daemon/src/peers.rs
+++ b/crates/indigospur-daemon/src/peers.rs
@@ -7,6 +7,7 @@
 use indigospur_once::HandOver;
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{RelayMessage, Reply};
+use indigospur_quota::{QuotaGrant, QuotaReport};
 use indigospur_relay::{Channel, Link, LinkError, runtime};
 use prost::Message as _;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
 
 /// Time within which another daemon must answer a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which the home of a quota must answer a report. A later answer has no effect.
+const QUOTA_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Relays a call to the upstream at `address`. If its connection fails or goes silent before the other
 /// daemon has received the call, the call is sent again on a new one.
@@ -151,6 +154,27 @@
     .await
 }
 
+/// Reports counts of requests to the home of their workspaces' quotas at `address`.
+pub(crate) async fn report_quota(
+    daemon: &Daemon,
+    address: &Arc<str>,
+    report: &QuotaReport,
+) -> Result<QuotaGrant, LinkError> {
+    let message = peer::QuotaReport::from(report);
+    daemon.metrics.count_control_bytes(message.encoded_len());
+    let call = |mut client: PeerClient| {
+        let message = message.clone();
+        async move { client.quota(message).await }
+    };
+    let exchange = async {
+        let grant = daemon.links.call_repeatable(address, call).await?;
+        daemon.metrics.count_control_bytes(grant.encoded_len());
+        QuotaGrant::try_from(grant).map_err(|_| LinkError::Protocol)
+    };
+    let result = runtime::timeout(QUOTA_TIMEOUT, exchange).await;
+    result.unwrap_or(Err(LinkError::Mute))
+}
+
 /// Fetches the accepted log records from offset `from` on.
 pub(crate) async fn fetch(
     daemon: &Daemon,
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -4,6 +4,7 @@
 use crate::authentication::CallerIdentity;
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
+use crate::quotas;
 use indigospur_admission::IngressRequest;
 use indigospur_budget::Token;
 use indigospur_once::parse_key;
@@ -12,7 +13,7 @@
     fingerprint, is_idempotent_method,
 };
 use indigospur_relay::ReceivedRequest;
-use indigospur_rules::{CallAttributes, RuleSet, Treatment};
+use indigospur_rules::{CallAttributes, RuleSet, Treatment, Workspace};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -47,12 +48,13 @@
     in_chain: bool,
 }
 
-/// Turns a request into a call. Sets `request_id` as soon as it is known, also for a request that
-/// is refused.
+/// Turns a request into a call. Sets `request_id` as soon as it is known, and `charged` to the workspace
+/// from whose quota the request was taken, also for a request that is refused.
 pub(crate) fn prepare(
     daemon: &Daemon,
     received: &mut ReceivedRequest,
     request_id: &mut RequestId,
+    charged: &mut Option<Arc<Workspace>>,
 ) -> Result<Prepared, Refusal> {
     let head = daemon.dialect.read_call(received)?;
     if let Some(request) = &head.request_id {
@@ -85,6 +87,10 @@
         daemon.dialect.set_workspace(&mut received.headers, name);
     }
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
+    if let Some(workspace) = caller.workspace() {
+        quotas::admit(daemon, &origin.request_id, workspace)?;
+        *charged = Some(workspace.clone());
+    }
     if !origin.in_chain {
         admit_ingress(daemon, &origin.request_id, rule.as_ref(), &treatment)?;
     }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -312,6 +312,65 @@
     #[prost(bool, tag = "1")]
     pub accepted: bool,
 }
+/// Requests of one workspace at one host.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct WorkspaceCounts {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Since the sender began to count.
+    #[prost(uint64, tag = "2")]
+    pub asked: u64,
+    #[prost(uint64, tag = "3")]
+    pub admitted: u64,
+    /// Since a home last acknowledged counts of the workspace. Returned requests are subtracted.
+    #[prost(uint64, tag = "4")]
+    pub new_asked: u64,
+    #[prost(sint64, tag = "5")]
+    pub new_admitted: i64,
+    /// Requests by which the level at the last home was below zero.
+    #[prost(float, tag = "6")]
+    pub debt: f32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaReport {
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Increases with each report of the same incarnation.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Bit set of the slots for which the sender takes the receiver as their home.
+    #[prost(fixed32, tag = "4")]
+    pub slots: u32,
+    #[prost(message, repeated, tag = "5")]
+    pub counts: ::prost::alloc::vec::Vec<WorkspaceCounts>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct WorkspaceLimit {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Share of the requests to admit, 0 to 1.
+    #[prost(float, tag = "2")]
+    pub share: f32,
+    /// Level of the token bucket in requests.
+    #[prost(float, tag = "3")]
+    pub level: f32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaGrant {
+    /// As in the report that is answered.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Bit set of the slots that the home can decide for.
+    #[prost(fixed32, tag = "3")]
+    pub slots: u32,
+    /// Limits of workspaces in these slots. The others are admitted in full.
+    #[prost(message, repeated, tag = "4")]
+    pub limits: ::prost::alloc::vec::Vec<WorkspaceLimit>,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -479,6 +538,21 @@
                 .insert(GrpcMethod::new("indigospur.peer.v1.Peer", "HandOver"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reports a host's requests by workspace to the workspaces' home, which returns their limits.
+        pub async fn quota(
+            &mut self,
+            request: impl tonic::IntoRequest<super::QuotaReport>,
+        ) -> std::result::Result<tonic::Response<super::QuotaGrant>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/indigospur.peer.v1.Peer/Quota");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("indigospur.peer.v1.Peer", "Quota"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -525,6 +599,11 @@
             &self,
             request: tonic::Request<super::HandOverRequest>,
         ) -> std::result::Result<tonic::Response<super::HandOverReply>, tonic::Status>;
+        /// Reports a host's requests by workspace to the workspaces' home, which returns their limits.
+        async fn quota(
+            &self,
+            request: tonic::Request<super::QuotaReport>,
+        ) -> std::result::Result<tonic::Response<super::QuotaGrant>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -821,6 +900,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/indigospur.peer.v1.Peer/Quota" => {
+                    #[allow(non_camel_case_types)]
+                    struct QuotaSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::QuotaReport> for QuotaSvc<T> {
+                        type Response = super::QuotaGrant;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::QuotaReport>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Peer>::quota(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = QuotaSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/crates/indigospur-quota/src/lib.rs
+++ b/crates/indigospur-quota/src/lib.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod portion;
 mod report;
+mod wire;
 
 pub use gate::{QuotaGate, QuotaRefusal};
 pub use home::QuotaHome;
