Answer the quota call in the stand-in of the link tests

Cause: the service between daemons has a new call, so that the stand-in in the tests of links did not compile; clippy on the crates of quotas alone did not show it.

--- a/crates/indigospur-relay/tests/links.rs
+++ b/crates/indigospur-relay/tests/links.rs
@@ -126,6 +126,13 @@
     ) -> Result<Response<peer::HandOverReply>, Status> {
         Err(Status::unimplemented(""))
     }
+
+    async fn quota(
+        &self,
+        _: Request<peer::QuotaReport>,
+    ) -> Result<Response<peer::QuotaGrant>, Status> {
+        Err(Status::unimplemented(""))
+    }
 }
 
 /// A TCP proxy that can hold back the client's data, and forwards it all at once later.
