Give no share to a process whose requests are not counted

Cause: a home counts no report of a lower incarnation than the one known of the host, but answered it. A daemon restarted after its clock was set back was thus given shares, or all of a quota, for the 20 s until the process before it is forgotten, and what it admitted was missing in the bucket. The same held for hosts above the maximum number of senders. The home now decides for no slot of such a report, and the host admits its own portion.

Ruled out: taking any other incarnation for a new process; a late report of the ended process would then reset the counts.

The new test fails without the change.

--- a/crates/indigospur-quota/src/home.rs
+++ b/crates/indigospur-quota/src/home.rs
@@ -84,8 +84,12 @@
         self.count(now, &report, workspaces, hosts);
         self.compute_limits(now, workspaces, hosts);
         let mut slots = SlotSet::default();
+        // Reports of a process that began before the one known, as after a clock was set back, are not
+        // counted until that one is forgotten. The host admits its own portion meanwhile.
+        let sender = self.senders.get(&report.from);
+        let is_counted = sender.is_some_and(|sender| sender.incarnation == report.incarnation);
         for slot in report.slots.iter() {
-            if self.can_decide(now, slot, hosts) {
+            if is_counted && self.can_decide(now, slot, hosts) {
                 slots.insert(slot);
             }
         }
--- a/crates/indigospur-quota/tests/model/decisions.rs
+++ b/crates/indigospur-quota/tests/model/decisions.rs
@@ -163,3 +163,26 @@
         .expect_err("the portion is spent");
     assert_eq!((refusal.share, refusal.level), (None, None));
 }
+
+/// Guards against a host that is given shares while its requests are not counted: its daemon was restarted
+/// after the clock was set back, so that its reports seem to come from an earlier process.
+#[test]
+fn a_process_that_is_not_counted_is_given_no_share() {
+    let start = Instant::now();
+    let (workspaces, hosts) = (workspaces(10.0), hosts(1));
+    let mut home = QuotaHome::default();
+    let mut slots = |millis: u64, incarnation, sequence| {
+        let report = QuotaReport {
+            incarnation,
+            ..report(sequence, 5, 5)
+        };
+        let now = start + Duration::from_millis(millis);
+        home.report(now, report, &workspaces, &hosts).slots
+    };
+    assert_eq!(slots(0, 2, 1), SlotSet::default(), "a new home");
+    assert_eq!(slots(400, 2, 2), SlotSet(u32::MAX));
+    assert_eq!(slots(800, 1, 1), SlotSet::default());
+    // The earlier process is forgotten.
+    slots(21_000, 1, 80);
+    assert_eq!(slots(21_400, 1, 81), SlotSet(u32::MAX));
+}
