--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::placement;
+use crate::quotas::Quotas;
 use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
@@ -87,6 +88,7 @@
     pub(crate) once: Mutex<Option<Once>>,
     pub(crate) waiters: Mutex<KeyWaiters>,
     pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) quotas: Quotas,
     pub(crate) follower: Mutex<Follower>,
     /// The newest configuration accepted from `source`.
     pub(crate) newest: Mutex<NewestConfiguration>,
@@ -191,6 +193,7 @@
             once: Mutex::default(),
             waiters: Mutex::default(),
             fleet: Mutex::new(fleet),
+            quotas: Quotas::new(Instant::now(), settings.name.clone(), incarnation),
             follower: Mutex::default(),
             newest: Mutex::default(),
             last_log_read: Mutex::default(),
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod placement;
 mod preparation;
+mod quotas;
 mod retry_budget;
 mod run;
 mod settings;
