--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -188,6 +188,7 @@
             queued: self.queue.len() as u32,
             service_time: self.service_time.get(),
             pace: self.pace.relative(now),
+            paced: self.pace.is_told(),
             ..Load::default()
         }
     }
--- a/crates/indigospur-admission/src/pace.rs
+++ b/crates/indigospur-admission/src/pace.rs
@@ -23,6 +23,11 @@
         self.latest = Some((now, pace));
     }
 
+    /// Whether the backend server has told its pace.
+    pub(crate) fn is_told(&self) -> bool {
+        self.latest.is_some()
+    }
+
     /// Takes account of a call that has become part of the mean service time.
     pub(crate) fn record_call(&mut self, now: Instant) {
         let factor = self.factor(now);
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -153,10 +153,7 @@
     /// Time that leaving the data centre must save beyond that of the link; `None` if the placement
     /// does not look at times.
     pub(crate) fn stay(&self) -> Option<Duration> {
-        match self.placement {
-            Policy::Slots => None,
-            Policy::Time { stay } => Some(stay),
-        }
+        self.placement.stay()
     }
 
     /// Memory for the bodies of all messages together, in bytes.
@@ -320,9 +317,10 @@
     match routing.string("policy").as_deref() {
         None | Some("slots") => Policy::Slots,
         Some("time") => Policy::Time { stay },
+        Some("paced") => Policy::Paced { stay },
         Some(other) => {
             let found = format!("\"{other}\" is not allowed");
-            routing.reject("policy", found, "expected slots or time");
+            routing.reject("policy", found, "expected slots, time or paced");
             Policy::Slots
         }
     }
--- a/crates/indigospur-daemon/tests/settings.rs
+++ b/crates/indigospur-daemon/tests/settings.rs
@@ -70,7 +70,9 @@
         assert_eq!(settings.placement, placement, "{table}");
     }
     let found = problems("[routing]\npolicy = \"fast\"\n").join("\n");
-    assert!(found.contains("routing.policy: \"fast\" is not allowed; expected slots or time"));
+    assert!(
+        found.contains("routing.policy: \"fast\" is not allowed; expected slots, time or paced")
+    );
 }
 
 /// The reference page lists all keys that the daemon reads, and no others.
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -87,6 +87,8 @@
     pub incarnation: Incarnation,
     /// Time that work takes now, relative to `service_time`.
     pub pace: Pace,
+    /// Whether the backend server tells its pace.
+    pub paced: bool,
     /// Time from the arrival of the call to its reply at the reporting daemon, in which it waited for
     /// a slot and ran; zero if not known. The rest of the sender's reply time is the link's.
     pub residence: Duration,
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -221,6 +221,7 @@
             service_micros: micros(load.service_time),
             incarnation: load.incarnation,
             pace: load.pace.percent(),
+            paced: load.paced,
             residence_micros: micros(load.residence),
         }
     }
@@ -235,6 +236,7 @@
             service_time: Duration::from_micros(wire.service_micros),
             incarnation: wire.incarnation,
             pace: Pace::from_percent(wire.pace),
+            paced: wire.paced,
             residence: Duration::from_micros(wire.residence_micros),
         }
     }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -104,6 +104,9 @@
     /// Time from the arrival of the call to its reply at the sender of the reply; zero if not known.
     #[prost(uint64, tag = "7")]
     pub residence_micros: u64,
+    /// Whether the backend server tells its pace.
+    #[prost(bool, tag = "8")]
+    pub paced: bool,
 }
 /// Slot occupancy of a service, summed over the reports of its upstreams.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/indigospur-routing/src/placement.rs
+++ b/crates/indigospur-routing/src/placement.rs
@@ -19,6 +19,23 @@
         /// Time that leaving the data centre must save beyond that of the link.
         stay: Duration,
     },
+    /// As [`Policy::Time`] for services whose backend servers tell their pace, as [`Policy::Slots`] for
+    /// the others.
+    Paced {
+        /// Time that leaving the data centre must save beyond that of the link.
+        stay: Duration,
+    },
+}
+
+impl Policy {
+    /// Time that leaving the data centre must save beyond that of the link; `None` under
+    /// [`Policy::Slots`].
+    pub fn stay(self) -> Option<Duration> {
+        match self {
+            Policy::Slots => None,
+            Policy::Time { stay } | Policy::Paced { stay } => Some(stay),
+        }
+    }
 }
 
 /// Where an upstream is, as seen from this daemon.
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -242,7 +242,12 @@
     ) -> Option<(usize, Option<PlacementReason>)> {
         let (service, upstreams) = self.services.get_key_value(criteria.service)?;
         let usable = usable(now, upstreams, criteria.avoid);
-        let Policy::Time { stay } = self.policy else {
+        let stay = match self.policy {
+            Policy::Slots => None,
+            Policy::Time { stay } => Some(stay),
+            Policy::Paced { stay } => upstreams.iter().any(Upstream::is_paced).then_some(stay),
+        };
+        let Some(stay) = stay else {
             let baseline = baseline_of(now, upstreams, &usable);
             let index = self.pick_by_locality(now, rng, upstreams, &usable, baseline)?;
             return Some((index, None));
--- a/crates/indigospur-routing/src/upstream.rs
+++ b/crates/indigospur-routing/src/upstream.rs
@@ -226,6 +226,11 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// Whether the latest load report, however old, says that the backend server tells its pace.
+    pub(crate) fn is_paced(&self) -> bool {
+        self.load.is_some_and(|(_, load)| load.paced)
+    }
+
     /// Mean service time in the latest load report, however old.
     pub(crate) fn service_time(&self) -> Option<Duration> {
         self.load.map(|(_, load)| load.service_time)
--- a/crates/indigospur-routing/tests/expected_time.rs
+++ b/crates/indigospur-routing/tests/expected_time.rs
@@ -418,3 +418,29 @@
     let at_a = chosen.iter().filter(|member| &*member.host == "a").count();
     assert!((8..=12).contains(&at_a), "{at_a}");
 }
+
+/// Guards against a change of placement on sites whose backend servers tell no pace.
+#[test]
+fn the_paced_policy_goes_by_time_only_where_backend_servers_tell_their_pace() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(9);
+    for paced in [false, true] {
+        let mut router = router_of_three();
+        router.set_policy(Policy::Paced { stay: millis(20) });
+        let load = Load {
+            paced,
+            ..load(0, 0, SERVICE_TIME)
+        };
+        let criteria = Criteria {
+            service: "quoting",
+            avoid: &[],
+            remaining: None,
+        };
+        let placement = router.place(now, &mut rng, criteria).expect("an upstream");
+        assert!(placement.reason.is_none(), "nothing has been told yet");
+        let host = placement.member.host;
+        router.finish(now, "quoting", &host, AttemptResult::Replied, Some(load));
+        let placement = router.place(now, &mut rng, criteria).expect("an upstream");
+        assert_eq!(placement.reason.is_some(), paced);
+    }
+}
--- a/crates/indigospur-routing/tests/placement/model.rs
+++ b/crates/indigospur-routing/tests/placement/model.rs
@@ -324,6 +324,7 @@
                 true => Pace::from_factor(self.slowness(index) / server.slowness),
                 false => Pace::USUAL,
             },
+            paced: true,
             residence: Duration::ZERO,
         }
     }
