--- a/crates/indigospur-daemon/src/quotas.rs
+++ b/crates/indigospur-daemon/src/quotas.rs
@@ -77,9 +77,9 @@
 /// # Errors
 /// The workspace is over its quota; the request has not run.
 pub(crate) fn admit(daemon: &Daemon, request: &str, workspace: &Workspace) -> Result<(), Refusal> {
-    if workspace.quota.is_none() {
+    let Some(quota) = workspace.quota else {
         return Ok(());
-    }
+    };
     let admitted = lock(&daemon.quotas.gate).admit(Instant::now(), workspace);
     let label = daemon.quotas.label(&workspace.name, admitted.is_err());
     daemon.metrics.count_quota(&label, admitted.is_ok());
@@ -87,6 +87,8 @@
         log::info!(
             request,
             workspace = &*workspace.name,
+            rate = quota.rate,
+            burst = quota.burst,
             share:debug = refusal.share,
             level:debug = refusal.level,
             age_ms:debug = refusal.age.map(|age| age.as_millis() as u64);
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -114,6 +114,7 @@
             service_time: Duration::from_millis(54),
             incarnation: 7,
             pace: Pace::from_percent(250),
+            paced: true,
             residence: Duration::from_micros(61_300),
         }),
         crashes: vec![crash(1, false), crash(2, true)],
