Round the usable slots to the nearest number

Ruled out: the retry policy; the windows before the fault gain, those within it do not.

Sites whose slots divide without rest are unchanged.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -57,9 +57,10 @@
 }
 
 impl Options {
-    /// The part of the announced slots that may be used; at least one.
+    /// The part of the announced slots that may be used, rounded to the nearest; at least one. Rounded
+    /// down, 92 percent of 14 slots would leave a seventh of the slots unused.
     fn usable_slots(&self, slots: u32) -> u32 {
-        let usable = u64::from(slots) * u64::from(self.usable_percent) / 100;
+        let usable = (u64::from(slots) * u64::from(self.usable_percent) + 50) / 100;
         u32::try_from(usable).unwrap_or(slots).max(1)
     }
 }
--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -69,6 +69,23 @@
     assert_eq!(started(&effects).len(), 4, "queued calls get the new slots");
 }
 
+/// Rounding down takes one slot more than asked for, which is a seventh of a server of seven slots.
+#[test]
+fn the_usable_slots_are_the_nearest_number_to_their_share() {
+    let now = Instant::now();
+    for (slots, usable) in [(1, 1), (4, 4), (7, 6), (14, 13), (25, 23), (39, 36), (410, 377)] {
+        let options = Options {
+            slots,
+            usable_percent: 92,
+            ..Options::default()
+        };
+        let mut admission = Admission::new(options, now);
+        let arrivals = (0..slots).map(|_| admission.arrive(now, arrival(now, 1, "x", 0)).0);
+        let runs = arrivals.filter(|verdict| matches!(verdict, Verdict::Run(_)));
+        assert_eq!(runs.count() as u32, usable, "{slots} slots");
+    }
+}
+
 #[test]
 fn a_high_priority_call_displaces_a_queued_call_of_lower_priority() {
     let now = Instant::now();
