Have calls wait for the first upstream of their service after a start

Upstreams become known within 0.02 to 0.8 s, as backend servers announce themselves and gossip spreads that.

Change: in the first 2 s after its start a daemon holds a call to a service of which it has never known an upstream, for at most half of the call's objective. Before, it was refused at once.

--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -73,7 +73,15 @@
 #[test]
 fn the_usable_slots_are_the_nearest_number_to_their_share() {
     let now = Instant::now();
-    for (slots, usable) in [(1, 1), (4, 4), (7, 6), (14, 13), (25, 23), (39, 36), (410, 377)] {
+    for (slots, usable) in [
+        (1, 1),
+        (4, 4),
+        (7, 6),
+        (14, 13),
+        (25, 23),
+        (39, 36),
+        (410, 377),
+    ] {
         let options = Options {
             slots,
             usable_percent: 92,
--- a/crates/indigospur-admission/tests/shedding/main.rs
+++ b/crates/indigospur-admission/tests/shedding/main.rs
@@ -177,9 +177,8 @@
         };
         assert!(finished(&outcome, ONE) > finished(&refusing, ONE) - 1.0);
         assert!(finished(&outcome, FOUR) > finished(&refusing, FOUR) + 2.0);
-        let total = |outcome: &Outcome| -> u32 {
-            outcome.during.iter().map(|tally| tally.finished).sum()
-        };
+        let total =
+            |outcome: &Outcome| -> u32 { outcome.during.iter().map(|tally| tally.finished).sum() };
         assert!(total(&outcome) > total(&refusing));
         let tightest = tightest(&outcome);
         assert!(f64::from(tightest.repeats) <= tightest.allowed);
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -1,12 +1,16 @@
 //! Handles the requests of callers: prepares the call, sends it and answers.
 
 use crate::daemon::{Daemon, lock};
+use crate::deadline::{Deadline, Moment};
 use crate::preparation::{Prepared, prepare};
 use crate::{keyed, outbound};
-use indigospur_protocol::{Answer, Outcome, Ran, Refusal, Reply, RequestId};
-use indigospur_relay::ReceivedRequest;
+use indigospur_protocol::{Answer, Outcome, Ran, Refusal, RelayMessage, Reply, RequestId};
+use indigospur_relay::{ReceivedRequest, runtime};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time between two looks at whether the first upstream of a service is known.
+const DISCOVERY_POLL: Duration = Duration::from_millis(10);
 
 /// Handles a caller's request and returns the answer or the refusal to send back.
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: ReceivedRequest) -> Answer {
@@ -60,16 +64,18 @@
 
 async fn execute(daemon: &Arc<Daemon>, prepared: Prepared) -> Outcome {
     let Prepared {
-        message,
+        mut message,
         parent,
         rule,
         max_runs,
+        objective,
     } = prepared;
     let lent_retries = message.context.retries;
     let key = message.context.key.clone();
     let reply = match key {
         Some(key) => keyed::send(daemon, message, &key).await,
         None => {
+            wait_for_upstream(daemon, &mut message, objective).await;
             let limits = outbound::SendLimits {
                 excluded: Vec::new(),
                 max_runs,
@@ -84,6 +90,23 @@
     reply.outcome
 }
 
+/// Waits until an upstream of the service is known, for a daemon that has just started. The time is
+/// taken off that of the call.
+async fn wait_for_upstream(daemon: &Daemon, message: &mut RelayMessage, objective: Duration) {
+    let knows_service = || lock(&daemon.router).knows(&message.call.service);
+    if knows_service() {
+        return;
+    }
+    let Some(end) = daemon.discovery.wait_until(Instant::now(), objective) else {
+        return;
+    };
+    let deadline = Deadline::after(Moment::now(), message.context.remaining);
+    while !knows_service() && Instant::now() < end {
+        runtime::sleep(DISCOVERY_POLL).await;
+    }
+    message.context.remaining = deadline.remaining(Moment::now());
+}
+
 /// Records the result of a nested call in its parent call's ledger entry: unused retry credit, work
 /// done, and whether the call was refused for overload.
 fn report_to_parent(daemon: &Daemon, parent: &str, lent_retries: u32, reply: &Reply) {
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -20,7 +20,7 @@
 };
 use indigospur_publish::Follower;
 use indigospur_relay::{BodyMemory, HttpService, LinkPool, LogClient};
-use indigospur_routing::Router;
+use indigospur_routing::{Discovery, Router};
 use indigospur_rules::{RuleSet, TrafficSplit};
 use rand::Rng;
 use rand::SeedableRng;
@@ -104,6 +104,7 @@
     /// Current epoch of each service: the members that may be homes or executors of keys.
     pub(crate) epochs: Mutex<HashMap<ServiceName, EpochRecord>>,
     pub(crate) router: Mutex<Router>,
+    pub(crate) discovery: Discovery,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) request_counts: Mutex<RequestCounts>,
     /// Load of services as reported by their upstreams.
@@ -202,6 +203,7 @@
             traffic_split: Mutex::default(),
             epochs: Mutex::default(),
             router: Mutex::new(router),
+            discovery: Discovery::new(Instant::now()),
             ledger: Mutex::default(),
             request_counts: Mutex::new(RequestCounts::new(REQUEST_ID_LIFETIME, MAX_REQUEST_IDS)),
             pressures: Mutex::default(),
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -32,6 +32,8 @@
     pub(crate) rule: Option<Arc<str>>,
     /// Number of upstreams on which the call may run, whether or not it is known to have run there.
     pub(crate) max_runs: u32,
+    /// Response time to aim at.
+    pub(crate) objective: Duration,
 }
 
 /// Identity of a request: its identifier, customer and parent call.
@@ -118,6 +120,7 @@
         parent: origin.parent,
         rule,
         max_runs: treatment.attempts,
+        objective: treatment.objective,
     })
 }
 
