--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -90,8 +90,8 @@
     reply.outcome
 }
 
-/// Waits until an upstream of the service is known, for a daemon that has just started. The time is
-/// taken off that of the call.
+/// Holds a call of a daemon that has just started until an upstream of the service is known, as long as
+/// [`Discovery`](indigospur_routing::Discovery) allows. The call's remaining time shrinks by the wait.
 async fn wait_for_upstream(daemon: &Daemon, message: &mut RelayMessage, objective: Duration) {
     let knows_service = || lock(&daemon.router).knows(&message.call.service);
     if knows_service() {
@@ -100,11 +100,19 @@
     let Some(end) = daemon.discovery.wait_until(Instant::now(), objective) else {
         return;
     };
+    let started = Instant::now();
     let deadline = Deadline::after(Moment::now(), message.context.remaining);
     while !knows_service() && Instant::now() < end {
         runtime::sleep(DISCOVERY_POLL).await;
     }
     message.context.remaining = deadline.remaining(Moment::now());
+    log::debug!(
+        request = &*message.context.request_id,
+        service = &*message.call.service,
+        found = knows_service(),
+        waited_ms = started.elapsed().as_millis() as u64;
+        "call held until an upstream of its service is known"
+    );
 }
 
 /// Records the result of a nested call in its parent call's ledger entry: unused retry credit, work
