--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -4,7 +4,7 @@
 //! request is wasted. So a request is refused here, before any work, when a service further down
 //! its chain is full: lowest-priority classes first, and an even share of the requests of a class. The
 //! same holds for a service that has slots and refuses calls all the same: requests that get no
-//! retries there and would probably fail are refused.
+//! retries there and would probably fail are refused, unless their failure takes nothing from others.
 
 use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
