Look at the time since the start before the router is locked

A daemon waits for the first upstream of a service only in its first 2 s; every later call locked the router for nothing. No change of behaviour; no figure measured.

--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -93,14 +93,14 @@
 /// Holds a call of a daemon that has just started until an upstream of the service is known, as long as
 /// [`Discovery`](indigospur_routing::Discovery) allows. The call's remaining time shrinks by the wait.
 async fn wait_for_upstream(daemon: &Daemon, message: &mut RelayMessage, objective: Duration) {
+    let started = Instant::now();
+    let Some(end) = daemon.discovery.wait_until(started, objective) else {
+        return;
+    };
     let knows_service = || lock(&daemon.router).knows(&message.call.service);
     if knows_service() {
         return;
     }
-    let Some(end) = daemon.discovery.wait_until(Instant::now(), objective) else {
-        return;
-    };
-    let started = Instant::now();
     let deadline = Deadline::after(Moment::now(), message.context.remaining);
     while !knows_service() && Instant::now() < end {
         runtime::sleep(DISCOVERY_POLL).await;
