Share the raw exchange of the process tests, and a loop of two placement tests

send_raw of tests/callers.rs stood again in tests/quotas.rs and tests/workspaces.rs; it is now in the test support. All assertions are as before.

--- a/crates/indigospur-routing/tests/expected_time/main.rs
+++ b/crates/indigospur-routing/tests/expected_time/main.rs
@@ -92,6 +92,20 @@
     counts
 }
 
+/// Places twenty calls that do not end, and returns how many of them go to `a`.
+fn count_burst_at_a(router: &mut Router, now: Instant) -> usize {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let criteria = Criteria {
+        service: "quoting",
+        avoid: &[],
+        remaining: None,
+    };
+    let chosen: Vec<_> = (0..20)
+        .filter_map(|_| router.choose(now, &mut rng, criteria))
+        .collect();
+    chosen.iter().filter(|member| &*member.host == "a").count()
+}
+
 /// Reports these loads of `a`, `b` and `c`, and places calls, every 10 ms for this time.
 fn settle(
     router: &mut Router,
@@ -144,16 +158,7 @@
     ]);
     report(&mut router, now, "a", load(0, 0, SERVICE_TIME));
     report(&mut router, now, "b", load(9, 0, SERVICE_TIME));
-    let mut rng = SmallRng::seed_from_u64(1);
-    let criteria = Criteria {
-        service: "quoting",
-        avoid: &[],
-        remaining: None,
-    };
-    let chosen: Vec<_> = (0..20)
-        .filter_map(|_| router.choose(now, &mut rng, criteria))
-        .collect();
-    let at_a = chosen.iter().filter(|member| &*member.host == "a").count();
+    let at_a = count_burst_at_a(&mut router, now);
     assert!((12..=17).contains(&at_a), "{at_a}");
 }
 
@@ -222,16 +227,7 @@
         member("a", "lisboa-a", "lisbon"),
         member("b", "lisboa-a", "lisbon"),
     ]);
-    let mut rng = SmallRng::seed_from_u64(1);
-    let criteria = Criteria {
-        service: "quoting",
-        avoid: &[],
-        remaining: None,
-    };
-    let chosen: Vec<_> = (0..20)
-        .filter_map(|_| router.choose(now, &mut rng, criteria))
-        .collect();
-    let at_a = chosen.iter().filter(|member| &*member.host == "a").count();
+    let at_a = count_burst_at_a(&mut router, now);
     assert!((8..=12).contains(&at_a), "{at_a}");
 }
 
--- a/crates/indigospur-test-support/src/client.rs
+++ b/crates/indigospur-test-support/src/client.rs
@@ -1,5 +1,7 @@
 //! HTTP client for callers; its library shares no code with the daemon.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 use ureq::Agent;
 
@@ -116,6 +118,15 @@
     read_response(agent().post(format!("http://{address}{path}")).send(body))
 }
 
+/// Sends bytes on a new connection, and returns all that comes until it is closed.
+pub fn send_raw(address: &str, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 fn read_response(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Response {
     let mut response = match result {
         Ok(response) => response,
--- a/crates/indigospur-test-support/src/lib.rs
+++ b/crates/indigospur-test-support/src/lib.rs
@@ -9,7 +9,7 @@
 mod scripted_backend;
 mod site;
 
-pub use client::{Call, Response, get, post, request};
+pub use client::{Call, Response, get, post, request, send_raw};
 pub use connection::{ClientBehaviour, Connection};
 pub use fault_proxy::{Direction, FaultProxy, silence};
 pub use node::{Node, ServicePlan, fetch_status, ready_members};
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -2,9 +2,9 @@
 //! and callers that disconnect.
 
 use indigospur_test_support::{
-    Call, Node, Script, ScriptedBackend, ServicePlan, Site, SitePlan, request, wait_until,
+    Call, Node, Script, ScriptedBackend, ServicePlan, Site, SitePlan, request, send_raw, wait_until,
 };
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 
 fn start_site() -> Site {
@@ -15,14 +15,6 @@
     Site::start(&plan).expect("the site starts")
 }
 
-fn send_raw(address: &str, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    let _ = stream.write_all(bytes);
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
 fn assert_serves(node: &Node) {
     let call = Call {
         service: "accounts",
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -1,9 +1,7 @@
 //! Quotas of workspaces over daemons that are real processes.
 
 use indigospur_rules::KeyDigest;
-use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, get, wait_until};
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, get, send_raw, wait_until};
 use std::time::Instant;
 
 const RATE: f64 = 20.0;
@@ -22,11 +20,7 @@
 fn send(node: &Node) -> String {
     let text = "GET /quote HTTP/1.1\r\nhost: quoting\r\nconnection: close\r\n\
                 Authorization: Bearer norte-key\r\n\r\n";
-    let mut stream = TcpStream::connect(node.caller_address()).expect("the daemon listens");
-    let _ = stream.write_all(text.as_bytes());
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
+    send_raw(&node.caller_address(), text.as_bytes())
 }
 
 /// Guards against daemons that each give the whole quota, and refusals that name no time to return.
--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -1,9 +1,7 @@
 //! Callers that identify themselves by key, with the built-in HTTP conventions.
 
 use indigospur_rules::KeyDigest;
-use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, get, wait_until};
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use indigospur_test_support::{Node, ServicePlan, Site, SitePlan, get, send_raw, wait_until};
 use std::path::PathBuf;
 
 const NORTE: &str = "Authorization: Bearer norte-key\r\n";
@@ -50,11 +48,7 @@
 fn send(node: &Node, service: &str, path: &str, headers: &str) -> String {
     let text =
         format!("GET {path} HTTP/1.1\r\nhost: {service}\r\nconnection: close\r\n{headers}\r\n");
-    let mut stream = TcpStream::connect(node.caller_address()).expect("the daemon listens");
-    let _ = stream.write_all(text.as_bytes());
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
+    send_raw(&node.caller_address(), text.as_bytes())
 }
 
 #[test]
