Order the requests of one workspace class by the class of their rule

Cause: where workspaces bear a class, it replaced that of the rule altogether. All workspaces of the shifted site bear the same one, so that signatures, quotes and views were one class and were refused evenly; with eight calls each, signatures ended behind quotes.

Hypothesis: if the rule's class orders the requests within that of the workspace, and less urgent rules keep half of the admitted share of the more urgent ones, nothing is put behind and no kind is starved.

Rule sets without workspaces are decided as before.

--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -6,12 +6,13 @@
 //! same holds for a service that has slots and refuses calls all the same: requests that get no
 //! retries there and would probably fail are refused, unless their failure takes nothing from others.
 
+use crate::controller::Controller;
 use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
 use crate::request::IngressRequest;
 use crate::shedding::{ShedRefusal, SheddingGate};
 use indigospur_protocol::{Class, Rank, RetryOrder, ServiceName, Work};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,25 +20,6 @@
 const SMOOTHING: u32 = 16;
 /// Rules whose slot times are kept; with more, all are dropped and measured anew.
 const MAX_RULES: usize = 1_024;
-/// Set point of the level: running and queued calls at a service divided by its concurrency limit.
-/// Slightly above 1, so that all slots are taken and the queue is short.
-const TARGET_LEVEL: f64 = 1.05;
-/// Proportional gain, in classes per unit of error. The error is the level minus the target.
-const PROPORTIONAL_GAIN: f64 = 0.5;
-/// Integral gain while the service is above the target, in classes a second per unit of error.
-const INTEGRAL_GAIN_UP: f64 = 0.8;
-/// Integral gain while it is below, in the same unit. Larger, since an idle slot is wasted capacity
-/// while a queued call is only delayed.
-const INTEGRAL_GAIN_DOWN: f64 = 2.5;
-/// Bound of the error, against integral wind-up by a burst.
-const MAX_ERROR: f64 = 0.6;
-/// Error of a service without a fresh report, so that refusals fade out.
-const STALE_ERROR: f64 = -0.4;
-/// Longest time step of the controller, as after a pause without requests.
-const MAX_STEP: Duration = Duration::from_millis(500);
-/// Largest share of a class that is refused. The admitted rest shows when the service has capacity
-/// again.
-const MAX_SHED_SHARE: f64 = 0.95;
 /// A rule whose mean slot time at a service is smaller does not need the service.
 const MIN_COST: Duration = Duration::from_millis(1);
 /// Bounds of the Retry-After time, as shares of the objective, so that a retried request can still
@@ -67,45 +49,6 @@
     pub chance: Option<f64>,
 }
 
-/// Proportional-integral controller of the share of requests refused for one service.
-#[derive(Debug)]
-struct Controller {
-    /// Time of the latest step.
-    updated: Instant,
-    /// Integral term in classes: at 1.5 all requests of the lowest-priority class are to be refused
-    /// and half of those of the next.
-    integral: f64,
-    /// Classes whose requests need the service.
-    classes: BTreeSet<Class>,
-}
-
-impl Controller {
-    /// Advances to `now` and returns how many classes to refuse, lowest priority first; `level` is
-    /// `None` without a fresh report.
-    fn step(&mut self, now: Instant, level: Option<f64>) -> f64 {
-        let step = now.saturating_duration_since(self.updated).min(MAX_STEP);
-        self.updated = now;
-        let error = level.map_or(STALE_ERROR, |level| {
-            (level - TARGET_LEVEL).clamp(-MAX_ERROR, MAX_ERROR)
-        });
-        let class_count = self.classes.len() as f64;
-        let rate = if error > 0.0 {
-            INTEGRAL_GAIN_UP
-        } else {
-            INTEGRAL_GAIN_DOWN
-        };
-        let integral = self.integral + rate * error * step.as_secs_f64();
-        self.integral = integral.clamp(0.0, class_count);
-        (self.integral + PROPORTIONAL_GAIN * error).clamp(0.0, class_count)
-    }
-
-    /// Share of the requests of `class` to refuse when `shed_classes` classes are refused in all.
-    fn share(&self, class: Class, shed_classes: f64) -> f64 {
-        let lower = self.classes.range(class..).count().saturating_sub(1);
-        (shed_classes - lower as f64).clamp(0.0, MAX_SHED_SHARE)
-    }
-}
-
 /// Admission of callers' requests by the load of the services that they need.
 #[derive(Debug)]
 pub struct IngressAdmission {
@@ -247,19 +190,15 @@
         pressures: &Pressures,
     ) -> Option<(ServiceName, f64, f64)> {
         let mut bottleneck: Option<(ServiceName, f64, f64)> = None;
-        for service in self.required_services(request.rule, pressures) {
+        for (service, cost) in self.required_services(request.rule, pressures) {
             let controller = self
                 .controllers
                 .entry(service.clone())
-                .or_insert(Controller {
-                    updated: now,
-                    integral: 0.0,
-                    classes: BTreeSet::new(),
-                });
-            controller.classes.insert(request.class);
+                .or_insert_with(|| Controller::new(now));
+            controller.record_demand(now, request.class, request.rule_class, cost);
             let level = pressures.level(now, &service);
             let shed_classes = controller.step(now, level);
-            let share = controller.share(request.class, shed_classes);
+            let share = controller.share(request.class, request.rule_class, shed_classes);
             if share > 0.0
                 && bottleneck
                     .as_ref()
@@ -271,14 +210,17 @@
         bottleneck
     }
 
-    /// The services that a request of a rule needs. Until they are known, as after a restart, all
+    /// The services that a request of a rule needs, with its mean slot time there. Until they are known, as after a restart, all
     /// services count: admitting too few for a moment is better than flooding a full service.
-    fn required_services(&self, rule: &str, pressures: &Pressures) -> Vec<ServiceName> {
+    fn required_services(&self, rule: &str, pressures: &Pressures) -> Vec<(ServiceName, Duration)> {
         let Some(costs) = self.costs.get(rule) else {
-            return pressures.services().cloned().collect();
+            let services = pressures.services().cloned();
+            return services.map(|service| (service, MIN_COST)).collect();
         };
         let required = costs.iter().filter(|(_, cost)| **cost >= MIN_COST);
-        required.map(|(service, _)| service.clone()).collect()
+        required
+            .map(|(service, cost)| (service.clone(), *cost))
+            .collect()
     }
 
     /// The next number of an evenly spread (golden-ratio) sequence in 0..1.
--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -4,6 +4,7 @@
 //! carries out the returned [`Effect`]s.
 
 mod admission;
+mod controller;
 mod effect;
 mod ewma;
 mod fair_queue;
--- a/crates/indigospur-admission/src/request.rs
+++ b/crates/indigospur-admission/src/request.rs
@@ -11,6 +11,8 @@
     pub rule: &'a Arc<str>,
     /// Priority class; zero is the highest priority and is shed last.
     pub class: Class,
+    /// Class by the rule alone. It orders the requests of one class, which may be that of a workspace.
+    pub rule_class: Class,
     /// Shed rank within the class.
     pub rank: Rank,
     /// Response time to aim at; the Retry-After time is a share of it.
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -234,6 +234,7 @@
         let ingress_request = IngressRequest {
             rule: &rule,
             class,
+            rule_class: class,
             rank: 1,
             objective,
             idempotent: false,
@@ -450,6 +451,7 @@
     let ingress_request = |rule| IngressRequest {
         rule,
         class: 2,
+        rule_class: 2,
         rank: 1,
         objective: Duration::from_secs(1),
         idempotent: false,
--- a/crates/indigospur-admission/tests/shed_entry.rs
+++ b/crates/indigospur-admission/tests/shed_entry.rs
@@ -68,6 +68,7 @@
     let request = IngressRequest {
         rule: &rule.into(),
         class: 1,
+        rule_class: 1,
         rank: RANK,
         objective: OBJECTIVE,
         idempotent,
--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -274,6 +274,7 @@
         let ingress_request = IngressRequest {
             rule: &rule,
             class: kind.class,
+            rule_class: kind.class,
             rank: state.rank,
             objective: Duration::from_millis(1_500),
             idempotent: kind.idempotent,
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -292,6 +292,7 @@
     let ingress_request = IngressRequest {
         rule,
         class: treatment.class,
+        rule_class: treatment.rule_class,
         rank: treatment.rank(&origin.customer, &origin.request_id),
         objective: treatment.objective,
         idempotent: treatment.idempotent,
--- a/crates/indigospur-rules/src/treatment.rs
+++ b/crates/indigospur-rules/src/treatment.rs
@@ -70,6 +70,9 @@
 pub struct Treatment {
     /// Class of the call; zero is shed last.
     pub class: Class,
+    /// Class that the rule gives the call. It orders the calls of one class where that of a workspace
+    /// takes precedence; else it is the same.
+    pub rule_class: Class,
     /// Time limit for the call.
     pub deadline: Duration,
     /// Retry credit issued for a customer's request.
@@ -101,8 +104,10 @@
     pub fn new(action: &Action, class: Class, idempotent: bool) -> Treatment {
         let at_most_once = action.at_most_once.unwrap_or(false);
         let deadline = action.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let class = action.class.unwrap_or(class);
         Treatment {
-            class: action.class.unwrap_or(class),
+            class,
+            rule_class: class,
             deadline,
             retries: action.retries.unwrap_or(DEFAULT_RETRIES),
             attempts: action.attempts.unwrap_or(u32::MAX).max(1),
