Report what is refused on arrival, so that all daemons refuse alike

Cause: each daemon has an integral term of its own for a service, and sees the level at other moments and through other callers. Integral terms on one signal drift apart.

Hypothesis: if replies carry the integral term and each daemon follows those it hears of, the shares come together and the level stays as it is. Classes that others know to need the service count too, for 10 s.

Earlier versions send no integral term and are not followed; they ignore the new fields. Ruled out: the level's age, which was 9 to 15 ms everywhere.

--- a/crates/indigospur-admission/src/controller.rs
+++ b/crates/indigospur-admission/src/controller.rs
@@ -1,6 +1,6 @@
 //! The share of the requests that need one service which is refused on arrival.
 
-use indigospur_protocol::Class;
+use indigospur_protocol::{Class, Shedding};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,12 @@
 /// Largest share of a class that is refused. The admitted rest shows when the service has capacity
 /// again.
 const MAX_SHED_SHARE: f64 = 0.95;
+/// Weight of another daemon's report in the integral term.
+const PULL: f64 = 1.0 / 8.0;
+/// Age of the latest step from which the integral term is not reported.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
+/// Time for which a class counts among those that need the service after its latest request.
+const CLASS_LIFETIME: Duration = Duration::from_secs(10);
 /// Time over which earlier demand loses its weight.
 const DEMAND_DECAY: Duration = Duration::from_secs(2);
 /// Least admitted share of the requests of a rule class as a part of that of the next more urgent one
@@ -72,6 +78,8 @@
         let error = level.map_or(STALE_ERROR, |level| {
             (level - TARGET_LEVEL).clamp(-MAX_ERROR, MAX_ERROR)
         });
+        self.demand
+            .retain(|_, demand| now.saturating_duration_since(demand.known) < CLASS_LIFETIME);
         let class_count = self.demand.len() as f64;
         let rate = if error > 0.0 {
             INTEGRAL_GAIN_UP
@@ -83,6 +91,33 @@
         (self.integral + PROPORTIONAL_GAIN * error).clamp(0.0, class_count)
     }
 
+    /// What is refused, for the reports to other daemons; `None` if no request needed the service lately.
+    pub(crate) fn report(&self, now: Instant) -> Option<Shedding> {
+        let is_fresh = now.saturating_duration_since(self.updated) < MAX_REPORT_AGE;
+        let asked = self
+            .demand
+            .iter()
+            .filter(|(_, demand)| demand.is_asked(now));
+        is_fresh.then(|| Shedding {
+            amount: (self.integral * 1_000.0).round() as u32,
+            classes: asked.map(|(class, _)| *class).collect(),
+        })
+    }
+
+    /// Moves the integral term towards that of another daemon. All see the same level, but at other
+    /// moments, and their integral terms would drift apart: callers of one daemon would be refused
+    /// twice as often as those of another.
+    pub(crate) fn merge(&mut self, now: Instant, reported: &Shedding) {
+        for class in &reported.classes {
+            self.demand
+                .entry(*class)
+                .or_insert_with(|| Demand::new(now))
+                .known = now;
+        }
+        let amount = (f64::from(reported.amount) / 1_000.0).min(self.demand.len() as f64);
+        self.integral += PULL * (amount - self.integral);
+    }
+
     /// Share of the requests of a class and rule class to refuse when `shed_classes` classes are
     /// refused in all.
     pub(crate) fn share(&self, class: Class, rule_class: Class, shed_classes: f64) -> f64 {
@@ -98,8 +133,11 @@
 /// Recent demand of one class for the slots of a service.
 #[derive(Debug)]
 struct Demand {
-    /// Time up to which the demand has decayed.
-    updated: Instant,
+    /// Time of the latest request that arrived here, up to which the demand has decayed; `None` if the
+    /// class is known from other daemons only.
+    updated: Option<Instant>,
+    /// Time at which the class was last known to need the service.
+    known: Instant,
     /// Decayed sum of slot times in seconds, by the class of the rule.
     by_rule: BTreeMap<Class, f64>,
 }
@@ -107,14 +145,24 @@
 impl Demand {
     fn new(now: Instant) -> Demand {
         Demand {
-            updated: now,
+            updated: None,
+            known: now,
             by_rule: BTreeMap::new(),
         }
     }
 
+    /// Whether requests of the class arrived here lately.
+    fn is_asked(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.updated.is_some_and(|at| age(at) < CLASS_LIFETIME)
+    }
+
     fn record(&mut self, now: Instant, rule_class: Class, cost: Duration) {
-        let elapsed = now.saturating_duration_since(self.updated);
-        self.updated = now;
+        let elapsed = self
+            .updated
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.updated = Some(now);
+        self.known = now;
         let factor = (-elapsed.as_secs_f64() / DEMAND_DECAY.as_secs_f64()).exp();
         for sum in self.by_rule.values_mut() {
             *sum *= factor;
--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -11,7 +11,7 @@
 use crate::pressure::Pressures;
 use crate::request::IngressRequest;
 use crate::shedding::{ShedRefusal, SheddingGate};
-use indigospur_protocol::{Class, Rank, RetryOrder, ServiceName, Work};
+use indigospur_protocol::{Class, Pressure, Rank, RetryOrder, ServiceName, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -155,6 +155,24 @@
         })
     }
 
+    /// Adds to reports on services what is refused on arrival for their sake.
+    pub fn report(&self, now: Instant, pressures: &mut [Pressure]) {
+        for pressure in pressures {
+            let controller = self.controllers.get(&pressure.service);
+            pressure.shedding = controller.and_then(|controller| controller.report(now));
+        }
+    }
+
+    /// Follows what other daemons refuse on arrival, by their reports on services.
+    pub fn merge(&mut self, now: Instant, pressures: &[Pressure]) {
+        for pressure in pressures {
+            let controller = self.controllers.get_mut(&pressure.service);
+            if let (Some(controller), Some(reported)) = (controller, &pressure.shedding) {
+                controller.merge(now, reported);
+            }
+        }
+    }
+
     fn shed_refusal(
         &mut self,
         now: Instant,
--- a/crates/indigospur-admission/src/pressure.rs
+++ b/crates/indigospur-admission/src/pressure.rs
@@ -228,6 +228,7 @@
                 attempts: self.refusals.get(service).map_or(0, |refusals| {
                     (refusals.weight(now) * PASSED_ON).ceil() as u32
                 }),
+                shedding: None,
             })
             .collect()
     }
--- a/crates/indigospur-admission/tests/chains.rs
+++ b/crates/indigospur-admission/tests/chains.rs
@@ -215,6 +215,7 @@
             refused: None,
             cutoff: None,
             attempts: 0,
+            shedding: None,
         });
         if self.delayed_reports.len() > REPORT_DELAY_MILLIS {
             let report = self.delayed_reports.pop_front();
@@ -465,6 +466,7 @@
         refused: None,
         cutoff: None,
         attempts: 0,
+        shedding: None,
     };
     let rule: Arc<str> = "quotes".into();
     let admitted_count = |occupied, now: &mut Instant| {
--- a/crates/indigospur-admission/tests/fleet.rs
+++ b/crates/indigospur-admission/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Refusals on arrival over a whole fleet, in virtual time: a deep service is asked for nearly twice its
 //! slots, and every daemon decides by itself, with reports that differ in age and in the upstreams
-//! behind them. Guards against urgent requests that are served less often than others of their workspace.
+//! behind them. Guards against callers of one daemon that are refused far more often than those of
+//! another, and against urgent requests that are served less often than others of their workspace.
 
 use indigospur_admission::{IngressAdmission, IngressRequest, Pressures};
 use indigospur_protocol::{Class, Pressure, Work};
@@ -26,6 +27,8 @@
 const LEVEL_BIAS: f64 = 0.05;
 /// Level from which the service refuses calls.
 const FULL_LEVEL: f64 = 4.0;
+/// Replies that a daemon gets from others in a second.
+const REPLIES: f64 = 60.0;
 const BURST_MILLIS: u64 = 12_000;
 /// Time that the daemons have to adapt before shares are compared.
 const SETTLE_MILLIS: u64 = 2_000;
@@ -73,10 +76,19 @@
     refused: [u32; KINDS.len()],
 }
 
+impl Daemon {
+    fn refused_share(&self) -> f64 {
+        let sum = |counts: &[u32]| f64::from(counts.iter().sum::<u32>());
+        sum(&self.refused) / sum(&self.asked).max(1.0)
+    }
+}
+
 struct Fleet {
     now: Instant,
     rng: SmallRng,
     daemons: Vec<Daemon>,
+    /// Whether replies carry what the daemons refuse.
+    reports_shedding: bool,
     capacity: f64,
     /// Slot time of the calls that run or wait, in seconds.
     backlog: f64,
@@ -88,7 +100,7 @@
 
 impl Fleet {
     /// A fleet of `size` daemons. A tenth of them has five times as many callers as the others.
-    fn new(seed: u64, size: usize) -> Fleet {
+    fn new(seed: u64, size: usize, reports_shedding: bool) -> Fleet {
         let mut rng = SmallRng::seed_from_u64(seed);
         let daemons: Vec<Daemon> = (0..size)
             .map(|index| {
@@ -118,6 +130,7 @@
             now: Instant::now(),
             rng,
             daemons,
+            reports_shedding,
             capacity: rate * per_request / OVERLOAD,
             backlog: 0.0,
             arriving: VecDeque::from(vec![0.0; DELAY_MILLIS as usize]),
@@ -125,7 +138,8 @@
         }
     }
 
-    /// Plays the burst and returns the mean level after the time to adapt.
+    /// Plays the burst and returns the mean level after the time to adapt, and the mean share of the slots
+    /// that are in use.
     fn run(&mut self) -> (f64, f64) {
         let mut level_sum = 0.0;
         let mut used_sum = 0.0;
@@ -164,6 +178,7 @@
 
     /// Plays a millisecond of one daemon. Returns the slot time of the requests that it admits.
     fn play_daemon(&mut self, index: usize) -> f64 {
+        let count = self.daemons.len();
         let daemon = &mut self.daemons[index];
         let level = self.levels[daemon.report_millis] * (1.0 + daemon.level_bias);
         let report = Pressure {
@@ -174,7 +189,17 @@
             refused: None,
             cutoff: None,
             attempts: 0,
+            shedding: None,
         };
+        if self.rng.random_bool(REPLIES / 1_000.0) {
+            let mut reports = [report.clone()];
+            let other = self.rng.random_range(0..count);
+            self.daemons[other].ingress.report(self.now, &mut reports);
+            if self.reports_shedding {
+                self.daemons[index].ingress.merge(self.now, &reports);
+            }
+        }
+        let daemon = &mut self.daemons[index];
         daemon.pressures.merge(self.now, &[report]);
         if !self.rng.random_bool(daemon.rate / 1_000.0) {
             return 0.0;
@@ -205,6 +230,20 @@
         }
     }
 
+    /// Difference between the refused shares of two halves of the daemons: those that see the lower
+    /// levels and those that see the higher ones.
+    fn spread(&self) -> f64 {
+        let mean = |is_high: bool| {
+            let half = self
+                .daemons
+                .iter()
+                .filter(|daemon| (daemon.level_bias > 0.0) == is_high);
+            let shares: Vec<f64> = half.map(Daemon::refused_share).collect();
+            shares.iter().sum::<f64>() / shares.len().max(1) as f64
+        };
+        (mean(true) - mean(false)).abs()
+    }
+
     /// Share of the requests of a kind that are admitted.
     fn admitted_share(&self, kind: usize) -> f64 {
         let sum = |counts: fn(&Daemon) -> &[u32; KINDS.len()]| {
@@ -219,11 +258,29 @@
     (CHAIN * kind.chains).as_secs_f64()
 }
 
+/// Without reports on what others refuse, each daemon's integral term follows its own deviation of the
+/// level.
+#[test]
+fn callers_of_all_daemons_are_refused_alike() {
+    for size in [16, 85, 195, 640] {
+        let mut apart = Fleet::new(1, size, false);
+        apart.run();
+        let mut together = Fleet::new(1, size, true);
+        let (level, used) = together.run();
+        let (apart, together) = (apart.spread(), together.spread());
+        println!(
+            "{size} daemons: spread {apart:.3} alone, {together:.3} with reports, level {level:.3}, slots used {used:.3}"
+        );
+        assert!(together < 0.05, "{size}: {together:.3}");
+        assert!(apart > 0.05, "{size}: {apart:.3}");
+    }
+}
+
 /// All workspaces have one class, which takes precedence over those of the rules: the rules order the
 /// requests in it. The less urgent kinds keep a part.
 #[test]
 fn urgent_requests_of_a_workspace_are_refused_after_the_others() {
-    let mut fleet = Fleet::new(1, 85);
+    let mut fleet = Fleet::new(1, 85, true);
     fleet.run();
     let [signatures, quotes, views] = [0, 1, 2].map(|kind| fleet.admitted_share(kind));
     println!("admitted: signatures {signatures:.3}, quotes {quotes:.3}, views {views:.3}");
--- a/crates/indigospur-admission/tests/shed_entry.rs
+++ b/crates/indigospur-admission/tests/shed_entry.rs
@@ -44,6 +44,7 @@
         refused,
         cutoff,
         attempts: 100,
+        shedding: None,
     };
     pressures.merge(now, &[report]);
     pressures
@@ -165,6 +166,7 @@
         refused: Some(100),
         cutoff: Some(2 << 32),
         attempts: 1,
+        shedding: None,
     };
     for _ in 0..100 {
         pressures.merge(now, std::slice::from_ref(&light));
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -36,7 +36,9 @@
     let digest = message.context.digest;
     let mut reply = admit(daemon, &backend, message).await;
     reply.crashes = crashes_for_sender(daemon, digest, known_to_sender);
-    reply.pressures = lock(&daemon.pressures).reports(Instant::now());
+    let now = Instant::now();
+    reply.pressures = lock(&daemon.pressures).reports(now);
+    lock(&daemon.ingress).report(now, &mut reply.pressures);
     let mut load = backend.slots.load();
     load.incarnation = daemon.incarnation;
     load.residence = arrived.elapsed();
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -286,6 +286,7 @@
             pressure.cutoff = None;
         }
     }
+    lock(&daemon.ingress).merge(now, &reported);
     let mut pressures = lock(&daemon.pressures);
     pressures.merge(now, &reported);
     pressures.merge(now, own_pressure.as_slice());
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -1,6 +1,6 @@
 //! Results of calls, and the load reports that are returned with them.
 
-use crate::call::{Crash, Header, RetryOrder, find_header};
+use crate::call::{Class, Crash, Header, RetryOrder, find_header};
 use crate::ids::{Incarnation, ServiceName};
 use crate::kind::{Kind, Ran};
 use std::ops::RangeInclusive;
@@ -181,6 +181,19 @@
     /// Recent attempts on which `refused` and `cutoff` rest: their weight beside other reports. Those
     /// of a report without weight are ignored.
     pub attempts: u32,
+    /// What the reporting daemon refuses on arrival for the sake of the service; `None` if it admits no
+    /// requests that need it, and from hosts of earlier versions.
+    pub shedding: Option<Shedding>,
+}
+
+/// The classes whose requests a daemon refuses on arrival for the sake of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shedding {
+    /// Number of classes, lowest priority first, in thousandths: at 1,500 all requests of the lowest class
+    /// are refused and half of those of the next.
+    pub amount: u32,
+    /// Classes whose requests at the daemon need the service, in ascending order.
+    pub classes: Vec<Class>,
 }
 
 /// Slot time and calls that a call used at a service.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,6 +1,6 @@
 //! Conversions between the wire messages and the types of this crate.
 
-use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Work};
+use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Shedding, Work};
 use crate::call::{Call, Context, Crash, Header};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
@@ -137,6 +137,12 @@
             refused: pressure.refused,
             cutoff: pressure.cutoff,
             attempts: pressure.attempts,
+            shed: pressure.shedding.as_ref().map(|shedding| shedding.amount),
+            shed_classes: pressure
+                .shedding
+                .as_ref()
+                .map(|shedding| shedding.classes.clone())
+                .unwrap_or_default(),
         }
     }
 }
@@ -151,6 +157,10 @@
             refused: wire.refused,
             cutoff: wire.cutoff,
             attempts: wire.attempts,
+            shedding: wire.shed.map(|amount| Shedding {
+                amount,
+                classes: wire.shed_classes,
+            }),
         }
     }
 }
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod wire;
 
 pub use announcement::Announcement;
-pub use answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Work};
+pub use answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Shedding, Work};
 pub use call::{
     Call, Class, Context, Crash, Header, Rank, RetryOrder, find_header, fingerprint,
     is_idempotent_method,
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -129,6 +129,14 @@
     /// Recent attempts on which `refused` and `cutoff` rest; zero if not measured.
     #[prost(uint32, tag = "7")]
     pub attempts: u32,
+    /// Classes whose requests the sender refuses on arrival for the sake of the service, lowest priority
+    /// first, in thousandths of a class; absent if it admits no requests that need the service, and from
+    /// earlier versions.
+    #[prost(uint32, optional, tag = "8")]
+    pub shed: ::core::option::Option<u32>,
+    /// Classes whose requests need the service, one byte each; `shed` counts in these.
+    #[prost(bytes = "vec", tag = "9")]
+    pub shed_classes: ::prost::alloc::vec::Vec<u8>,
 }
 /// Slot time that a call and the calls below it in the chain used at a service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -3,7 +3,7 @@
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{
     Call, Context, Crash, KINDS, Kind, Load, Outcome, Pace, Pressure, Ran, Refusal, RelayMessage,
-    Reply, WireError, Work,
+    Reply, Shedding, WireError, Work,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -126,6 +126,10 @@
             refused: Some(550),
             cutoff: Some((1 << 32) | 5),
             attempts: 120,
+            shedding: Some(Shedding {
+                amount: 1_500,
+                classes: vec![0, 2],
+            }),
         }],
         work: vec![Work {
             service: "accounts".into(),
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -231,6 +231,7 @@
             refused: None,
             cutoff: None,
             attempts: 0,
+            shedding: None,
         })
     }
 
