Give the gains of ingress admission in shares of all classes

Cause: the gains were for each class, so that a service whose requests are all of one class was controlled twice as hard as one with two.

Hypothesis: with the gains of two classes for any number, the level swings less and more slots are used.

Services with two classes are controlled as before.

--- a/crates/indigospur-admission/src/controller.rs
+++ b/crates/indigospur-admission/src/controller.rs
@@ -7,13 +7,15 @@
 /// Set point of the level: running and queued calls at a service divided by its concurrency limit.
 /// Slightly above 1, so that all slots are taken and the queue is short.
 const TARGET_LEVEL: f64 = 1.05;
-/// Proportional gain, in classes per unit of error. The error is the level minus the target.
-const PROPORTIONAL_GAIN: f64 = 0.5;
-/// Integral gain while the service is above the target, in classes a second per unit of error.
-const INTEGRAL_GAIN_UP: f64 = 0.8;
+/// Proportional gain, in shares of all classes per unit of error. The error is the level minus the
+/// target. A gain for each class would make the level swing where all requests are of one class.
+const PROPORTIONAL_GAIN: f64 = 0.25;
+/// Integral gain while the service is above the target, in shares of all classes a second per unit of
+/// error.
+const INTEGRAL_GAIN_UP: f64 = 0.4;
 /// Integral gain while it is below, in the same unit. Larger, since an idle slot is wasted capacity
 /// while a queued call is only delayed.
-const INTEGRAL_GAIN_DOWN: f64 = 2.5;
+const INTEGRAL_GAIN_DOWN: f64 = 1.25;
 /// Bound of the error, against integral wind-up by a burst.
 const MAX_ERROR: f64 = 0.6;
 /// Error of a service without a fresh report, so that refusals fade out.
@@ -86,9 +88,9 @@
         } else {
             INTEGRAL_GAIN_DOWN
         };
-        let integral = self.integral + rate * error * step.as_secs_f64();
+        let integral = self.integral + class_count * rate * error * step.as_secs_f64();
         self.integral = integral.clamp(0.0, class_count);
-        (self.integral + PROPORTIONAL_GAIN * error).clamp(0.0, class_count)
+        (self.integral + class_count * PROPORTIONAL_GAIN * error).clamp(0.0, class_count)
     }
 
     /// What is refused, for the reports to other daemons; `None` if no request needed the service lately.
