--- a/crates/indigospur-admission/tests/fleet.rs
+++ b/crates/indigospur-admission/tests/fleet.rs
@@ -87,8 +87,8 @@
     now: Instant,
     rng: SmallRng,
     daemons: Vec<Daemon>,
-    /// Whether replies carry what the daemons refuse.
-    reports_shedding: bool,
+    /// Percentage of the daemons whose replies carry what they refuse, and that follow others.
+    reporting_percent: usize,
     capacity: f64,
     /// Slot time of the calls that run or wait, in seconds.
     backlog: f64,
@@ -100,7 +100,7 @@
 
 impl Fleet {
     /// A fleet of `size` daemons. A tenth of them has five times as many callers as the others.
-    fn new(seed: u64, size: usize, reports_shedding: bool) -> Fleet {
+    fn new(seed: u64, size: usize, reporting_percent: usize) -> Fleet {
         let mut rng = SmallRng::seed_from_u64(seed);
         let daemons: Vec<Daemon> = (0..size)
             .map(|index| {
@@ -130,7 +130,7 @@
             now: Instant::now(),
             rng,
             daemons,
-            reports_shedding,
+            reporting_percent,
             capacity: rate * per_request / OVERLOAD,
             backlog: 0.0,
             arriving: VecDeque::from(vec![0.0; DELAY_MILLIS as usize]),
@@ -194,8 +194,8 @@
         if self.rng.random_bool(REPLIES / 1_000.0) {
             let mut reports = [report.clone()];
             let other = self.rng.random_range(0..count);
-            self.daemons[other].ingress.report(self.now, &mut reports);
-            if self.reports_shedding {
+            if self.is_reporting(index) && self.is_reporting(other) {
+                self.daemons[other].ingress.report(self.now, &mut reports);
                 self.daemons[index].ingress.merge(self.now, &reports);
             }
         }
@@ -230,6 +230,10 @@
         }
     }
 
+    fn is_reporting(&self, index: usize) -> bool {
+        index * 37 % 100 < self.reporting_percent
+    }
+
     /// Difference between the refused shares of two halves of the daemons: those that see the lower
     /// levels and those that see the higher ones.
     fn spread(&self) -> f64 {
@@ -263,9 +267,9 @@
 #[test]
 fn callers_of_all_daemons_are_refused_alike() {
     for size in [16, 85, 195, 640] {
-        let mut apart = Fleet::new(1, size, false);
+        let mut apart = Fleet::new(1, size, 0);
         apart.run();
-        let mut together = Fleet::new(1, size, true);
+        let mut together = Fleet::new(1, size, 100);
         let (level, used) = together.run();
         let (apart, together) = (apart.spread(), together.spread());
         println!(
@@ -276,11 +280,26 @@
     }
 }
 
+/// While hosts are replaced, daemons of the build before neither report nor follow. Guards against the
+/// others following few reports away from the level.
+#[test]
+fn the_service_stays_in_use_while_a_part_of_the_fleet_reports() {
+    let mut earlier = Fleet::new(1, 85, 0);
+    let (_, used_before) = earlier.run();
+    for percent in [10, 50, 90] {
+        let mut mixed = Fleet::new(1, 85, percent);
+        let (level, used) = mixed.run();
+        println!("{percent} % report: level {level:.3}, slots used {used:.3}");
+        assert!(used > used_before - 0.02, "{percent}: {used:.3}");
+        assert!(level < FULL_LEVEL / 2.0, "{percent}: {level:.3}");
+    }
+}
+
 /// All workspaces have one class, which takes precedence over those of the rules: the rules order the
 /// requests in it. The less urgent kinds keep a part.
 #[test]
 fn urgent_requests_of_a_workspace_are_refused_after_the_others() {
-    let mut fleet = Fleet::new(1, 85, true);
+    let mut fleet = Fleet::new(1, 85, 100);
     fleet.run();
     let [signatures, quotes, views] = [0, 1, 2].map(|kind| fleet.admitted_share(kind));
     println!("admitted: signatures {signatures:.3}, quotes {quotes:.3}, views {views:.3}");
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -144,6 +144,64 @@
     assert_eq!(wire.into_reply("r"), Ok(sent));
 }
 
+/// A report as c0d2445 wrote it: service "accounts", 50 calls of 36, 30 ms old, 550 of 1,000 refused, a
+/// cutoff, 120 attempts.
+const EARLIER_REPORT: [u8; 27] = [
+    0x0a, 0x08, b'a', b'c', b'c', b'o', b'u', b'n', b't', b's', 0x10, 0x32, 0x18, 0x24, 0x20, 0x1e,
+    0x28, 0xa6, 0x04, 0x30, 0x85, 0x80, 0x80, 0x80, 0x10, 0x38, 0x78,
+];
+
+/// The fields of a report that c0d2445 knows.
+#[derive(Clone, PartialEq, prost::Message)]
+struct EarlierPressure {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(uint32, tag = "2")]
+    occupied: u32,
+    #[prost(uint32, tag = "3")]
+    capacity: u32,
+    #[prost(uint32, tag = "4")]
+    age_millis: u32,
+    #[prost(uint32, optional, tag = "5")]
+    refused: Option<u32>,
+    #[prost(uint64, optional, tag = "6")]
+    cutoff: Option<u64>,
+    #[prost(uint32, tag = "7")]
+    attempts: u32,
+}
+
+/// Guards against a fleet in which daemons of two builds misread each other's reports while hosts are
+/// replaced one after the other.
+#[test]
+fn reports_pass_between_this_build_and_the_one_before() {
+    let wire = peer::Pressure::decode(EARLIER_REPORT.as_slice()).expect("valid encoding");
+    let received = Pressure::from(wire);
+    assert_eq!((received.occupied, received.attempts), (50, 120));
+    assert_eq!(received.shedding, None);
+    let sent = Pressure {
+        shedding: Some(Shedding {
+            amount: 400,
+            classes: vec![1],
+        }),
+        ..received
+    };
+    let bytes = peer::Pressure::from(&sent).encode_to_vec();
+    let earlier = EarlierPressure::decode(bytes.as_slice()).expect("valid encoding");
+    assert_eq!(
+        (
+            &*earlier.service,
+            earlier.occupied,
+            earlier.capacity,
+            earlier.age_millis
+        ),
+        ("accounts", 50, 36, 30)
+    );
+    assert_eq!(
+        (earlier.refused, earlier.cutoff, earlier.attempts),
+        (Some(550), Some((1 << 32) | 5), 120)
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
 
