Gossip and request full member lists more often after a start

Until then calls crowd on the upstreams that are known, and quotas have no home: 331 requests in half a second were refused for a portion of their quota. Gossip once a second and full lists every 2.1 s were too slow for that.

Hypothesis: four rounds a second and full lists eight times as often in the first 4 s bring the fleet together before the backend servers are warm. In the model, 85 daemons that know four others each know all backend servers within 3 s; without it some know none but their own (a_fleet_that_restarts_as_a_whole_knows_all_backend_servers_within_three_seconds).

Ruled out as the main cause of what is left: cold backend servers take twice as long for 3 s, so that the usual load asks for 640 of 482 usable slots.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -14,6 +14,8 @@
 
 /// Mean time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+/// Mean time between two rounds of a daemon that started a moment ago.
+const STARTUP_ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait for answers to urgent rounds: the backend server waits a second for the
 /// acknowledgement that follows them.
 const URGENT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -24,7 +26,13 @@
         if lock(&daemon.fleet).members.is_empty() {
             join_via_seeds(&daemon).await;
         }
-        let pause = lock(&daemon.rng).random_range(ROUND_INTERVAL / 2..ROUND_INTERVAL * 3 / 2);
+        let is_starting = lock(&daemon.fleet).exchange.is_starting(Instant::now());
+        let interval = if is_starting {
+            STARTUP_ROUND_INTERVAL
+        } else {
+            ROUND_INTERVAL
+        };
+        let pause = lock(&daemon.rng).random_range(interval / 2..interval * 3 / 2);
         let urgent = runtime::timeout(pause, daemon.gossip_wake.1.recv())
             .await
             .is_some();
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -169,7 +169,7 @@
         let fleet = Fleet {
             members: Members::new(Instant::now(), me),
             suspects: Suspects::default(),
-            exchange: Exchange::default(),
+            exchange: Exchange::new(Instant::now()),
         };
         let mut router = Router::new(settings.data_centre.clone(), settings.region.clone());
         router.set_policy(settings.placement);
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -10,7 +10,14 @@
 /// Minimum interval between requests of a daemon for a full member list, per member of the fleet.
 /// Limits the full lists to some 4 KB per second whatever the size of the fleet.
 const FULL_LIST_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(25);
-/// Bounds of that interval. The upper bound, which a large fleet reaches, leaves updates time to
+/// Time after its start in which a daemon requests full lists more often. After a start of the whole fleet,
+/// calls crowd on the few upstreams that are known, and quotas have no home, until the lists are full.
+const STARTUP: Duration = Duration::from_secs(4);
+/// Divisor of the interval between requests for full lists in that time, and its bounds.
+const STARTUP_DIVISOR: u32 = 8;
+const MIN_STARTUP_INTERVAL: Duration = Duration::from_millis(200);
+const MAX_STARTUP_INTERVAL: Duration = Duration::from_secs(2);
+/// Bounds of the interval at other times. The upper bound, which a large fleet reaches, leaves updates time to
 /// spread one by one, which takes fewer bytes than full lists.
 const MIN_FULL_LIST_INTERVAL: Duration = Duration::from_millis(400);
 const MAX_FULL_LIST_INTERVAL: Duration = Duration::from_secs(10);
@@ -91,12 +98,40 @@
 }
 
 /// Gossip state of a daemon, which limits its requests for full member lists.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Exchange {
+    started: Instant,
     last_request: Option<Instant>,
 }
 
 impl Exchange {
+    /// Creates the state of a daemon that starts at `now`.
+    pub fn new(now: Instant) -> Exchange {
+        Exchange {
+            started: now,
+            last_request: None,
+        }
+    }
+
+    /// Whether the daemon started a moment ago, and should gossip more often.
+    pub fn is_starting(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < STARTUP
+    }
+
+    /// Shortest time between two requests for a full list.
+    fn request_interval(&self, now: Instant, members: usize, has_backlog: bool) -> Duration {
+        let by_size = FULL_LIST_INTERVAL_PER_MEMBER * u32::try_from(members).unwrap_or(u32::MAX);
+        if self.is_starting(now) {
+            return (by_size / STARTUP_DIVISOR).clamp(MIN_STARTUP_INTERVAL, MAX_STARTUP_INTERVAL);
+        }
+        let by_size = by_size.clamp(MIN_FULL_LIST_INTERVAL, MAX_FULL_LIST_INTERVAL);
+        if has_backlog {
+            by_size.min(BACKLOG_FULL_LIST_INTERVAL)
+        } else {
+            by_size
+        }
+    }
+
     /// Merges a received message; returns the members that changed.
     pub fn merge(
         &self,
@@ -163,14 +198,7 @@
         let is_quiet = members.pending_updates() == 0 && message.members.is_empty();
         let backlog = members.pending_updates() >= BACKLOG_UPDATES;
         let small = members.len() <= SMALL_FLEET_MEMBERS;
-        let by_size =
-            FULL_LIST_INTERVAL_PER_MEMBER * u32::try_from(members.len()).unwrap_or(u32::MAX);
-        let by_size = by_size.clamp(MIN_FULL_LIST_INTERVAL, MAX_FULL_LIST_INTERVAL);
-        let interval = if backlog {
-            by_size.min(BACKLOG_FULL_LIST_INTERVAL)
-        } else {
-            by_size
-        };
+        let interval = self.request_interval(now, members.len(), backlog);
         let recent = |requested: Instant| now.saturating_duration_since(requested) < interval;
         if !lists_differ || !(is_quiet || backlog || small) || self.last_request.is_some_and(recent)
         {
--- a/crates/indigospur-members/tests/members/fleet.rs
+++ b/crates/indigospur-members/tests/members/fleet.rs
@@ -60,7 +60,7 @@
             Node {
                 members,
                 suspects: Suspects::default(),
-                exchange: Exchange::default(),
+                exchange: Exchange::new(now),
                 up: true,
                 bytes: 0,
             }
@@ -85,6 +85,20 @@
         }
     }
 
+    /// Advances by a quarter of a round: daemons that started a moment ago exchange each time, the others
+    /// once a round.
+    pub(crate) fn quarter_round(&mut self) {
+        self.now += ROUND / 4;
+        for from in 0..self.nodes.len() {
+            let node = &mut self.nodes[from];
+            let is_due = node.exchange.is_starting(self.now) || self.rng.random_bool(0.25);
+            if node.up && is_due {
+                node.members.tick(self.now);
+                self.exchange(from);
+            }
+        }
+    }
+
     fn can_reach(&self, from: usize, to: usize) -> bool {
         let side = |index| self.partition.is_some_and(|partition| index < partition);
         self.nodes[to].up && side(from) == side(to)
--- a/crates/indigospur-members/tests/members/gossip.rs
+++ b/crates/indigospur-members/tests/members/gossip.rs
@@ -39,6 +39,46 @@
     }
 }
 
+/// All hosts of a fleet lose power at once. Each daemon then knows a few others, and its backend server
+/// announces itself within 1.5 s. Guards against calls that crowd on a part of the upstreams for seconds.
+#[test]
+fn a_fleet_that_restarts_as_a_whole_knows_all_backend_servers_within_three_seconds() {
+    const SIZE: usize = 85;
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(SIZE, seed);
+        let now = fleet.now;
+        for index in 0..SIZE {
+            let waiting = Member {
+                state: State::Waiting,
+                ..member(index)
+            };
+            let mut members = Members::new(now, waiting);
+            for _ in 0..4 {
+                let peer = Member {
+                    state: State::Waiting,
+                    ..member(fleet.rng.random_range(0..SIZE))
+                };
+                members.merge(now, vec![peer]);
+            }
+            fleet.nodes[index].members = members;
+        }
+        for quarter in 0..12 {
+            for index in (0..SIZE).filter(|index| index % 6 == quarter) {
+                let at = fleet.now;
+                let members = &mut fleet.nodes[index].members;
+                members.announce(at, |me| me.state = State::Ready);
+                // A change of its own has a daemon gossip at once.
+                fleet.exchange(index);
+            }
+            fleet.quarter_round();
+        }
+        let is_ready = |member: &&Member| member.state == State::Ready;
+        let known = |node: &Node| node.members.all().filter(is_ready).count();
+        let fewest = fleet.nodes.iter().map(known).min();
+        assert!(fewest >= Some(SIZE - 1), "{fewest:?} with seed {seed}");
+    }
+}
+
 #[test]
 fn all_daemons_know_within_seconds_that_a_host_is_draining() {
     let mut fleet = Fleet::new(60, 2);
@@ -199,7 +239,7 @@
 fn gossip_crashes(hosts: &mut [Suspects], from: usize) {
     let now = Instant::now();
     let mut members = Members::new(now, member(from));
-    let message = Exchange::default().open(&mut members, &mut hosts[from], 0);
+    let message = Exchange::new(now).open(&mut members, &mut hosts[from], 0);
     for suspects in hosts.iter_mut() {
         for crash in &message.crashes {
             suspects.insert(crash.clone());
