--- a/crates/indigospur-admission/tests/fleet.rs
+++ b/crates/indigospur-admission/tests/fleet.rs
@@ -280,6 +280,16 @@
     }
 }
 
+/// Guards against a queue that is longer than the set point of the level says.
+#[test]
+fn the_mean_level_stays_within_five_percent_of_its_set_point() {
+    const SET_POINT: f64 = 1.05;
+    for size in [16, 85] {
+        let (level, _) = Fleet::new(1, size, 100).run();
+        assert!((level / SET_POINT - 1.0).abs() < 0.05, "{size}: {level:.3}");
+    }
+}
+
 /// While hosts are replaced, daemons of the build before neither report nor follow. Guards against the
 /// others following few reports away from the level.
 #[test]
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -306,6 +306,7 @@
             request = &*origin.request_id,
             rule = &**rule,
             class = treatment.class,
+            rule_class = treatment.rule_class,
             service = &*refusal.service,
             level = refusal.level,
             age_ms = refusal.age.as_millis() as u64,
