--- a/crates/indigospur-admission/src/controller.rs
+++ b/crates/indigospur-admission/src/controller.rs
@@ -1,4 +1,8 @@
 //! The share of the requests that need one service which is refused on arrival.
+//!
+//! The load: a deep service is asked for up to twice its slots, by requests that enter at every daemon of
+//! the fleet. Each daemon decides by itself; what it refuses is reported to the others, so that callers
+//! are refused alike wherever they enter.
 
 use indigospur_protocol::{Class, Shedding};
 use std::collections::BTreeMap;
@@ -26,7 +30,7 @@
 /// again.
 const MAX_SHED_SHARE: f64 = 0.95;
 /// Weight of another daemon's report in the integral term.
-const PULL: f64 = 1.0 / 8.0;
+const REPORT_WEIGHT: f64 = 1.0 / 8.0;
 /// Age of the latest step from which the integral term is not reported.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 /// Time for which a class counts among those that need the service after its latest request.
@@ -93,7 +97,9 @@
         (self.integral + class_count * PROPORTIONAL_GAIN * error).clamp(0.0, class_count)
     }
 
-    /// What is refused, for the reports to other daemons; `None` if no request needed the service lately.
+    /// The integral term, for the reports to other daemons; `None` if no request needed the service lately.
+    /// Classes that are known from reports only are left out, so that one which no request has any more
+    /// is forgotten by all.
     pub(crate) fn report(&self, now: Instant) -> Option<Shedding> {
         let is_fresh = now.saturating_duration_since(self.updated) < MAX_REPORT_AGE;
         let asked = self
@@ -117,7 +123,7 @@
                 .known = now;
         }
         let amount = (f64::from(reported.amount) / 1_000.0).min(self.demand.len() as f64);
-        self.integral += PULL * (amount - self.integral);
+        self.integral += REPORT_WEIGHT * (amount - self.integral);
     }
 
     /// Share of the requests of a class and rule class to refuse when `shed_classes` classes are
@@ -185,12 +191,9 @@
             let reserved = self.by_rule.range(current..).enumerate();
             let weights =
                 reserved.map(|(below, (_, demand))| demand * LEAST_ADMITTED.powi(below as i32));
-            let weight: f64 = weights.sum();
-            let admitted = if weight > 0.0 {
-                (left / weight).clamp(0.0, 1.0)
-            } else {
-                1.0
-            };
+            // Without demand left, all of it can be admitted.
+            let weight = weights.sum::<f64>().max(f64::MIN_POSITIVE);
+            let admitted = (left / weight).clamp(0.0, 1.0);
             if current == rule_class {
                 return 1.0 - admitted;
             }
--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -228,8 +228,9 @@
         bottleneck
     }
 
-    /// The services that a request of a rule needs, with its mean slot time there. Until they are known, as after a restart, all
-    /// services count: admitting too few for a moment is better than flooding a full service.
+    /// The services that a request of a rule needs, with its mean slot time there. Until they are known,
+    /// as after a restart, all services count: admitting too few for a moment is better than flooding a
+    /// full service.
     fn required_services(&self, rule: &str, pressures: &Pressures) -> Vec<(ServiceName, Duration)> {
         let Some(costs) = self.costs.get(rule) else {
             let services = pressures.services().cloned();
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -10,15 +10,15 @@
 /// Minimum interval between requests of a daemon for a full member list, per member of the fleet.
 /// Limits the full lists to some 4 KB per second whatever the size of the fleet.
 const FULL_LIST_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(25);
-/// Time after its start in which a daemon requests full lists more often. After a start of the whole fleet,
-/// calls crowd on the few upstreams that are known, and quotas have no home, until the lists are full.
+/// Time after its start in which a daemon requests full lists more often. After a start of the whole
+/// fleet, calls crowd on the few upstreams that are known until the lists are full.
 const STARTUP: Duration = Duration::from_secs(4);
 /// Divisor of the interval between requests for full lists in that time, and its bounds.
 const STARTUP_DIVISOR: u32 = 8;
 const MIN_STARTUP_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_STARTUP_INTERVAL: Duration = Duration::from_secs(2);
-/// Bounds of the interval at other times. The upper bound, which a large fleet reaches, leaves updates time to
-/// spread one by one, which takes fewer bytes than full lists.
+/// Bounds of the interval at other times. The upper bound, which a large fleet reaches, leaves updates
+/// time to spread one by one, which takes fewer bytes than full lists.
 const MIN_FULL_LIST_INTERVAL: Duration = Duration::from_millis(400);
 const MAX_FULL_LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// Upper bound of the interval while more updates are queued than fit into a few messages, as after
@@ -101,6 +101,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     started: Instant,
+    /// Time of the latest request for a full list.
     last_request: Option<Instant>,
 }
 
--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -186,7 +186,7 @@
     pub shedding: Option<Shedding>,
 }
 
-/// The classes whose requests a daemon refuses on arrival for the sake of a service.
+/// The classes whose requests a daemon refuses on arrival for the sake of a service, smoothed over time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Shedding {
     /// Number of classes, lowest priority first, in thousandths: at 1,500 all requests of the lowest class
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -129,6 +129,7 @@
 
 impl From<&Pressure> for peer::Pressure {
     fn from(pressure: &Pressure) -> Self {
+        let shedding = pressure.shedding.as_ref();
         peer::Pressure {
             service: pressure.service.to_string(),
             occupied: pressure.occupied,
@@ -137,12 +138,8 @@
             refused: pressure.refused,
             cutoff: pressure.cutoff,
             attempts: pressure.attempts,
-            shed: pressure.shedding.as_ref().map(|shedding| shedding.amount),
-            shed_classes: pressure
-                .shedding
-                .as_ref()
-                .map(|shedding| shedding.classes.clone())
-                .unwrap_or_default(),
+            shed: shedding.map(|shedding| shedding.amount),
+            shed_classes: shedding.map_or_else(Vec::new, |shedding| shedding.classes.clone()),
         }
     }
 }
