--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod error;
 mod handle;
 mod inbound;
+mod ingress;
 mod keyed;
 mod lifecycle;
 mod logging;
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -4,7 +4,7 @@
 use crate::authentication::CallerIdentity;
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
-use crate::quotas;
+use crate::{ingress, quotas};
 use indigospur_admission::IngressRequest;
 use indigospur_budget::Token;
 use indigospur_once::parse_key;
@@ -93,12 +93,9 @@
         quotas::admit(daemon, &origin.request_id, workspace)?;
         *charged = Some(workspace.clone());
     }
-    if !origin.in_chain {
-        admit_ingress(daemon, &origin, rule.as_ref(), &treatment).inspect_err(|_| {
-            if daemon.settings().retry_window.is_some() {
-                lock(&daemon.request_counts).undo(&origin.request_id);
-            }
-        })?;
+    if let (false, Some(rule)) = (origin.in_chain, &rule) {
+        let request = ingress_request(rule, &origin, &treatment);
+        ingress::admit(daemon, &origin.request_id, request)?;
     }
     let service = choose_service(daemon, rule.as_ref(), &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &received.path);
@@ -112,8 +109,8 @@
     };
     let mut context = build_context(daemon, &origin, &treatment, remaining, key, &call);
     if origin.parent_context.is_none() {
-        let ingress = lock(&daemon.ingress);
-        context.retry_order = ingress.retry_order(rule.as_deref(), context.class, context.rank);
+        let admission = lock(&daemon.ingress);
+        context.retry_order = admission.retry_order(rule.as_deref(), context.class, context.rank);
     }
     Ok(Prepared {
         message: RelayMessage { call, context },
@@ -280,16 +277,13 @@
     context
 }
 
-/// Admits a request that begins a chain of calls, unless a service that the chain needs lacks
-/// capacity for it.
-fn admit_ingress(
-    daemon: &Daemon,
+/// What decides on the admission of a request that begins a chain of calls.
+fn ingress_request<'a>(
+    rule: &'a Arc<str>,
     origin: &RequestOrigin,
-    rule: Option<&Arc<str>>,
     treatment: &Treatment,
-) -> Result<(), Refusal> {
-    let Some(rule) = rule else { return Ok(()) };
-    let ingress_request = IngressRequest {
+) -> IngressRequest<'a> {
+    IngressRequest {
         rule,
         class: treatment.class,
         rule_class: treatment.rule_class,
@@ -297,28 +291,7 @@
         objective: treatment.objective,
         idempotent: treatment.idempotent,
         attempt: origin.attempt,
-    };
-    let pressures = lock(&daemon.pressures);
-    let admitted = lock(&daemon.ingress).admit(Instant::now(), ingress_request, &pressures);
-    drop(pressures);
-    admitted.map_err(|refusal| {
-        log::info!(
-            request = &*origin.request_id,
-            rule = &**rule,
-            class = treatment.class,
-            rule_class = treatment.rule_class,
-            service = &*refusal.service,
-            level = refusal.level,
-            age_ms = refusal.age.as_millis() as u64,
-            share = refusal.share,
-            order = refusal.order,
-            cutoff:? = refusal.cutoff,
-            chance:? = refusal.chance;
-            "request refused on arrival; a service that it needs is overloaded"
-        );
-        let detail = format!("{} has no room for it", refusal.service);
-        Refusal::new(Kind::OverloadedBelow, detail).with_retry_after(refusal.retry_after)
-    })
+    }
 }
 
 /// Copies to a nested call what it takes over from its parent.
