--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -144,7 +144,7 @@
     assert_eq!(wire.into_reply("r"), Ok(sent));
 }
 
-/// A report as c0d2445 wrote it: service "accounts", 50 calls of 36, 30 ms old, 550 of 1,000 refused, a
+/// A report in the format of c0d2445, encoded by hand: service "accounts", 50 calls of 36, 30 ms old, 550 of 1,000 refused, a
 /// cutoff, 120 attempts.
 const EARLIER_REPORT: [u8; 27] = [
     0x0a, 0x08, b'a', b'c', b'c', b'o', b'u', b'n', b't', b's', 0x10, 0x32, 0x18, 0x24, 0x20, 0x1e,
