review: a flapping upstream gets a popular request refused for good

Cause: requests are told apart by service, method, path and body. An upstream that goes down three times while it runs one lookup only has the lookup counted as the cause, its host refuses it for good, and the router prefers the host that refuses at once.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.." || exit 2
 case=review/stand-in/target/release/review-case
 [ -x "$case" ] || exit 2
-exec timeout -k 5 115 "$case" revoked "$here"
+exec timeout -k 5 115 "$case" flapping "$here"
--- a/review/stand-in/src/cases/mod.rs
+++ b/review/stand-in/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns what broke its rule.
 
 mod crashes;
+mod flapping;
 mod late_copy;
 mod pipelined;
 mod queued;
@@ -19,6 +20,7 @@
         "queued" => Some(queued::play),
         "slow-read" => Some(slow_read::play),
         "crashes" => Some(crashes::play),
+        "flapping" => Some(flapping::play),
         "pipelined" => Some(pipelined::play),
         _ => None,
     }
--- a/review/stand-in/src/cases/revoked.rs
+++ b/review/stand-in/src/cases/revoked.rs
@@ -91,8 +91,8 @@
     for number in 0..REQUESTS {
         let index = number as usize % site.machines.len();
         let id = match number % 2 {
-            0 => format!("9c41d07be2a3{when}{number}"),
-            _ => format!("9c41d07b.{when}{number}"),
+            0 => format!("17964362190{when}{number:03}"),
+            _ => format!("1796436219.0{when}{number:03}"),
         };
         let authorization = format!("Token {KEY}");
         let request = Request {
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -26,10 +26,6 @@
     pub fn status(&self) -> u16 {
         self.second_word().parse().unwrap_or(0)
     }
-
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
 }
 
 /// A connection with its read buffer.
@@ -77,9 +73,14 @@
 
     /// Works for `time`, and returns false as soon as the peer closes the connection.
     pub fn work(&mut self, time: Duration) -> bool {
+        self.work_while(time, || true)
+    }
+
+    /// As [`Connection::work`], and also returns false as soon as `goes_on` does.
+    pub fn work_while(&mut self, time: Duration, goes_on: impl Fn() -> bool) -> bool {
         let end = Instant::now() + time;
         loop {
-            if self.is_closed() {
+            if self.is_closed() || !goes_on() {
                 return false;
             }
             let left = end.saturating_duration_since(Instant::now());
--- a/review/stand-in/src/site.rs
+++ b/review/stand-in/src/site.rs
@@ -223,18 +223,6 @@
         self.record.line("all daemons are ready");
         Ok(())
     }
-
-    /// The lines of all daemons' logs that contain `pattern`.
-    pub fn log_lines(&self, pattern: &str) -> Vec<String> {
-        let logs = self.machines.iter().map(|machine| {
-            let text = std::fs::read_to_string(&machine.log).unwrap_or_default();
-            let lines = text.lines().filter(|line| line.contains(pattern));
-            lines
-                .map(|line| format!("{}: {line}", machine.name))
-                .collect::<Vec<_>>()
-        });
-        logs.flatten().collect()
-    }
 }
 
 impl Drop for Site {
--- a/review/stand-in/src/upstream.rs
+++ b/review/stand-in/src/upstream.rs
@@ -197,6 +197,11 @@
         )
     }
 
+    /// Number of its starts.
+    pub fn starts(&self) -> u64 {
+        self.0.starts.load(Ordering::Relaxed)
+    }
+
     pub fn is_down(&self) -> bool {
         self.0.is_down.load(Ordering::Relaxed)
     }
@@ -204,9 +209,6 @@
     /// Sends a heartbeat. Returns whether it was acknowledged.
     fn beat(&self) -> bool {
         let state = *self.0.state.lock().unwrap_or_else(|e| e.into_inner());
-        if state == "gone" {
-            return true;
-        }
         let sequence = self.0.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
             "{{\"address\":\"{}\",\"information\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"lisboa-a\",\"slots\":{}}},\
@@ -236,14 +238,6 @@
         self.beat().then(|| self.note("draining is acknowledged"))
     }
 
-    /// Deregisters. Returns the time of the acknowledgement.
-    pub fn deregister(&self) -> Option<Duration> {
-        *self.0.state.lock().unwrap_or_else(|e| e.into_inner()) = "gone";
-        self.note("sends the deregistration");
-        self.post("deregister", "{}")
-            .then(|| self.note("the deregistration is acknowledged"))
-    }
-
     /// Crashes: connections are closed and its port is free. It is back after `pause` as a new
     /// incarnation.
     pub fn crash(&self, pause: Duration) {
@@ -263,6 +257,7 @@
                 std::thread::sleep(Duration::from_millis(50));
             }
             upstream.note("is back");
+            upstream.beat();
         });
     }
 }
