--- a/review/stand-in/src/cases/mod.rs
+++ b/review/stand-in/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod flapping;
 mod late_copy;
+mod left_again;
 mod pipelined;
 mod queued;
 mod revoked;
@@ -21,6 +22,7 @@
         "slow-read" => Some(slow_read::play),
         "crashes" => Some(crashes::play),
         "flapping" => Some(flapping::play),
+        "left-again" => Some(left_again::play),
         "pipelined" => Some(pipelined::play),
         _ => None,
     }
--- a/review/stand-in/src/site.rs
+++ b/review/stand-in/src/site.rs
@@ -15,6 +15,7 @@
 /// Ends a case that can't run.
 pub type Outcome<T> = Result<T, String>;
 
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 unsafe extern "C" {
--- a/review/stand-in/src/upstream.rs
+++ b/review/stand-in/src/upstream.rs
@@ -16,6 +16,9 @@
 /// Time for which an upstream does not read on in the body of a request.
 pub const READ_PAUSE: Duration = Duration::from_millis(3_000);
 
+/// State of an upstream that has deregistered.
+const GONE: &str = "gone";
+
 /// What a request finds at an upstream.
 pub struct Exchange<'a> {
     pub connection: &'a mut Connection,
@@ -209,13 +212,33 @@
     /// Sends a heartbeat. Returns whether it was acknowledged.
     fn beat(&self) -> bool {
         let state = *self.0.state.lock().unwrap_or_else(|e| e.into_inner());
+        if state == GONE {
+            return true;
+        }
         let sequence = self.0.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = format!(
+        self.post("heartbeat", &self.heartbeat(state, sequence))
+    }
+
+    /// Deregisters, and sends no heartbeat from then on. Returns the time of the acknowledgement.
+    pub fn deregister(&self) -> Option<Duration> {
+        *self.0.state.lock().unwrap_or_else(|e| e.into_inner()) = GONE;
+        self.note("sends the deregistration");
+        self.post("deregister", "{}")
+            .then(|| self.note("the deregistration is acknowledged"))
+    }
+
+    /// Delivers a heartbeat that was sent before the upstream left, and was late on its way.
+    pub fn deliver_late_beat(&self) {
+        self.note("a heartbeat from before it left arrives");
+        self.post("heartbeat", &self.heartbeat("ready", 1));
+    }
+
+    fn heartbeat(&self, state: &str, sequence: u64) -> String {
+        format!(
             "{{\"address\":\"{}\",\"information\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"lisboa-a\",\"slots\":{}}},\
              \"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"cold_remaining\":\"0ms\"}}}}",
             self.0.address, self.0.service, self.0.slots
-        );
-        self.post("heartbeat", &body)
+        )
     }
 
     fn post(&self, action: &str, body: &str) -> bool {
