--- a/review/stand-in/src/site.rs
+++ b/review/stand-in/src/site.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -18,8 +19,12 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
+/// Option of `prctl`: the signal that a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// Time until all daemons of a site are ready.
@@ -155,7 +160,16 @@
             .append(true)
             .open(&machine.log)
             .map_err(text)?;
-        let child = Command::new(&self.run[0])
+        let mut command = Command::new(&self.run[0]);
+        // SAFETY: only a system call is made between fork and exec. It ends the daemon if this
+        // process is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            });
+        }
+        let child = command
             .args(&self.run[1..])
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
