Count and log refusals of the backend server with their connection

Nothing told on which connection a refusal came, whether it had been used before, whether the refusal named its call, or that a late response was skipped, so that the hypotheses of the incident could not be told apart. Now one line and one counter for each refusal, and a counter of skipped responses. No decision changes.

--- a/crates/indigospur-daemon/src/builtin_dialect.rs
+++ b/crates/indigospur-daemon/src/builtin_dialect.rs
@@ -94,6 +94,10 @@
         }
     }
 
+    fn names_call(&self, answer: &Answer) -> bool {
+        answer.header(headers::CALL_TOKEN).is_some()
+    }
+
     fn read_status(&self, answer: &Answer) -> BackendStatus {
         BackendStatus {
             rate_limit: RateLimit::parse(answer.header(headers::RATE_LIMIT)),
--- a/crates/indigospur-daemon/src/dialect.rs
+++ b/crates/indigospur-daemon/src/dialect.rs
@@ -144,6 +144,9 @@
     /// was sent.
     fn owner(&self, answer: &Answer, token: &str) -> ResponseOwner;
 
+    /// Whether an answer names the call that it belongs to.
+    fn names_call(&self, answer: &Answer) -> bool;
+
     /// Reads what an answer says about the backend server itself.
     fn read_status(&self, answer: &Answer) -> BackendStatus;
 
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -10,10 +10,10 @@
 use indigospur_budget::{ClosedCall, add_work};
 use indigospur_members::Verdict;
 use indigospur_once::RecordOutcome;
-use indigospur_protocol::{
-    Answer, Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work,
+use indigospur_protocol::{Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work};
+use indigospur_relay::{
+    BackendError, BackendResponse, Exchange, HttpRequest, ResponseCheck, runtime,
 };
-use indigospur_relay::{BackendError, HttpRequest, ResponseCheck, runtime};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -153,7 +153,7 @@
 
 /// How a call to the backend server ended.
 enum CallEnd {
-    Answered(Answer),
+    Answered(BackendResponse),
     Failed(BackendError),
     DeadlinePassed,
     Preempted(AdmissionRefusal),
@@ -231,7 +231,7 @@
     };
     let answered = async {
         match backend.pool.call(&request, check).await {
-            Ok(answer) => CallEnd::Answered(answer),
+            Ok(response) => CallEnd::Answered(response),
             Err(error) => CallEnd::Failed(error),
         }
     };
@@ -256,7 +256,9 @@
     started: Instant,
 ) -> Outcome {
     match call_end {
-        CallEnd::Answered(answer) => handle_answer(daemon, backend, context, answer, slot, started),
+        CallEnd::Answered(response) => {
+            handle_answer(daemon, backend, context, response, slot, started)
+        }
         CallEnd::Failed(BackendError::NoConnection) => {
             mark_key_not_run(daemon, context);
             check_down(daemon, backend, Some(context.digest)).await;
@@ -296,10 +298,16 @@
     daemon: &Daemon,
     backend: &Arc<Backend>,
     context: &Context,
-    mut answer: Answer,
+    response: BackendResponse,
     slot: &mut Slot,
     started: Instant,
 ) -> Outcome {
+    let BackendResponse {
+        mut answer,
+        exchange,
+    } = response;
+    daemon.metrics.count_skipped_responses(exchange.skipped);
+    let names_call = daemon.dialect.names_call(&answer);
     let status = daemon.dialect.read_status(&answer);
     let meaning = daemon.dialect.read_answer(&mut answer);
     // An answer with this kind comes from another process.
@@ -318,6 +326,13 @@
         }
         AnswerMeaning::MaybeRun(kind) => (kind, Ran::Unknown),
     };
+    let refusal = BackendRefusal {
+        status: answer.status,
+        ran,
+        names_call,
+        exchange,
+    };
+    refusal.observe(daemon, backend, context);
     if kind == Kind::NotReady {
         // Another process has taken over the address of this one.
         backend::remove(daemon, backend);
@@ -334,6 +349,34 @@
     })
 }
 
+/// A refusal of the backend server, and on which connection it came.
+struct BackendRefusal {
+    status: u16,
+    ran: Ran,
+    names_call: bool,
+    exchange: Exchange,
+}
+
+impl BackendRefusal {
+    fn observe(&self, daemon: &Daemon, backend: &Backend, context: &Context) {
+        let is_kept = self.exchange.call > 1;
+        daemon
+            .metrics
+            .count_backend_refusal(self.names_call, is_kept);
+        log::info!(
+            request = &*context.request_id,
+            instance = &*backend.instance,
+            status = self.status,
+            ran = self.ran.as_str(),
+            names_call = self.names_call,
+            connection = self.exchange.connection,
+            call = self.exchange.call,
+            skipped = self.exchange.skipped;
+            "backend server refused a call"
+        );
+    }
+}
+
 async fn connection_broken(daemon: &Arc<Daemon>, backend: &Arc<Backend>) -> Refusal {
     if check_down(daemon, backend, None).await {
         Refusal::new(
--- a/crates/indigospur-daemon/src/metrics.rs
+++ b/crates/indigospur-daemon/src/metrics.rs
@@ -18,6 +18,8 @@
     quota_requests: Counter<u64>,
     retries: Counter<u64>,
     preemptions: Counter<u64>,
+    backend_refusals: Counter<u64>,
+    skipped_responses: Counter<u64>,
     placements: Counter<u64>,
     leaving_share: Gauge<f64>,
     call_seconds: Histogram<f64>,
@@ -63,6 +65,10 @@
             quota_requests: meter.u64_counter("indigospur_quota_requests").build(),
             retries: meter.u64_counter("indigospur_retries").build(),
             preemptions: meter.u64_counter("indigospur_preemptions").build(),
+            backend_refusals: meter.u64_counter("indigospur_backend_refusals").build(),
+            skipped_responses: meter
+                .u64_counter("indigospur_backend_responses_skipped")
+                .build(),
             placements: meter.u64_counter("indigospur_placements").build(),
             leaving_share: meter.f64_gauge("indigospur_leaving_share").build(),
             call_seconds: meter.f64_histogram("indigospur_call_seconds").build(),
@@ -130,6 +136,23 @@
         self.preemptions.add(1, &[]);
     }
 
+    /// Counts a refusal of the backend server: whether it names its call, and whether its connection was
+    /// used before.
+    pub(crate) fn count_backend_refusal(&self, names_call: bool, is_kept: bool) {
+        let labels = [
+            KeyValue::new("names_call", names_call),
+            KeyValue::new("connection", if is_kept { "kept" } else { "new" }),
+        ];
+        self.backend_refusals.add(1, &labels);
+    }
+
+    /// Counts late responses of the backend server to earlier calls.
+    pub(crate) fn count_skipped_responses(&self, count: u32) {
+        if count > 0 {
+            self.skipped_responses.add(u64::from(count), &[]);
+        }
+    }
+
     /// Counts a call that is sent to an upstream.
     pub(crate) fn count_placement(&self, distance: Distance) {
         let labels = [KeyValue::new("distance", distance.name())];
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -67,9 +67,39 @@
     pub close_delimited: bool,
 }
 
+/// How a response arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exchange {
+    /// Number of the connection among all that the pool has opened, from one.
+    pub connection: u64,
+    /// Number of the call among all that were sent on the connection, from one.
+    pub call: u32,
+    /// Number of late responses to earlier calls that arrived before the response.
+    pub skipped: u32,
+}
+
+/// A valid response of the backend server.
+#[derive(Clone, Debug)]
+pub struct BackendResponse {
+    /// The response.
+    pub answer: Answer,
+    /// How it arrived.
+    pub exchange: Exchange,
+}
+
+/// An open connection, and what was sent on it.
 #[derive(Debug)]
-struct IdleConnection {
+struct KeptConnection {
     connection: Connection,
+    /// Number among all connections of the pool.
+    number: u64,
+    /// Calls sent so far.
+    calls: u32,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    kept: KeptConnection,
     /// When it is no longer used.
     expires_at: Instant,
 }
@@ -79,6 +109,8 @@
     idle: Vec<IdleConnection>,
     /// Open connections: idle, in use or being opened.
     open: u32,
+    /// Connections opened so far.
+    opened: u64,
 }
 
 /// A pool of HTTP/1.1 connections to one backend server, each with one call at a time.
@@ -126,10 +158,13 @@
         &self,
         request: &HttpRequest<'_>,
         check: ResponseCheck<'_>,
-    ) -> Result<Answer, BackendError> {
+    ) -> Result<BackendResponse, BackendError> {
         let bytes = encode(request).ok_or(BackendError::InvalidRequest)?;
         let mut pooled = self.acquire().await?;
-        let connection = pooled.connection()?;
+        let kept = pooled.connection()?;
+        kept.calls += 1;
+        let (number, call) = (kept.number, kept.calls);
+        let connection = &mut kept.connection;
         let mut writer = connection.writer();
         let mut sent = false;
         let sending = async {
@@ -146,45 +181,62 @@
         // rest.
         let mut held = self.memory.hold(MessageKind::Response);
         let receiving = read_matching_response(connection, request.method, check, &mut held);
-        let received = futures_lite::future::or(sending, receiving).await?;
+        let (received, skipped) = futures_lite::future::or(sending, receiving).await?;
         if received.keep_alive && sent {
             pooled.release(received.idle_timeout);
         }
-        Ok(received.response)
+        Ok(BackendResponse {
+            answer: received.response,
+            exchange: Exchange {
+                connection: number,
+                call,
+                skipped,
+            },
+        })
     }
 
     async fn acquire(&self) -> Result<PooledConnection<'_>, BackendError> {
-        if let Some(connection) = self.take_idle() {
+        if let Some(kept) = self.take_idle() {
             return Ok(PooledConnection {
                 pool: self,
-                connection: Some(connection),
+                kept: Some(kept),
             });
         }
         let reservation = self.reserve().ok_or(BackendError::NoConnection)?;
         let stream = connect(&self.address).await?;
         silence::BACKEND.apply(&stream);
-        let connection = Connection::new(stream);
+        let kept = KeptConnection {
+            connection: Connection::new(stream),
+            number: self.next_number(),
+            calls: 0,
+        };
         // From here on the `PooledConnection` counts as the open connection.
         std::mem::forget(reservation);
         Ok(PooledConnection {
             pool: self,
-            connection: Some(connection),
+            kept: Some(kept),
         })
     }
 
     /// Returns an idle connection that can still be used; closes those that can't.
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<KeptConnection> {
         let now = Instant::now();
         let mut state = self.lock();
         while let Some(mut idle) = state.idle.pop() {
-            if idle.expires_at > now && idle.connection.is_idle() {
-                return Some(idle.connection);
+            if idle.expires_at > now && idle.kept.connection.is_idle() {
+                return Some(idle.kept);
             }
             state.open -= 1;
         }
         None
     }
 
+    fn next_number(&self) -> u64 {
+        let mut state = self.lock();
+        state.opened += 1;
+        state.opened
+    }
+
     fn reserve(&self) -> Option<Reservation<'_>> {
         let mut state = self.lock();
         if state.open >= self.max_connections {
@@ -199,20 +251,20 @@
     }
 }
 
-/// Reads responses until the one to the call; skips late ones to earlier calls.
+/// Reads responses until the one to the call; skips late ones to earlier calls, and returns their number.
 async fn read_matching_response(
     connection: &mut Connection,
     method: &str,
     check: ResponseCheck<'_>,
     held: &mut HeldBody,
-) -> Result<HttpResponse, BackendError> {
-    for _ in 0..=MAX_STALE_RESPONSES {
+) -> Result<(HttpResponse, u32), BackendError> {
+    for skipped in 0..=MAX_STALE_RESPONSES {
         let received = read_response(connection, method, held).await?;
         if received.close_delimited && !check.close_delimited {
             return Err(BackendError::InvalidResponse);
         }
         match (check.owner)(&received.response) {
-            ResponseOwner::Current => return Ok(received),
+            ResponseOwner::Current => return Ok((received, skipped)),
             ResponseOwner::Earlier if received.keep_alive => {}
             ResponseOwner::Earlier | ResponseOwner::Unknown => {
                 return Err(BackendError::InvalidResponse);
@@ -237,36 +289,33 @@
 struct PooledConnection<'a> {
     pool: &'a BackendPool,
     /// `None` once it is released.
-    connection: Option<Connection>,
+    kept: Option<KeptConnection>,
 }
 
 impl PooledConnection<'_> {
-    fn connection(&mut self) -> Result<&mut Connection, BackendError> {
-        self.connection.as_mut().ok_or(BackendError::NoConnection)
+    fn connection(&mut self) -> Result<&mut KeptConnection, BackendError> {
+        self.kept.as_mut().ok_or(BackendError::NoConnection)
     }
 
     fn release(mut self, stated: Option<Duration>) {
-        let Some(mut connection) = self
-            .connection
-            .take_if(|connection| connection.is_drained())
-        else {
+        let Some(mut kept) = self.kept.take_if(|kept| kept.connection.is_drained()) else {
             return;
         };
-        connection.shrink();
+        kept.connection.shrink();
         let idle = stated.map_or(DEFAULT_IDLE_TIME, |stated| {
             stated.min(MAX_IDLE_TIME).saturating_sub(IDLE_MARGIN)
         });
         let expires_at = Instant::now() + idle;
-        self.pool.lock().idle.push(IdleConnection {
-            connection,
-            expires_at,
-        });
+        self.pool
+            .lock()
+            .idle
+            .push(IdleConnection { kept, expires_at });
     }
 }
 
 impl Drop for PooledConnection<'_> {
     fn drop(&mut self) {
-        if self.connection.is_some() {
+        if self.kept.is_some() {
             self.pool.lock().open -= 1;
         }
     }
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -31,7 +31,9 @@
 mod timer;
 
 pub use address::SharedAddress;
-pub use backend::{BackendError, BackendPool, ResponseCheck, ResponseOwner};
+pub use backend::{
+    BackendError, BackendPool, BackendResponse, Exchange, ResponseCheck, ResponseOwner,
+};
 pub use http::{HttpError, HttpRequest, get, post, request};
 pub use link::{Channel, Link, LinkError};
 pub use links::LinkPool;
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -63,7 +63,8 @@
             close_delimited: false,
         };
         let outcome = runtime::timeout(TIMEOUT, self.pool.call(&request, check));
-        runtime::block_on(outcome).expect("the call ends within the time limit")
+        let outcome = runtime::block_on(outcome).expect("the call ends within the time limit");
+        outcome.map(|response| response.answer)
     }
 
     fn connections(&self) -> usize {
--- a/crates/indigospur-relay/tests/endless.rs
+++ b/crates/indigospur-relay/tests/endless.rs
@@ -106,7 +106,8 @@
             },
             close_delimited: true,
         };
-        let _ = sender.send(pool.call(&request, check).await);
+        let outcome = pool.call(&request, check).await;
+        let _ = sender.send(outcome.map(|response| response.answer));
     });
     outcome
 }
--- a/crates/indigospur-relay/tests/http_server.rs
+++ b/crates/indigospur-relay/tests/http_server.rs
@@ -314,7 +314,7 @@
         close_delimited: false,
     };
     let response = runtime::block_on(pool.call(&request, check));
-    response.ok().map(|response| response.body.len())
+    response.ok().map(|response| response.answer.body.len())
 }
 
 #[test]
--- a/crates/indigospur-relay/tests/silent_connections.rs
+++ b/crates/indigospur-relay/tests/silent_connections.rs
@@ -51,7 +51,7 @@
     };
     let outcome = runtime::timeout(TIMEOUT, pool.call(&request, check));
     let outcome = runtime::block_on(outcome).expect("the call ends within the time limit");
-    outcome.map(|answer| answer.status)
+    outcome.map(|response| response.answer.status)
 }
 
 #[test]
