Never send a call on a connection to the backend server on which it failed

Callers got 503 for unsafe requests that ran, and such requests ran twice. A backend server that refuses a call may be offered it again. The pool then handed out the connection that was used last, and a late copy of the first refusal has the identifier of the second send: it counted as proof that the call had not run.

The pool now keeps the identifiers of failed calls with their connection, and sends such a call on another one, or on a new one if all idle ones carried it. A connection with 64 of them is not kept. A full pool closes its least recently used idle connection instead of reporting the backend server as unavailable.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -226,6 +226,7 @@
         body: &call.body,
     };
     let check = ResponseCheck {
+        call_id: token,
         owner: &|answer| daemon.dialect.owner(answer, token),
         close_delimited: daemon.dialect.close_delimited(),
     };
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -6,6 +6,8 @@
 use crate::silence;
 use futures_lite::io::AsyncWriteExt;
 use indigospur_protocol::Answer;
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,10 @@
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(250);
 /// Upper bound on the idle time that a backend server states; longer ones are cut to it.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
+/// Maximum number of failed calls on a connection. Their identifiers are kept with it.
+const MAX_FAILED_CALLS: usize = 64;
+/// Lowest status of a response after which its call may be sent again.
+const MIN_FAILURE_STATUS: u16 = 400;
 /// Maximum number of late responses to earlier calls that are skipped before the response to a call.
 const MAX_STALE_RESPONSES: u32 = 2;
 
@@ -60,6 +66,8 @@
 /// How responses of a backend server are checked.
 #[derive(Clone, Copy)]
 pub struct ResponseCheck<'a> {
+    /// Identifier of the call, the same each time that the call is sent.
+    pub call_id: &'a str,
     /// Determines which call a response belongs to.
     pub owner: &'a (dyn Fn(&Answer) -> ResponseOwner + Send + Sync),
     /// Whether a response with a close-delimited body is accepted once the connection is closed.
@@ -87,6 +95,9 @@
     pub exchange: Exchange,
 }
 
+/// Hash of the identifier of a call.
+type CallHash = u64;
+
 /// An open connection, and what was sent on it.
 #[derive(Debug)]
 struct KeptConnection {
@@ -95,6 +106,9 @@
     number: u64,
     /// Calls sent so far.
     calls: u32,
+    /// Calls that failed. None of them may be sent on this connection again: a late copy of the first
+    /// response can't be told from the response to the second request.
+    failed: Vec<CallHash>,
 }
 
 #[derive(Debug)]
@@ -120,6 +134,7 @@
     /// Maximum number of open connections.
     max_connections: u32,
     memory: Arc<BodyMemory>,
+    hasher: RandomState,
     state: Mutex<State>,
 }
 
@@ -132,6 +147,7 @@
             address: address.to_owned(),
             max_connections: max_connections.max(1),
             memory,
+            hasher: RandomState::new(),
             state: Mutex::default(),
         }
     }
@@ -149,7 +165,8 @@
     /// Sends a request and reads its response.
     ///
     /// The connection is closed instead of reused if the call fails, or if the response arrives
-    /// before the whole request is sent. Dropping the future closes it too, which tells the backend
+    /// before the whole request is sent. A call that is sent again after a response with status 400 or
+    /// higher gets another connection than before. Dropping the future closes it too, which tells the backend
     /// server that the call is cancelled.
     ///
     /// # Errors
@@ -160,7 +177,8 @@
         check: ResponseCheck<'_>,
     ) -> Result<BackendResponse, BackendError> {
         let bytes = encode(request).ok_or(BackendError::InvalidRequest)?;
-        let mut pooled = self.acquire().await?;
+        let call_hash = self.hasher.hash_one(check.call_id);
+        let mut pooled = self.acquire(call_hash).await?;
         let kept = pooled.connection()?;
         kept.calls += 1;
         let (number, call) = (kept.number, kept.calls);
@@ -182,6 +200,9 @@
         let mut held = self.memory.hold(MessageKind::Response);
         let receiving = read_matching_response(connection, request.method, check, &mut held);
         let (received, skipped) = futures_lite::future::or(sending, receiving).await?;
+        if received.response.status >= MIN_FAILURE_STATUS {
+            pooled.connection()?.failed.push(call_hash);
+        }
         if received.keep_alive && sent {
             pooled.release(received.idle_timeout);
         }
@@ -195,8 +216,8 @@
         })
     }
 
-    async fn acquire(&self) -> Result<PooledConnection<'_>, BackendError> {
-        if let Some(kept) = self.take_idle() {
+    async fn acquire(&self, call: CallHash) -> Result<PooledConnection<'_>, BackendError> {
+        if let Some(kept) = self.take_idle(call) {
             return Ok(PooledConnection {
                 pool: self,
                 kept: Some(kept),
@@ -209,6 +230,7 @@
             connection: Connection::new(stream),
             number: self.next_number(),
             calls: 0,
+            failed: Vec::new(),
         };
         // From here on the `PooledConnection` counts as the open connection.
         std::mem::forget(reservation);
@@ -218,15 +240,21 @@
         })
     }
 
-    /// Returns an idle connection that can still be used; closes those that can't.
-    fn take_idle(&self) -> Option<KeptConnection> {
+    /// Returns the last idle connection on which `call` has not failed; closes those that can't be used
+    /// any more.
+    fn take_idle(&self, call: CallHash) -> Option<KeptConnection> {
         let now = Instant::now();
         let mut state = self.lock();
-        while let Some(mut idle) = state.idle.pop() {
-            if idle.expires_at > now && idle.kept.connection.is_idle() {
-                return Some(idle.kept);
+        let mut index = state.idle.len();
+        while let Some(before) = index.checked_sub(1) {
+            index = before;
+            let idle = &mut state.idle[index];
+            if idle.expires_at <= now || !idle.kept.connection.is_idle() {
+                state.idle.remove(index);
+                state.open -= 1;
+            } else if !idle.kept.failed.contains(&call) {
+                return Some(state.idle.remove(index).kept);
             }
-            state.open -= 1;
         }
         None
     }
@@ -237,10 +265,15 @@
         state.opened
     }
 
+    /// Makes room for a connection, if necessary by closing the idle one that was used least recently.
     fn reserve(&self) -> Option<Reservation<'_>> {
         let mut state = self.lock();
         if state.open >= self.max_connections {
-            return None;
+            if state.idle.is_empty() {
+                return None;
+            }
+            state.idle.remove(0);
+            state.open -= 1;
         }
         state.open += 1;
         Some(Reservation { pool: self })
@@ -298,7 +331,10 @@
     }
 
     fn release(mut self, stated: Option<Duration>) {
-        let Some(mut kept) = self.kept.take_if(|kept| kept.connection.is_drained()) else {
+        let can_be_kept = |kept: &mut KeptConnection| {
+            kept.connection.is_drained() && kept.failed.len() < MAX_FAILED_CALLS
+        };
+        let Some(mut kept) = self.kept.take_if(can_be_kept) else {
             return;
         };
         kept.connection.shrink();
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -59,6 +59,7 @@
             body,
         };
         let check = ResponseCheck {
+            call_id: "call",
             owner: &|_| ResponseOwner::Current,
             close_delimited: false,
         };
--- a/crates/indigospur-relay/tests/endless.rs
+++ b/crates/indigospur-relay/tests/endless.rs
@@ -100,6 +100,7 @@
             body: b"",
         };
         let check = ResponseCheck {
+            call_id: "call",
             owner: &|answer| match answer.header("earlier") {
                 Some(_) => ResponseOwner::Earlier,
                 None => ResponseOwner::Current,
--- a/crates/indigospur-relay/tests/http_server.rs
+++ b/crates/indigospur-relay/tests/http_server.rs
@@ -310,6 +310,7 @@
         body: b"",
     };
     let check = ResponseCheck {
+        call_id: "call",
         owner: &|_| ResponseOwner::Current,
         close_delimited: false,
     };
--- /dev/null
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -0,0 +1,86 @@
+//! Calls that are sent to a backend server again after it refused them: which connections they get.
+
+use indigospur_protocol::Answer;
+use indigospur_relay::{
+    BackendError, BackendPool, BackendResponse, HttpRequest, ResponseCheck, ResponseOwner, runtime,
+};
+use indigospur_test_support::{Script, ScriptedBackend};
+use std::sync::Arc;
+
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Busy\r\nkeep-alive: timeout=10\r\ncontent-length: 4\r\n\r\nbusy";
+const SUCCESS: &[u8] =
+    b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\ncontent-length: 4\r\n\r\ndone";
+
+fn start(script: &[u8], max_connections: u32) -> (ScriptedBackend, BackendPool) {
+    let server = ScriptedBackend::start(Script::Keep(script.into()));
+    let pool = BackendPool::new(server.address(), max_connections, Arc::default());
+    (server, pool)
+}
+
+fn call_with(
+    pool: &BackendPool,
+    call_id: &str,
+    owner: &(dyn Fn(&Answer) -> ResponseOwner + Send + Sync),
+) -> Result<BackendResponse, BackendError> {
+    let request = HttpRequest {
+        method: "GET",
+        host: "a",
+        path: "/x",
+        headers: &[],
+        body: b"",
+    };
+    let check = ResponseCheck {
+        call_id,
+        owner,
+        close_delimited: false,
+    };
+    runtime::block_on(pool.call(&request, check))
+}
+
+/// Sends a call; returns the number of its connection.
+fn call(pool: &BackendPool, call_id: &str) -> u64 {
+    let response = call_with(pool, call_id, &|_| ResponseOwner::Current);
+    response.expect("there is a response").exchange.connection
+}
+
+#[test]
+fn a_call_that_failed_is_never_sent_on_the_same_connection_again() {
+    let (_server, pool) = start(REFUSAL, 8);
+    assert_eq!(call(&pool, "first"), 1);
+    assert_eq!(call(&pool, "second"), 1, "another call uses the connection");
+    assert_eq!(call(&pool, "first"), 2);
+    assert_eq!(call(&pool, "second"), 2, "the last connection used is taken");
+    assert_eq!(call(&pool, "first"), 3);
+    assert_eq!(call(&pool, "third"), 3);
+    assert_eq!(call(&pool, "second"), 3);
+    assert_eq!(call(&pool, "second"), 4);
+}
+
+#[test]
+fn a_call_that_succeeded_may_use_its_connection_again() {
+    let (server, pool) = start(SUCCESS, 8);
+    for _ in 0..100 {
+        assert_eq!(call(&pool, "same"), 1);
+    }
+    assert_eq!(server.connections(), 1);
+}
+
+#[test]
+fn an_idle_connection_makes_room_for_a_call_that_was_sent_on_it() {
+    let (server, pool) = start(REFUSAL, 2);
+    for attempt in 1..=5 {
+        assert_eq!(call(&pool, "same"), attempt);
+        assert!(server.connections() - server.ended() <= 3);
+    }
+    assert_eq!(server.connections(), 5);
+}
+
+#[test]
+fn a_connection_on_which_many_calls_failed_is_replaced() {
+    let (server, pool) = start(REFUSAL, 8);
+    for number in 0..640 {
+        call(&pool, &number.to_string());
+    }
+    assert_eq!(server.connections(), 10);
+}
--- a/crates/indigospur-relay/tests/silent_connections.rs
+++ b/crates/indigospur-relay/tests/silent_connections.rs
@@ -46,6 +46,7 @@
         body: &[],
     };
     let check = ResponseCheck {
+        call_id: "call",
         owner: &|_| ResponseOwner::Current,
         close_delimited: false,
     };
