Keep no connection on which a refusal came that names no call

Callers got 503 for unsafe requests that ran, such requests ran twice, and others were answered 400 and ran. One counted as the answer to whatever call was waiting, and so did a late copy of it, for any later call on the connection.

A response that names no call still counts as that to the current call, but its connection is closed after it: then no earlier one on the connection can have been copied. Elsewhere it costs a new connection for each such refusal.

a_success_without_an_identifier_has_no_known_owner expects the new class for status 503: it says more than before, since the connection of such a response must not be kept.

Before: a_late_copy_of_a_refusal_without_an_identifier_is_not_the_answer_to_a_call failed in 21 of 35 cases. After: it holds.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -59,6 +59,9 @@
     Current,
     /// An earlier call on the connection; the response to the current one may follow.
     Earlier,
+    /// The response names no call. It counts as that to the call whose request was sent last, and is
+    /// the last one on its connection: a late copy of it could belong to any later call.
+    Unnamed,
     /// It can't be determined.
     Unknown,
 }
@@ -166,7 +169,8 @@
     ///
     /// The connection is closed instead of reused if the call fails, or if the response arrives
     /// before the whole request is sent. A call that is sent again after a response with status 400 or
-    /// higher gets another connection than before. Dropping the future closes it too, which tells the backend
+    /// higher gets another connection than before. A response that names no call is the last one on its
+    /// connection. Dropping the future closes it too, which tells the backend
     /// server that the call is cancelled.
     ///
     /// # Errors
@@ -292,12 +296,16 @@
     held: &mut HeldBody,
 ) -> Result<(HttpResponse, u32), BackendError> {
     for skipped in 0..=MAX_STALE_RESPONSES {
-        let received = read_response(connection, method, held).await?;
+        let mut received = read_response(connection, method, held).await?;
         if received.close_delimited && !check.close_delimited {
             return Err(BackendError::InvalidResponse);
         }
         match (check.owner)(&received.response) {
             ResponseOwner::Current => return Ok((received, skipped)),
+            ResponseOwner::Unnamed => {
+                received.keep_alive = false;
+                return Ok((received, skipped));
+            }
             ResponseOwner::Earlier if received.keep_alive => {}
             ResponseOwner::Earlier | ResponseOwner::Unknown => {
                 return Err(BackendError::InvalidResponse);
