Refuse a response head that is joined from two

Callers got 503 for unsafe requests that ran, and one request ran 19 times. A refusal that broke off within a field value or its reason phrase took the status line of the next response into that value, and the identifier of the next response as its own: together they read as proof that the next call had not run.

--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -6,6 +6,8 @@
 
 /// Field lines of a head up to which it is parsed without a heap allocation for them.
 const STACK_FIELDS: usize = 100;
+/// Start of a status line; `#` stands for a digit.
+const STATUS_LINE: &[u8] = b"HTTP/1.# ###";
 /// Lowest valid status code.
 const MIN_STATUS: u16 = 100;
 /// Fields that are not forwarded: those that apply to one connection, and those that control the
@@ -214,6 +216,18 @@
     }
 }
 
+/// Returns true if `text` contains the start of a status line: the end of one head is missing, and
+/// another one follows.
+fn contains_status_line(text: &[u8]) -> bool {
+    text.windows(STATUS_LINE.len()).any(|window| {
+        let mut pairs = window.iter().zip(STATUS_LINE);
+        pairs.all(|(byte, expected)| match expected {
+            b'#' => byte.is_ascii_digit(),
+            _ => byte == expected,
+        })
+    })
+}
+
 /// The head of a response: status line and fields.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
@@ -237,6 +251,11 @@
         };
         let status = parsed.code.filter(|status| *status >= MIN_STATUS);
         let status = status.ok_or(HeadError::Malformed)?;
+        let reason = parsed.reason.unwrap_or_default().as_bytes();
+        let mut values = parsed.headers.iter().map(|header| header.value);
+        if contains_status_line(reason) || values.any(contains_status_line) {
+            return Err(HeadError::Malformed);
+        }
         let fields = Fields::new(parsed.headers);
         let closes = parsed.version != Some(1) || fields.has_token("connection", "close");
         let head = ResponseHead {
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -189,3 +189,26 @@
     });
     assert_eq!(truncated.call(b""), Err(BackendError::ConnectionLost));
 }
+
+#[test]
+fn a_response_head_that_contains_another_status_line_is_invalid() {
+    for joined in [
+        "HTTP/1.1 421 MisHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 503 Busy\r\nretry-after: 0.5HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+    ] {
+        let backend = ScriptedBackend::responding(joined.to_owned());
+        assert_eq!(
+            backend.call(b""),
+            Err(BackendError::InvalidResponse),
+            "{joined}"
+        );
+    }
+    for field in [
+        "via: HTTP/1.1 proxy",
+        "upgrade: HTTP/2.0, h2c",
+        "x: HTTP/1.1 20",
+    ] {
+        let backend = ScriptedBackend::responding(with_field(field));
+        assert!(is_whole(backend.call(b"")), "{field}");
+    }
+}
