Skip no late response before that to a HEAD request

The response to HEAD has no body, and a late response to an earlier call was read the same way: its body was then parsed as the next response, which could be one that refuses the call. Such a call fails now as one that may have run.

the_body_of_a_skipped_response_is_not_read_as_the_response_to_a_head_request failed before (the body was accepted as status 503).

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -306,7 +306,8 @@
                 received.keep_alive = false;
                 return Ok((received, skipped));
             }
-            ResponseOwner::Earlier if received.keep_alive => {}
+            // The framing of an earlier response can't be told if it depends on the method.
+            ResponseOwner::Earlier if received.keep_alive && method != "HEAD" => {}
             ResponseOwner::Earlier | ResponseOwner::Unknown => {
                 return Err(BackendError::InvalidResponse);
             }
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -106,3 +106,27 @@
     assert_eq!(connections.collect::<Vec<_>>(), [1, 1, 2, 2, 3]);
     assert_eq!(server.connections(), 3);
 }
+
+#[test]
+fn the_body_of_a_skipped_response_is_not_read_as_the_response_to_a_head_request() {
+    let late = "HTTP/1.1 200 OK\r\nearlier: 1\r\ncontent-length: 58\r\n\r\n\
+                HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    let (_server, pool) = start(late.as_bytes(), 8);
+    let request = HttpRequest {
+        method: "HEAD",
+        host: "a",
+        path: "/x",
+        headers: &[],
+        body: b"",
+    };
+    let check = ResponseCheck {
+        call_id: "call",
+        owner: &|answer| match answer.header("earlier") {
+            Some(_) => ResponseOwner::Earlier,
+            None => ResponseOwner::Current,
+        },
+        close_delimited: false,
+    };
+    let response = runtime::block_on(pool.call(&request, check));
+    assert_eq!(response.err(), Some(BackendError::InvalidResponse));
+}
