Check the key of a request whose identifier only looks like that of a nested call

A request with a key that a version had removed ran 5 s after the acknowledgement, without a tenant, if its identifier has a full stop; so did one with an unknown key, and one with a valid key lost its tenant and its quota. Such an identifier is a hint that a backend server makes the request during another; the hint alone counted as proof.

The key decides now, unless the parent is known to run on this host. A request without a key, or with an Authorization of another scheme, still counts as a call of a backend server: its parent may have been lost with the daemon.

--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -1,7 +1,7 @@
 //! Turns a caller's request into a call: finds its parent call, applies the rules and builds its
 //! context.
 
-use crate::authentication::CallerIdentity;
+use crate::authentication::{CallerIdentity, Credential};
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
 use crate::{ingress, quotas};
@@ -72,7 +72,10 @@
     let rules = daemon.rules();
     let rules =
         rules.ok_or_else(|| Refusal::new(Kind::NotReady, "no rule set is known here yet"))?;
-    let is_nested = !matches!(head.parent, ParentRef::Absent);
+    // A parent that is not known here is only a hint, and the calls of backend servers carry no key.
+    let may_be_nested = !matches!(head.parent, ParentRef::Absent);
+    let has_key = matches!(head.credential, Credential::Key(_));
+    let is_nested = parent.is_some() || may_be_nested && !has_key;
     let caller = CallerIdentity::new(&rules.workspaces, head.credential, is_nested);
     let origin = identify(daemon, &head, parent, &caller)?;
     *request_id = origin.request_id.clone();
