Refuse queued calls a second after the backend server says that it leaves

Requests that waited for a slot reached an upstream up to 2.26 s after the acknowledgement of its leaving, where 2 s are allowed: queued calls were served until their own deadline. They start for one second more now; the rest are refused as not run, and the daemons that sent them try other upstreams. A daemon that stops itself serves its queue as before.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -17,6 +17,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest Retry-After time of a refusal, jitter included.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Time for which queued calls still start once the backend server has said that it leaves. It may end
+/// two seconds after that.
+const LEAVE_QUEUE_TIME: Duration = Duration::from_secs(1);
 /// Settings of the admission to one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -89,6 +92,8 @@
     next_ticket: Ticket,
     jitter_state: u64,
     draining: bool,
+    /// When the calls that are queued are refused, because the backend server leaves.
+    queue_end: Option<Instant>,
 }
 
 impl Admission {
@@ -112,6 +117,7 @@
             next_ticket: 1,
             jitter_state: options.seed,
             draining: false,
+            queue_end: None,
         }
     }
 
@@ -170,9 +176,17 @@
         self.draining = true;
     }
 
-    /// Accepts new calls again after [`Admission::drain`].
+    /// Refuses new calls from now on, and queued calls that have not started shortly after: the backend
+    /// server leaves.
+    pub fn leave(&mut self, now: Instant) {
+        self.draining = true;
+        self.queue_end.get_or_insert(now + LEAVE_QUEUE_TIME);
+    }
+
+    /// Accepts new calls again after [`Admission::drain`] or [`Admission::leave`].
     pub fn resume(&mut self) {
         self.draining = false;
+        self.queue_end = None;
     }
 
     /// Number of running and queued calls.
@@ -261,7 +275,8 @@
             };
             at.min(deadline)
         });
-        wake_times.min()
+        let queue_end = self.queue_end.filter(|_| self.queue.len() > 0);
+        wake_times.chain(queue_end).min()
     }
 
     fn next_expired(&self, now: Instant) -> Option<(Class, Ticket)> {
@@ -338,6 +353,11 @@
     /// Starts queued calls in free slots, and refuses those that can no longer finish in time.
     fn start_queued(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        if self.queue_end.is_some_and(|end| end <= now) {
+            while let Some((ticket, _)) = self.queue.pop() {
+                effects.push(Effect::Refuse(ticket, self.refusal(now, Kind::Draining)));
+            }
+        }
         while self.has_free_slot(now) {
             let Some((ticket, arrival)) = self.queue.pop() else {
                 break;
--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -268,6 +268,45 @@
     );
 }
 
+#[test]
+fn queued_calls_start_for_a_second_after_the_backend_server_leaves() {
+    let now = Instant::now();
+    let mut admission = warm_admission(1, now);
+    let arrive = |admission: &mut Admission| admission.arrive(now, arrival(now, 1, "a", 0)).0;
+    let Verdict::Run(first) = arrive(&mut admission) else {
+        panic!()
+    };
+    let (Verdict::Wait(second), Verdict::Wait(third)) =
+        (arrive(&mut admission), arrive(&mut admission))
+    else {
+        panic!()
+    };
+    admission.leave(now);
+    let early = now + Duration::from_millis(900);
+    assert_eq!(
+        admission.next_tick(early),
+        Some(now + Duration::from_secs(1))
+    );
+    assert_eq!(
+        started(&admission.finish(early, first, Completion::Answered)),
+        [second]
+    );
+    let effects = admission.tick(now + Duration::from_secs(1));
+    assert!(
+        matches!(effects[..], [Effect::Refuse(ticket, AdmissionRefusal { kind: Kind::Draining, .. })] if ticket == third),
+        "{effects:?}"
+    );
+    let late = now + Duration::from_millis(1_100);
+    assert!(
+        admission
+            .finish(late, second, Completion::Answered)
+            .is_empty()
+    );
+    assert_eq!(admission.next_tick(late), None);
+    admission.resume();
+    assert!(matches!(arrive(&mut admission), Verdict::Run(_)));
+}
+
 #[test]
 fn the_limit_of_a_cold_backend_server_rises_linearly_over_the_ramp() {
     let now = Instant::now();
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -148,7 +148,9 @@
         update_backend(daemon, announcement);
     }
     let draining = leaving || daemon.is_draining();
-    if leaving || !daemon.accepts_callers() {
+    if leaving {
+        daemon.leave_slots();
+    } else if !daemon.accepts_callers() {
         daemon.drain_slots();
     }
     let rate_limit = daemon
@@ -201,7 +203,7 @@
     if !lock(&daemon.instances).mark_left(now, instance) {
         return false;
     }
-    daemon.drain_slots();
+    daemon.leave_slots();
     let state_changed = lock(&daemon.fleet).members.announce(now, |me| {
         me.state = State::Draining;
         me.leaving = true;
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -346,6 +346,13 @@
         }
     }
 
+    /// Admits no more calls to the backend server, which leaves.
+    pub(crate) fn leave_slots(&self) {
+        if let Some(backend) = self.backend() {
+            backend.slots.leave();
+        }
+    }
+
     /// Applies a changed state of this host to its own router and gossips it at once.
     pub(crate) fn publish_own_state(&self) {
         let me = lock(&self.fleet).members.me().clone();
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -125,6 +125,13 @@
         self.lock().admission.drain();
     }
 
+    /// As [`Slots::drain`], and refuses the calls that wait too long for a slot of a backend server that
+    /// leaves.
+    pub(crate) fn leave(&self) {
+        self.lock().admission.leave(Instant::now());
+        let _ = self.wake.try_send(());
+    }
+
     pub(crate) fn resume(&self) {
         self.lock().admission.resume();
     }
