--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -110,7 +110,7 @@
 #[test]
 fn the_body_of_a_skipped_response_is_not_read_as_the_response_to_a_head_request() {
     let late = "HTTP/1.1 200 OK\r\nearlier: 1\r\ncontent-length: 58\r\n\r\n\
-                HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                HTTP/1.1 503 Busy\r\nrefused: 1\r\ncontent-length: 0\r\n\r\n";
     let (_server, pool) = start(late.as_bytes(), 8);
     let request = HttpRequest {
         method: "HEAD",
