Skip responses that name no call where a call has failed

Callers saw: unsafe requests that were answered 503 and had run, or that ran twice, where a backend server refused a request with its identifier and wrote a copy of the refusal without it.

Cause: a response without an identifier counted as that to the call that waits. Once a call has failed on a connection it may be a copy of that refusal, so it is now skipped, as a response that names an earlier call is.

Ruled out: to take no unnamed response as proof.

a_response_that_names_no_call_is_the_last_on_its_connection let a call fail on the connection first, where such a response is skipped now. It uses calls that succeed and expects the same connections.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -59,8 +59,9 @@
     Current,
     /// An earlier call on the connection; the response to the current one may follow.
     Earlier,
-    /// The response names no call. It counts as that to the call whose request was sent last, and is
-    /// the last one on its connection: a late copy of it could belong to any later call.
+    /// The response names no call. It is the last one on its connection: a late copy of it could belong
+    /// to any later call. It counts as that to the call whose request was sent last, unless a call has
+    /// failed on the connection before, of whose response it may be a copy; then it is skipped.
     Unnamed,
     /// It can't be determined.
     Unknown,
@@ -186,6 +187,7 @@
         let kept = pooled.connection()?;
         kept.calls += 1;
         let (number, call) = (kept.number, kept.calls);
+        let has_failed = !kept.failed.is_empty();
         let connection = &mut kept.connection;
         let mut writer = connection.writer();
         let mut sent = false;
@@ -202,6 +204,14 @@
         // The backend server may respond before it has read the whole request, and never read the
         // rest.
         let mut held = self.memory.hold(MessageKind::Response);
+        let owner = |response: &Answer| match (check.owner)(response) {
+            ResponseOwner::Unnamed if has_failed => ResponseOwner::Earlier,
+            owner => owner,
+        };
+        let check = ResponseCheck {
+            owner: &owner,
+            ..check
+        };
         let receiving = read_matching_response(connection, request.method, check, &mut held);
         let (received, skipped) = futures_lite::future::or(sending, receiving).await?;
         if received.response.status >= MIN_FAILURE_STATUS {
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -91,7 +91,7 @@
 
 #[test]
 fn a_response_that_names_no_call_is_the_last_on_its_connection() {
-    let (server, pool) = start(REFUSAL, 8);
+    let (server, pool) = start(SUCCESS, 8);
     let owners = [
         ResponseOwner::Current,
         ResponseOwner::Unnamed,
@@ -107,6 +107,25 @@
     assert_eq!(server.connections(), 3);
 }
 
+/// Guards against a copy of a refusal, stripped of its identifier, that counts as the answer to the
+/// next call on the connection.
+#[test]
+fn a_response_that_names_no_call_is_skipped_where_a_call_has_failed() {
+    let (server, pool) = start(REFUSAL, 8);
+    assert_eq!(call(&pool, "first"), 1);
+    server.set_script(Script::Keep([REFUSAL, SUCCESS].concat()));
+    let owner = |answer: &Answer| match answer.status {
+        200 => ResponseOwner::Current,
+        _ => ResponseOwner::Unnamed,
+    };
+    let second = call_with(&pool, "second", &owner).expect("it is answered");
+    assert_eq!(second.answer.status, 200);
+    assert_eq!(
+        (second.exchange.connection, second.exchange.skipped),
+        (1, 1)
+    );
+}
+
 #[test]
 fn the_body_of_a_skipped_response_is_not_read_as_the_response_to_a_head_request() {
     let late = "HTTP/1.1 200 OK\r\nearlier: 1\r\ncontent-length: 58\r\n\r\n\
