Count answers as evidence that a request crashes no backend server

Cause: the verdict rested on crashes alone. Equal requests share a fingerprint, a backend server's own losses counted against what it ran, and an answer cleared the crashes on its own host only, which a host that refuses never gives.

Now an answer clears the known crashes everywhere (sender, gossip), a request that was answered lately needs six crashes on three occasions, crashes carry their age and count for ten minutes, and a refused request runs on trial on one host.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -143,8 +143,12 @@
 
 impl Fleet {
     fn open(&mut self, accepted: u64) -> Message {
-        self.exchange
-            .open(&mut self.members, &mut self.suspects, accepted)
+        self.exchange.open(
+            Instant::now(),
+            &mut self.members,
+            &mut self.suspects,
+            accepted,
+        )
     }
 
     fn merge(&mut self, message: &Message) -> Vec<Member> {
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -32,10 +32,15 @@
     if backend.service != message.call.service {
         return not_ready("the backend server serves another service");
     }
-    let known_to_sender = learn_crashes(daemon, &message);
+    let known_to_sender = message.context.crashes.clone();
+    if !known_to_sender.is_empty() {
+        lock(&daemon.fleet)
+            .suspects
+            .merge(arrived, &known_to_sender);
+    }
     let digest = message.context.digest;
     let mut reply = admit(daemon, &backend, message).await;
-    reply.crashes = crashes_for_sender(daemon, digest, known_to_sender);
+    reply.crashes = crashes_for_sender(daemon, digest, &known_to_sender);
     let now = Instant::now();
     reply.pressures = lock(&daemon.pressures).reports(now);
     lock(&daemon.ingress).report(now, &mut reply.pressures);
@@ -46,24 +51,14 @@
     reply
 }
 
-/// Learns the crashes that the sender attributes to the request. Returns their number.
-fn learn_crashes(daemon: &Daemon, message: &RelayMessage) -> usize {
-    let crashes = &message.context.crashes;
-    if !crashes.is_empty() {
-        lock(&daemon.fleet).suspects.merge(crashes);
-    }
-    crashes.len()
-}
-
-/// The crashes attributed to the request, or none if the sender knows them all. The sender must
-/// know them before it tries another host.
-fn crashes_for_sender(daemon: &Daemon, digest: u64, known_to_sender: usize) -> Vec<Crash> {
-    let crashes = lock(&daemon.fleet).suspects.crashes_of(digest);
-    if crashes.len() > known_to_sender {
-        crashes
-    } else {
-        Vec::new()
-    }
+/// The crashes of the request that the sender does not know as they are known here. It must know them
+/// before it tries another host.
+fn crashes_for_sender(daemon: &Daemon, digest: u64, known_to_sender: &[Crash]) -> Vec<Crash> {
+    let mut crashes = lock(&daemon.fleet)
+        .suspects
+        .crashes_of(Instant::now(), digest);
+    crashes.retain(|crash| !known_to_sender.iter().any(|known| known.says_same(crash)));
+    crashes
 }
 
 async fn admit(daemon: &Arc<Daemon>, backend: &Arc<Backend>, message: RelayMessage) -> Reply {
@@ -92,7 +87,7 @@
     let digest = message.context.digest;
     let reply = run(daemon, backend, message, slot, deadline).await;
     if matches!(reply.outcome, Outcome::Answered(_)) {
-        lock(&daemon.fleet).suspects.clear(digest);
+        lock(&daemon.fleet).suspects.clear(Instant::now(), digest);
     }
     drop(suspect);
     reply
@@ -409,7 +404,7 @@
         let crash = daemon.new_crash_id();
         lock(&daemon.fleet)
             .suspects
-            .record_crash(daemon.host(), crash, unsent);
+            .record_crash(Instant::now(), daemon.host(), crash, unsent);
         log::warn!(
             service = &*backend.service;
             "backend server is down; no calls are sent to it until it announces itself again"
@@ -439,7 +434,11 @@
 
 impl<'a> SuspectGuard<'a> {
     fn start(daemon: &'a Daemon, fingerprint: u64) -> Result<SuspectGuard<'a>, Refusal> {
-        match lock(&daemon.fleet).suspects.try_start(fingerprint) {
+        let verdict =
+            lock(&daemon.fleet)
+                .suspects
+                .try_start(Instant::now(), daemon.host(), fingerprint);
+        match verdict {
             Verdict::Run => Ok(SuspectGuard {
                 daemon,
                 fingerprint,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -220,7 +220,7 @@
     message.context.remaining = progress.deadline.remaining(Moment::now());
     message.context.crashes = lock(&daemon.fleet)
         .suspects
-        .crashes_of(message.context.digest);
+        .crashes_of(Instant::now(), message.context.digest);
     progress.attempts += 1;
     let service = message.call.service.clone();
     let mut open_attempt = OpenAttempt {
@@ -236,6 +236,11 @@
     progress.retried |= reply.retried;
     record_in_ratio(daemon, &service, &reply.outcome);
     apply_reply_info(daemon, &service, &reply);
+    if matches!(reply.outcome, Outcome::Answered(_)) {
+        lock(&daemon.fleet)
+            .suspects
+            .clear(Instant::now(), message.context.digest);
+    }
     progress.crashes.extend(reply.crashes.iter().cloned());
     add_work(&mut progress.work, &reply.work);
     if let Outcome::Refused(refusal) = &reply.outcome {
@@ -269,7 +274,7 @@
 fn apply_reply_info(daemon: &Daemon, service: &ServiceName, reply: &Reply) {
     let now = Instant::now();
     if !reply.crashes.is_empty() {
-        lock(&daemon.fleet).suspects.merge(&reply.crashes);
+        lock(&daemon.fleet).suspects.merge(now, &reply.crashes);
     }
     let mut own_pressure = lock(&daemon.router).pressure(now, service);
     let status = daemon.with_retry_ratio(service, now, |ratio| ratio.status(now));
--- a/crates/indigospur-members/src/exchange.rs
+++ b/crates/indigospur-members/src/exchange.rs
@@ -3,7 +3,9 @@
 use crate::instances::{Instance, NamedLimit};
 use crate::members::Members;
 use crate::suspects::Suspects;
-use indigospur_protocol::{Crash, HostId, Member, Rate, WireError, wire::peer};
+use indigospur_protocol::{
+    Crash, HostId, Member, Rate, WireError, crashes_from_wire, crashes_to_wire, wire::peer,
+};
 use std::time::{Duration, Instant};
 
 const MAX_MEMBERS_PER_MESSAGE: usize = 12;
@@ -61,7 +63,8 @@
             accepted: message.accepted,
             members_digest: message.digest,
             members: message.members.iter().map(Into::into).collect(),
-            suspects: message.crashes.iter().map(Into::into).collect(),
+            suspects: crashes_to_wire(&message.crashes, false),
+            cleared: crashes_to_wire(&message.crashes, true),
             whole: message.whole,
             full: message.full,
             departed: departed.map_or_else(String::new, |instance| instance.name.to_string()),
@@ -84,7 +87,7 @@
             accepted: wire.accepted,
             digest: wire.members_digest,
             members: members?,
-            crashes: wire.suspects.into_iter().map(Into::into).collect(),
+            crashes: crashes_from_wire(wire.suspects, wire.cleared),
             whole: wire.whole,
             full: wire.full,
             departed: (!wire.departed.is_empty())
@@ -141,7 +144,7 @@
         suspects: &mut Suspects,
         message: &Message,
     ) -> Vec<Member> {
-        suspects.merge(&message.crashes);
+        suspects.merge(now, &message.crashes);
         members.record_success(&message.from);
         if message.full {
             members.merge_full(now, message.members.clone())
@@ -153,6 +156,7 @@
     /// Builds the message that opens a gossip round.
     pub fn open(
         &mut self,
+        now: Instant,
         members: &mut Members,
         suspects: &mut Suspects,
         accepted: u64,
@@ -162,7 +166,7 @@
             accepted,
             digest: members.digest(),
             members: members.take_updates(MAX_MEMBERS_PER_MESSAGE),
-            crashes: suspects.take_updates(),
+            crashes: suspects.take_updates(now),
             whole: members.is_empty(),
             full: false,
             departed: None,
@@ -179,7 +183,7 @@
         accepted: u64,
         message: &Message,
     ) -> Message {
-        let mut answer = self.open(members, suspects, accepted);
+        let mut answer = self.open(now, members, suspects, accepted);
         answer.whole = self.needs_full_list(now, members, message);
         answer.departed = members.departed(&message.from).cloned();
         answer.limit = members.named_limit(&message.from).cloned();
--- a/crates/indigospur-members/src/lib.rs
+++ b/crates/indigospur-members/src/lib.rs
@@ -1,7 +1,9 @@
 //! Membership of the fleet: announcements of backend servers, gossip between daemons, failure
 //! detection, and tracking of requests that crash backend servers.
 
+mod answers;
 mod broadcasts;
+mod crash_history;
 mod exchange;
 mod instances;
 mod members;
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -110,6 +110,33 @@
     /// Whether no other suspect was running on the backend server, so that only this request can
     /// have caused the crash.
     pub sole_suspect: bool,
+    /// Whether the request was answered since.
+    pub cleared: bool,
+    /// Time since the crash.
+    pub age: Duration,
+}
+
+impl Crash {
+    /// Creates a crash that has just happened.
+    pub fn new(fingerprint: u64, host: &HostId, number: u64, sole_suspect: bool) -> Crash {
+        Crash {
+            fingerprint,
+            host: host.clone(),
+            number,
+            sole_suspect,
+            cleared: false,
+            age: Duration::ZERO,
+        }
+    }
+
+    /// Whether `other` says the same of the same crash; the ages may differ.
+    pub fn says_same(&self, other: &Crash) -> bool {
+        *self
+            == Crash {
+                age: self.age,
+                ..other.clone()
+            }
+    }
 }
 
 /// Hashes service, method, path and body of a call, so that identical calls have the same
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -68,7 +68,8 @@
             epoch: context.epoch,
             home: context.home.as_deref().unwrap_or_default().to_owned(),
             attempt: context.attempt,
-            suspects: context.crashes.iter().map(Into::into).collect(),
+            suspects: crashes_to_wire(&context.crashes, false),
+            cleared: crashes_to_wire(&context.crashes, true),
             repeated: context.repeated,
             retry_order: context.retry_order,
         }
@@ -98,7 +99,7 @@
             epoch: wire.epoch,
             home: non_empty(wire.home),
             attempt: wire.attempt,
-            crashes: wire.suspects.into_iter().map(Into::into).collect(),
+            crashes: crashes_from_wire(wire.suspects, wire.cleared),
             repeated: wire.repeated,
             retry_order: wire.retry_order,
         })
@@ -112,6 +113,7 @@
             host: crash.host.to_string(),
             alone: crash.sole_suspect,
             crash: crash.number,
+            age_millis: u64::try_from(crash.age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -123,10 +125,29 @@
             host: wire.host.into(),
             sole_suspect: wire.alone,
             number: wire.crash,
+            cleared: false,
+            age: Duration::from_millis(wire.age_millis),
         }
     }
 }
 
+/// The crashes that are cleared, or those that are not. They are sent apart, as earlier versions know
+/// only the latter.
+pub fn crashes_to_wire(crashes: &[Crash], cleared: bool) -> Vec<peer::Suspect> {
+    let chosen = crashes.iter().filter(|crash| crash.cleared == cleared);
+    chosen.map(Into::into).collect()
+}
+
+/// Joins the crashes that are not cleared and those that are.
+pub fn crashes_from_wire(suspects: Vec<peer::Suspect>, cleared: Vec<peer::Suspect>) -> Vec<Crash> {
+    let cleared = cleared.into_iter().map(|wire| Crash {
+        cleared: true,
+        ..wire.into()
+    });
+    let suspects = suspects.into_iter().map(Crash::from);
+    suspects.chain(cleared).collect()
+}
+
 impl From<&Pressure> for peer::Pressure {
     fn from(pressure: &Pressure) -> Self {
         let shedding = pressure.shedding.as_ref();
@@ -257,7 +278,8 @@
             retries_left: reply.retries_left,
             retried: reply.retried,
             load: reply.load.map(Into::into),
-            suspects: reply.crashes.iter().map(Into::into).collect(),
+            suspects: crashes_to_wire(&reply.crashes, false),
+            cleared: crashes_to_wire(&reply.crashes, true),
             pressures: reply.pressures.iter().map(Into::into).collect(),
             work: reply.work.iter().map(Into::into).collect(),
             ..Default::default()
@@ -306,7 +328,7 @@
             retries_left: self.retries_left,
             retried: self.retried,
             load,
-            crashes: self.suspects.into_iter().map(Into::into).collect(),
+            crashes: crashes_from_wire(self.suspects, self.cleared),
             pressures: self.pressures.into_iter().map(Into::into).collect(),
             work: self.work.into_iter().map(Into::into).collect(),
         })
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -26,7 +26,7 @@
     Call, Class, Context, Crash, Header, Rank, RetryOrder, find_header, fingerprint,
     is_idempotent_method,
 };
-pub use convert::{RelayMessage, WireError};
+pub use convert::{RelayMessage, WireError, crashes_from_wire, crashes_to_wire};
 pub use epoch::{EpochRecord, MemberId};
 pub use ids::{Customer, Epoch, HostId, Incarnation, Key, RequestId, ServiceName, Version};
 pub use kind::{KINDS, Kind, KindInfo, Ran, RetryAdvice};
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -50,6 +50,9 @@
     /// earlier versions.
     #[prost(uint64, tag = "18")]
     pub retry_order: u64,
+    /// Crashes of this request that were cleared by an answer.
+    #[prost(message, repeated, tag = "19")]
+    pub cleared: ::prost::alloc::vec::Vec<Suspect>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayRequest {
@@ -178,6 +181,9 @@
     /// Crashes attributed to the request, if the sender of the request does not know all of them.
     #[prost(message, repeated, tag = "12")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// Crashes of the request that were cleared by an answer.
+    #[prost(message, repeated, tag = "15")]
+    pub cleared: ::prost::alloc::vec::Vec<Suspect>,
     #[prost(message, repeated, tag = "13")]
     pub pressures: ::prost::alloc::vec::Vec<Pressure>,
     #[prost(message, repeated, tag = "14")]
@@ -233,6 +239,9 @@
     /// Distinguishes the crashes of one host.
     #[prost(uint64, tag = "4")]
     pub crash: u64,
+    /// Time since the crash; zero from earlier versions.
+    #[prost(uint64, tag = "5")]
+    pub age_millis: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct GossipMessage {
@@ -247,6 +256,9 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "5")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// Crashes of requests that were answered since.
+    #[prost(message, repeated, tag = "13")]
+    pub cleared: ::prost::alloc::vec::Vec<Suspect>,
     /// Requests the receiver's complete member list.
     #[prost(bool, tag = "6")]
     pub whole: bool,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -3,6 +3,8 @@
 use indigospur_test_support::{
     Call, Direction, HostProxies, Node, ServicePlan, Site, SitePlan, request, wait_until,
 };
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 /// Calls of `/pay` run once at most.
 const UNSAFE_PAYMENTS: &str =
@@ -76,6 +78,45 @@
     );
 }
 
+/// Guards against popular requests that are refused for good after a backend server went down by itself
+/// while it ran only these.
+#[test]
+fn a_popular_request_is_served_after_a_backend_server_went_down_and_up_by_turns() {
+    const CALLERS: usize = 8;
+    let mut site = start_site(2);
+    let popular = Call {
+        service: "accounts",
+        path: "/rates?work=400",
+        ..Call::default()
+    };
+    let entries: Vec<String> = site.nodes.iter().map(Node::caller_address).collect();
+    let is_flapping = AtomicBool::new(true);
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (entry, call, is_flapping) = (&entries[caller % 2], &popular, &is_flapping);
+            scope.spawn(move || {
+                while is_flapping.load(Ordering::Relaxed) {
+                    request(entry, call);
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        for _ in 0..5 {
+            std::thread::sleep(Duration::from_millis(300));
+            let node = &mut site.nodes[0];
+            node.backend.kill();
+            node.restart_backend().expect("the backend server starts");
+        }
+        is_flapping.store(false, Ordering::Relaxed);
+    });
+    site.wait_until_ready();
+    wait_until("every daemon serves the popular request", || {
+        entries
+            .iter()
+            .all(|entry| (0..4).all(|_| request(entry, &popular).status == 200))
+    });
+}
+
 #[test]
 fn a_silent_connection_is_replaced_and_its_host_stays_in_use() {
     let (site, proxies) = site_with_proxied_accounts();
