Count the crashes of a split request over all its services

Cause: the fingerprint of a request contained the service, so that each service counted for itself. It now contains the rule instead, where that has several targets.

Evidence: a_request_that_crashes_backend_servers_of_several_services_is_blocked saw 9 crashes before (4 are allowed) and passes now.

--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -110,7 +110,8 @@
         headers: std::mem::take(&mut received.headers),
         body: received.body.clone(),
     };
-    let mut context = build_context(daemon, &origin, &treatment, remaining, key, &call);
+    let digest = fingerprint(fingerprint_scope(rule.as_ref(), &treatment, &call), &call);
+    let mut context = build_context(daemon, &origin, &treatment, remaining, key, digest);
     if origin.parent_context.is_none() {
         let admission = lock(&daemon.ingress);
         context.retry_order = admission.retry_order(rule.as_deref(), context.class, context.rank);
@@ -240,7 +241,7 @@
     treatment: &Treatment,
     remaining: Duration,
     key: Option<Key>,
-    call: &Call,
+    digest: u64,
 ) -> Context {
     let initial_retries = if origin.attempt == 0 {
         treatment.retries
@@ -259,7 +260,7 @@
         idempotent: treatment.idempotent,
         waits: treatment.waits,
         key,
-        digest: fingerprint(call),
+        digest,
         epoch: 0,
         home: None,
         attempt: origin.attempt,
@@ -280,6 +281,19 @@
     context
 }
 
+/// The scope of a call's fingerprint: the rule where it splits its calls among several services, so that
+/// a request is the same one at each of them.
+fn fingerprint_scope<'a>(
+    rule: Option<&'a Arc<str>>,
+    treatment: &Treatment,
+    call: &'a Call,
+) -> &'a str {
+    match rule {
+        Some(rule) if treatment.targets.len() > 1 => rule,
+        _ => &call.service,
+    }
+}
+
 /// What decides on the admission of a request that begins a chain of calls.
 fn ingress_request<'a>(
     rule: &'a Arc<str>,
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -139,12 +139,12 @@
     }
 }
 
-/// Hashes service, method, path and body of a call, so that identical calls have the same
-/// fingerprint whoever makes them.
-pub fn fingerprint(call: &Call) -> u64 {
+/// Hashes method, path and body of a call in a scope, its service or rule, so that identical calls have
+/// the same fingerprint whoever makes them.
+pub fn fingerprint(scope: &str, call: &Call) -> u64 {
     let mut hasher = Xxh3::new();
     for field in [
-        call.service.as_bytes(),
+        scope.as_bytes(),
         call.method.as_bytes(),
         call.path.as_bytes(),
     ] {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -10,6 +10,18 @@
 const UNSAFE_PAYMENTS: &str =
     "[[rule]]\nname = \"payments\"\nwhen = { path = \"/pay*\" }\nthen = { idempotent = false }\n";
 
+/// Calls of `/poison` go to three services in turn.
+const SPLIT_CALLS: &str = r#"
+[[rule]]
+name = "split"
+when = { path = "/poison*" }
+then = { idempotent = false, split = [
+    { service = "accounts", weight = 1 },
+    { service = "quoting", weight = 1 },
+    { service = "payouts", weight = 1 },
+] }
+"#;
+
 fn start_site(upstreams: usize) -> Site {
     let plan = SitePlan {
         services: vec![ServicePlan::new("accounts", upstreams, &[])],
@@ -78,6 +90,39 @@
     );
 }
 
+/// Guards against counting the crashes of a request by service where its rule splits it over several.
+#[test]
+fn a_request_that_crashes_backend_servers_of_several_services_is_blocked() {
+    let services = ["accounts", "quoting", "payouts"];
+    let plan = SitePlan {
+        services: services.map(|name| ServicePlan::new(name, 2, &[])).into(),
+        rules: SPLIT_CALLS.to_owned(),
+        ..SitePlan::default()
+    };
+    let mut site = Site::start(&plan).expect("the site starts");
+    let poison_call = Call {
+        service: "accounts",
+        path: "/poison?fail=crash",
+        ..Call::default()
+    };
+    let mut crashes = 0;
+    for _ in 0..12 {
+        let response = request(&site.nodes[0].caller_address(), &poison_call);
+        assert_ne!(response.status, 200);
+        if response.kind == "poisonous" {
+            break;
+        }
+        for node in &mut site.nodes {
+            if node.backend.has_ended() {
+                crashes += 1;
+                node.restart_backend().expect("the backend server starts");
+            }
+        }
+        site.wait_until_ready();
+    }
+    assert!(crashes <= 4, "{crashes} crashes");
+}
+
 /// Guards against popular requests that are refused for good after a backend server went down by itself
 /// while it ran only these.
 #[test]
