Take the time for which a backend server goes on after it leaves from the settings

Callers saw: calls that waited for a slot reached a backend server later than the platform's drain after it said that it leaves, where drain is shorter than two seconds; one that ends then loses them.

Cause: queued calls were sent for a constant second. Now for half of limits.drain, and no call that waits for a connection is sent after that either.

--- a/crates/indigospur-admission/src/admission.rs
+++ b/crates/indigospur-admission/src/admission.rs
@@ -17,9 +17,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest Retry-After time of a refusal, jitter included.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
-/// Time for which queued calls still start once the backend server has said that it leaves. It may end
-/// two seconds after that.
-const LEAVE_QUEUE_TIME: Duration = Duration::from_secs(1);
 /// Settings of the admission to one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -176,11 +173,11 @@
         self.draining = true;
     }
 
-    /// Refuses new calls from now on, and queued calls that have not started shortly after: the backend
+    /// Refuses new calls from now on, and queued calls that have not started within `timeout`: the backend
     /// server leaves.
-    pub fn leave(&mut self, now: Instant) {
+    pub fn leave(&mut self, now: Instant, timeout: Duration) {
         self.draining = true;
-        self.queue_end.get_or_insert(now + LEAVE_QUEUE_TIME);
+        self.queue_end.get_or_insert(now + timeout);
     }
 
     /// Accepts new calls again after [`Admission::drain`] or [`Admission::leave`].
--- a/crates/indigospur-admission/tests/admission.rs
+++ b/crates/indigospur-admission/tests/admission.rs
@@ -269,7 +269,7 @@
 }
 
 #[test]
-fn queued_calls_start_for_a_second_after_the_backend_server_leaves() {
+fn queued_calls_start_for_a_time_after_the_backend_server_leaves() {
     let now = Instant::now();
     let mut admission = warm_admission(1, now);
     let arrive = |admission: &mut Admission| admission.arrive(now, arrival(now, 1, "a", 0)).0;
@@ -281,7 +281,7 @@
     else {
         panic!()
     };
-    admission.leave(now);
+    admission.leave(now, Duration::from_secs(1));
     let early = now + Duration::from_millis(900);
     assert_eq!(
         admission.next_tick(early),
--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -233,6 +233,7 @@
             backend.slots.set_slots(announcement.slots);
             if !daemon.is_draining() {
                 backend.slots.resume();
+                backend.pool.resume_sending();
             }
         }
         None => {
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -346,10 +346,13 @@
         }
     }
 
-    /// Admits no more calls to the backend server, which leaves.
+    /// Admits no more calls to the backend server, which leaves. Calls that were admitted are sent to it
+    /// within half of the time for which it goes on.
     pub(crate) fn leave_slots(&self) {
         if let Some(backend) = self.backend() {
-            backend.slots.leave();
+            let timeout = self.settings().backend_drain / 2;
+            backend.slots.leave(timeout);
+            backend.pool.stop_sending_at(Instant::now() + timeout);
         }
     }
 
--- a/crates/indigospur-daemon/src/settings.rs
+++ b/crates/indigospur-daemon/src/settings.rs
@@ -71,6 +71,9 @@
     /// Time for which a stopping daemon still takes calls of callers (`limits.leave`); see
     /// [`Settings::effective_shutdown_delay`].
     pub shutdown_delay: Duration,
+    /// Time for which a backend server goes on taking calls once it has said that it leaves
+    /// (`limits.drain`).
+    pub backend_drain: Duration,
     /// Whether running calls are cancelled for more important ones (`limits.preempt`).
     pub preempts: bool,
     /// Whether, within a priority class, calls made while serving another call go before requests
@@ -242,6 +245,7 @@
             Duration::ZERO..=SECOND * 600,
             Duration::ZERO,
         ),
+        backend_drain: duration_or(&limits, "drain", SECOND / 10..=SECOND * 3_600, SECOND * 2),
         preempts: limits.boolean("preempt").unwrap_or(true),
         chains_first: limits.boolean("chains-first").unwrap_or(false),
         yields_below: limits.boolean("yield-below").unwrap_or(true),
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -8,7 +8,7 @@
 use indigospur_relay::runtime;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Sent to a waiting or running call.
 #[derive(Clone, Copy, Debug)]
@@ -125,10 +125,10 @@
         self.lock().admission.drain();
     }
 
-    /// As [`Slots::drain`], and refuses the calls that wait too long for a slot of a backend server that
-    /// leaves.
-    pub(crate) fn leave(&self) {
-        self.lock().admission.leave(Instant::now());
+    /// As [`Slots::drain`], and refuses the calls that wait longer than `timeout` for a slot of a backend
+    /// server that leaves.
+    pub(crate) fn leave(&self, timeout: Duration) {
+        self.lock().admission.leave(Instant::now(), timeout);
         let _ = self.wake.try_send(());
     }
 
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -29,7 +29,7 @@
 /// Why a call to the backend server got no valid response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendError {
-    /// No connection could be opened, or the maximum number is in use; nothing was sent.
+    /// No connection could be opened in time, or the maximum number is in use; nothing was sent.
     NoConnection,
     /// The request can't be encoded in HTTP/1.1; nothing was sent.
     InvalidRequest,
@@ -129,6 +129,8 @@
     open: u32,
     /// Connections opened so far.
     opened: u64,
+    /// From when on no call is sent.
+    sends_until: Option<Instant>,
 }
 
 /// A pool of HTTP/1.1 connections to one backend server, each with one call at a time.
@@ -161,6 +163,18 @@
         &self.address
     }
 
+    /// Sends no calls from `at` on, or from an earlier time that was given before; calls that wait for a
+    /// connection then fail with [`BackendError::NoConnection`].
+    pub fn stop_sending_at(&self, at: Instant) {
+        let mut state = self.lock();
+        state.sends_until = Some(state.sends_until.map_or(at, |before| before.min(at)));
+    }
+
+    /// Sends calls again.
+    pub fn resume_sending(&self) {
+        self.lock().sends_until = None;
+    }
+
     /// Returns true if the backend server accepts a new connection, which is closed at once.
     pub async fn accepts_connections(&self) -> bool {
         connect(&self.address).await.is_ok()
@@ -184,6 +198,9 @@
         let bytes = encode(request).ok_or(BackendError::InvalidRequest)?;
         let call_hash = self.hasher.hash_one(check.call_id);
         let mut pooled = self.acquire(call_hash).await?;
+        if self.has_stopped_sending(Instant::now()) {
+            return Err(BackendError::NoConnection);
+        }
         let kept = pooled.connection()?;
         kept.calls += 1;
         let (number, call) = (kept.number, kept.calls);
@@ -273,6 +290,10 @@
         None
     }
 
+    fn has_stopped_sending(&self, now: Instant) -> bool {
+        self.lock().sends_until.is_some_and(|until| until <= now)
+    }
+
     fn next_number(&self) -> u64 {
         let mut state = self.lock();
         state.opened += 1;
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -6,6 +6,7 @@
 };
 use indigospur_test_support::{Script, ScriptedBackend};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Busy\r\nkeep-alive: timeout=10\r\ncontent-length: 4\r\n\r\nbusy";
@@ -107,6 +108,23 @@
     assert_eq!(server.connections(), 3);
 }
 
+/// Guards against calls that wait for a connection while the backend server leaves.
+#[test]
+fn no_call_is_sent_once_sending_has_stopped() {
+    let (server, pool) = start(SUCCESS, 8);
+    let now = Instant::now();
+    pool.stop_sending_at(now + Duration::from_secs(60));
+    assert_eq!(call(&pool, "before"), 1);
+    pool.stop_sending_at(now);
+    pool.stop_sending_at(now + Duration::from_secs(60));
+    let requests = server.requests();
+    let result = call_with(&pool, "after", &|_| ResponseOwner::Current);
+    assert_eq!(result.err(), Some(BackendError::NoConnection));
+    assert_eq!(server.requests(), requests);
+    pool.resume_sending();
+    assert_eq!(call(&pool, "resumed"), 2);
+}
+
 /// Guards against a copy of a refusal, stripped of its identifier, that counts as the answer to the
 /// next call on the connection.
 #[test]
