Refuse calls that would not end before a stopping daemon does

Callers saw: in a planned stop, calls made late in the grace period were passed on and cut at its end without an answer, unsafe ones too: nested calls of 1 s sent 4.56 to 5.4 s after the SIGTERM of a grace period of 6 s, and long requests of callers.

Cause: nested calls were exempt from the check whether the daemon takes requests, and nothing compared the time of a call with the time left. The steps of a stop had a time-out each in place of one end, at 5.5 s of 6 and sometimes beyond the grace period.

--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod rate_limiter;
 mod request;
+mod response_times;
 mod shedding;
 
 pub use admission::{Admission, Options};
@@ -24,3 +25,4 @@
 pub use limit::{Limit, LimitPolicy};
 pub use pressure::Pressures;
 pub use request::IngressRequest;
+pub use response_times::{CallNumber, Caution, ResponseTimes};
--- a/crates/indigospur-budget/tests/ledger.rs
+++ b/crates/indigospur-budget/tests/ledger.rs
@@ -24,6 +24,7 @@
         crashes: Vec::new(),
         repeated: false,
         retry_order: 0,
+        ends_within: None,
     }
 }
 
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
 use crate::preparation::{Prepared, prepare};
+use crate::timing::Timing;
 use crate::{keyed, outbound};
 use indigospur_protocol::{Answer, Outcome, Ran, Refusal, RelayMessage, Reply, RequestId};
 use indigospur_relay::{ReceivedRequest, runtime};
@@ -69,7 +70,9 @@
         rule,
         max_runs,
         objective,
+        timed_as,
     } = prepared;
+    let timing = Timing::start(&daemon.response_times, &timed_as);
     let lent_retries = message.context.retries;
     let key = message.context.key.clone();
     let reply = match key {
@@ -79,10 +82,12 @@
             let limits = outbound::SendLimits {
                 excluded: Vec::new(),
                 max_runs,
+                timed_as: timed_as.clone(),
             };
             outbound::send(daemon, message, limits).await
         }
     };
+    timing.finish(&reply.outcome);
     match parent {
         Some(token) => report_to_parent(daemon, &token, lent_retries, &reply),
         None => learn_work(daemon, rule.as_ref(), &reply),
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_admission::{IngressAdmission, Pressures};
+use indigospur_admission::{Caution, IngressAdmission, Pressures, ResponseTimes};
 use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
@@ -32,6 +32,8 @@
 
 /// Time for which a caller's request identifier is remembered, to recognise requests sent again.
 const REQUEST_ID_LIFETIME: Duration = Duration::from_secs(60);
+/// Time for an answer to reach the caller before a stopping daemon ends.
+const REPLY_TIME: Duration = Duration::from_millis(200);
 /// Maximum number of request identifiers that are remembered.
 const MAX_REQUEST_IDS: usize = 65_536;
 /// Range of the retry delay given to callers where the refusal has none.
@@ -111,6 +113,10 @@
     pub(crate) pressures: Mutex<Pressures>,
     /// Admission of callers' requests by the load of the services that they need.
     pub(crate) ingress: Mutex<IngressAdmission>,
+    /// Response times of callers' requests by rule, or by service without one.
+    pub(crate) response_times: Mutex<ResponseTimes>,
+    /// Response times of the backend server of this host, by service.
+    pub(crate) backend_times: Mutex<ResponseTimes>,
     pub(crate) retry_ratios: Mutex<HashMap<ServiceName, RetryRatio>>,
     pub(crate) rng: Mutex<SmallRng>,
     /// Wakes the gossip task before its next round is due.
@@ -208,6 +214,8 @@
             request_counts: Mutex::new(RequestCounts::new(REQUEST_ID_LIFETIME, MAX_REQUEST_IDS)),
             pressures: Mutex::default(),
             ingress: Mutex::new(IngressAdmission::new(incarnation)),
+            response_times: Mutex::default(),
+            backend_times: Mutex::default(),
             retry_ratios: Mutex::default(),
             rng: Mutex::new(rng),
             gossip_wake: bounded(1),
@@ -309,6 +317,34 @@
         since.is_none_or(|since| since.elapsed() < self.settings().effective_shutdown_delay())
     }
 
+    /// Whether a call that is started now is expected to end before this daemon does; every call is while
+    /// the daemon is not stopping. `times` has the response times of such calls under `name`, and
+    /// `remaining` is the time until the deadline.
+    pub(crate) fn ends_in_time(
+        &self,
+        now: Instant,
+        times: &Mutex<ResponseTimes>,
+        (name, caution): (&str, Caution),
+        remaining: Duration,
+    ) -> bool {
+        let Some(left) = self.time_to_end(now) else {
+            return true;
+        };
+        let bound = lock(times).bound(now, name, caution);
+        remaining.min(bound) <= left
+    }
+
+    /// Time within which calls must end so that their callers get the answers before this daemon ends;
+    /// `None` if it is not stopping.
+    pub(crate) fn time_to_end(&self, now: Instant) -> Option<Duration> {
+        let since = (*lock(&self.draining_since))?;
+        let end = since + self.settings().shutdown_timeout;
+        Some(
+            end.saturating_duration_since(now)
+                .saturating_sub(REPLY_TIME),
+        )
+    }
+
     /// Whether callers should send calls: a rule set is in force, which is the empty one if the log
     /// holds none, and no shutdown has begun.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -6,7 +6,8 @@
 use crate::deadline::{Deadline, Moment};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
 use crate::slots::Slot;
-use indigospur_admission::{AdmissionRefusal, Arrival, Completion};
+use crate::timing::Timing;
+use indigospur_admission::{AdmissionRefusal, Arrival, Caution, Completion};
 use indigospur_budget::{ClosedCall, add_work};
 use indigospur_members::Verdict;
 use indigospur_once::RecordOutcome;
@@ -65,13 +66,17 @@
     let retries = message.context.retries;
     let now = Moment::now();
     let deadline = Deadline::after(now, message.context.remaining);
+    if !runs_in_time(daemon, backend, &message.context) {
+        let detail = "this daemon is stopping before the call would end; call another";
+        return Reply::refused(Refusal::new(Kind::Draining, detail), retries);
+    }
     let suspect = match SuspectGuard::start(daemon, message.context.digest) {
         Ok(suspect) => suspect,
         Err(refusal) => return Reply::refused(refusal, retries),
     };
     let slot = backend
         .slots
-        .acquire(arrival(daemon, &message.context, deadline.instant(now)))
+        .acquire(arrival(daemon, &message.context, deadline, now))
         .await;
     let slot = match slot {
         Ok(slot) => slot,
@@ -93,7 +98,25 @@
     reply
 }
 
-fn arrival(daemon: &Daemon, context: &Context, deadline: Instant) -> Arrival {
+/// Whether a call is expected to end before this daemon does.
+fn runs_in_time(daemon: &Daemon, backend: &Backend, context: &Context) -> bool {
+    let caution = Caution::new(context.idempotent, context.depth > 0);
+    let kind = (&*backend.service, caution);
+    daemon.ends_in_time(
+        Instant::now(),
+        &daemon.backend_times,
+        kind,
+        context.remaining,
+    )
+}
+
+/// The deadline by which a call must get its slot is earlier where the caller's daemon or this one ends
+/// before that of the call.
+fn arrival(daemon: &Daemon, context: &Context, deadline: Deadline, now: Moment) -> Arrival {
+    let instant = Instant::now();
+    let ends = [context.ends_within, daemon.time_to_end(instant)];
+    let ends = ends.into_iter().flatten().map(|left| instant + left);
+    let deadline = ends.fold(deadline.instant(now), Instant::min);
     let class = if daemon.settings().chains_first {
         Arrival::chain_class(context.class, context.depth > 0)
     } else {
@@ -162,6 +185,7 @@
     deadline: Deadline,
 ) -> Reply {
     let started = Instant::now();
+    let timing = Timing::start(&daemon.backend_times, &backend.service);
     let context = message.context.clone();
     let token = daemon.dialect.call_token(&message, daemon.new_token());
     let ledger_entry = LedgerEntry::new(daemon, token, &context);
@@ -175,6 +199,7 @@
     )
     .await;
     let outcome = handle_end(daemon, backend, &context, call_end, &mut slot, started).await;
+    timing.finish(&outcome);
     let closed = ledger_entry.close();
     if closed.shed_below && !is_success(&outcome) && daemon.settings().yields_below {
         slot.set_completion(Completion::Shed);
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -33,6 +33,7 @@
 mod settings_file;
 mod signals;
 mod slots;
+mod timing;
 
 pub use authentication::{AuthenticationError, CallerIdentity, Credential};
 pub use configuration::{
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -178,25 +178,25 @@
         let daemon = self.daemon;
         let timeout = daemon.settings().shutdown_timeout;
         let started = Instant::now();
+        let left = || timeout.saturating_sub(started.elapsed());
         daemon.drain();
-        runtime::sleep(ANNOUNCE_DRAIN_TIME).await;
-        let finished = runtime::timeout(timeout, drain(&daemon)).await.is_some();
-        let left = timeout
-            .saturating_sub(started.elapsed())
-            .min(HAND_OVER_TIMEOUT);
-        let handed = runtime::timeout(left, hand_over(&daemon)).await.is_some();
+        runtime::sleep(ANNOUNCE_DRAIN_TIME.min(timeout / 2)).await;
+        let finished = runtime::timeout(left(), drain(&daemon)).await.is_some();
+        let hand_over_time = left().min(HAND_OVER_TIMEOUT);
+        let handed = runtime::timeout(hand_over_time, hand_over(&daemon)).await;
+        let handed = handed.is_some();
         if let Some(callers) = daemon.callers.get() {
             callers.stop_listening();
         }
         let finished = finished
-            && runtime::timeout(timeout, wait_until_idle(&daemon))
+            && runtime::timeout(left(), wait_until_idle(&daemon))
                 .await
                 .is_some();
         log::info!(finished, handed, left = open_work(&daemon), took_ms = started.elapsed().as_millis() as u64; "stopped");
         runtime::sleep(LOG_FLUSH_TIME).await;
         // Requests that arrived on kept-alive connections in the meantime get their refusals.
         finished
-            && runtime::timeout(timeout, wait_until_idle(&daemon))
+            && runtime::timeout(left(), wait_until_idle(&daemon))
                 .await
                 .is_some()
     }
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -5,6 +5,7 @@
 use crate::placement::{self, PlacementSummary};
 use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
 use crate::{inbound, peers};
+use indigospur_admission::Caution;
 use indigospur_budget::{
     Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
@@ -56,6 +57,8 @@
     pub(crate) excluded: Vec<HostId>,
     /// Number of upstreams on which the call may run, whether or not it is known to have run there.
     pub(crate) max_runs: u32,
+    /// Name of the response times that tell whether a retry ends before a stopping daemon does.
+    pub(crate) timed_as: Arc<str>,
 }
 
 /// Sends a call to an upstream, and to further ones until it is answered or no retry is allowed.
@@ -105,7 +108,9 @@
             refusal: &refusal,
             retried: reply.retried,
         };
-        if !decide_and_log_retry(daemon, &message, &mut progress, &placement, failed_attempt) {
+        if !retry_ends_in_time(daemon, &message, &progress, &limits.timed_as)
+            || !decide_and_log_retry(daemon, &message, &mut progress, &placement, failed_attempt)
+        {
             return progress.into_reply(Outcome::Refused(refusal));
         }
         if has_window && is_shed(&refusal) {
@@ -116,6 +121,19 @@
     }
 }
 
+/// Whether a retry is expected to end before this daemon does.
+fn retry_ends_in_time(
+    daemon: &Daemon,
+    message: &RelayMessage,
+    progress: &CallProgress,
+    timed_as: &str,
+) -> bool {
+    let caution = Caution::new(message.context.idempotent, message.context.depth > 0);
+    let times = &daemon.response_times;
+    let remaining = progress.deadline.remaining(Moment::now());
+    daemon.ends_in_time(Instant::now(), times, (timed_as, caution), remaining)
+}
+
 impl CallProgress {
     fn into_reply(self, outcome: Outcome) -> Reply {
         let outcome = match outcome {
@@ -221,6 +239,7 @@
     message.context.crashes = lock(&daemon.fleet)
         .suspects
         .crashes_of(Instant::now(), message.context.digest);
+    message.context.ends_within = daemon.time_to_end(Instant::now());
     progress.attempts += 1;
     let service = message.call.service.clone();
     let mut open_attempt = OpenAttempt {
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -5,7 +5,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
 use crate::{ingress, quotas};
-use indigospur_admission::IngressRequest;
+use indigospur_admission::{Caution, IngressRequest};
 use indigospur_budget::Token;
 use indigospur_once::parse_key;
 use indigospur_protocol::{
@@ -34,6 +34,8 @@
     pub(crate) max_runs: u32,
     /// Response time to aim at.
     pub(crate) objective: Duration,
+    /// Name under which the response time is recorded.
+    pub(crate) timed_as: Arc<str>,
 }
 
 /// Identity of a request: its identifier, customer and parent call.
@@ -92,6 +94,15 @@
         daemon.dialect.set_workspace(&mut received.headers, name);
     }
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
+    let timed_as = rule.clone().unwrap_or_else(|| head.service.clone());
+    let caution = Caution::new(treatment.idempotent, origin.in_chain);
+    let times = &daemon.response_times;
+    if !daemon.ends_in_time(Instant::now(), times, (&timed_as, caution), remaining) {
+        return Err(Refusal::new(
+            Kind::Draining,
+            "this daemon is stopping before the call would end; call another",
+        ));
+    }
     if let Some(workspace) = caller.workspace() {
         quotas::admit(daemon, &origin.request_id, workspace)?;
         *charged = Some(workspace.clone());
@@ -122,6 +133,7 @@
         rule,
         max_runs: treatment.attempts,
         objective: treatment.objective,
+        timed_as,
     })
 }
 
@@ -267,6 +279,7 @@
         crashes: Vec::new(),
         repeated: false,
         retry_order: 0,
+        ends_within: None,
     };
     if let (Some(parent_context), Some(token)) = (&origin.parent_context, &origin.parent) {
         context.retries = lock(&daemon.ledger).lend(token);
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -96,6 +96,9 @@
     pub repeated: bool,
     /// Position of the request among those that compete for retries; the same along the whole chain.
     pub retry_order: RetryOrder,
+    /// Time until the daemon that sends the call ends, if it is stopping. The call must not wait so long
+    /// for a slot that it would run beyond that.
+    pub ends_within: Option<Duration>,
 }
 
 /// A crash of a backend server, attributed to a request that it was running.
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -72,6 +72,7 @@
             cleared: crashes_to_wire(&context.crashes, true),
             repeated: context.repeated,
             retry_order: context.retry_order,
+            ends_millis: context.ends_within.map(millis),
         }
     }
 }
@@ -102,6 +103,7 @@
             crashes: crashes_from_wire(wire.suspects, wire.cleared),
             repeated: wire.repeated,
             retry_order: wire.retry_order,
+            ends_within: wire.ends_millis.map(Duration::from_millis),
         })
     }
 }
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -53,6 +53,10 @@
     /// Crashes of this request that were cleared by an answer.
     #[prost(message, repeated, tag = "19")]
     pub cleared: ::prost::alloc::vec::Vec<Suspect>,
+    /// Time until the sender ends, if it is stopping. The call is refused where it would run beyond that,
+    /// but its deadline stays.
+    #[prost(uint64, optional, tag = "20")]
+    pub ends_millis: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RelayRequest {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -45,6 +45,7 @@
         crashes: vec![crash(7, true)],
         repeated: key.is_some(),
         retry_order: (u64::from(class) << 32) | 5,
+        ends_within: key.map(|_| Duration::from_millis(700)),
     };
     RelayMessage { call, context }
 }
