--- a/crates/indigospur-admission/src/lib.rs
+++ b/crates/indigospur-admission/src/lib.rs
@@ -25,4 +25,4 @@
 pub use limit::{Limit, LimitPolicy};
 pub use pressure::Pressures;
 pub use request::IngressRequest;
-pub use response_times::{CallNumber, Caution, ResponseTimes};
+pub use response_times::{CallKind, CallNumber, Caution, ResponseTimes};
--- a/crates/indigospur-admission/src/response_times.rs
+++ b/crates/indigospur-admission/src/response_times.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// Calls whose response times are alike.
+#[derive(Clone, Copy, Debug)]
+pub struct CallKind<'a> {
+    /// Name under which their times are recorded.
+    pub name: &'a str,
+    /// What to expect where few are known.
+    pub caution: Caution,
+}
+
 /// Number of a call among all that were started.
 pub type CallNumber = u64;
 
@@ -93,11 +102,11 @@
     /// Time within which a call is expected to end: that of the longest among the last ones, and no less
     /// than the oldest running call has taken so far. Where few calls are known, a call with
     /// [`Caution::Strict`] may take any time, another one at least [`ASSUMED_TIME`].
-    pub fn bound(&self, now: Instant, name: &str, caution: Caution) -> Duration {
-        let series = self.series.get(name);
+    pub fn bound(&self, now: Instant, kind: CallKind<'_>) -> Duration {
+        let series = self.series.get(kind.name);
         let samples = series.map_or(0, |series| series.samples.len());
         let longest = series.map_or(Duration::ZERO, |series| series.longest(now));
-        match caution {
+        match kind.caution {
             _ if samples >= MIN_SAMPLES => longest,
             Caution::Strict => Duration::MAX,
             Caution::Usual => longest.max(ASSUMED_TIME),
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_admission::{Caution, IngressAdmission, Pressures, ResponseTimes};
+use indigospur_admission::{CallKind, IngressAdmission, Pressures, ResponseTimes};
 use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
@@ -318,19 +318,19 @@
     }
 
     /// Whether a call that is started now is expected to end before this daemon does; every call is while
-    /// the daemon is not stopping. `times` has the response times of such calls under `name`, and
-    /// `remaining` is the time until the deadline.
+    /// the daemon is not stopping. `times` has the response times of such calls, and `remaining` is the
+    /// time until the deadline.
     pub(crate) fn ends_in_time(
         &self,
         now: Instant,
         times: &Mutex<ResponseTimes>,
-        (name, caution): (&str, Caution),
+        kind: CallKind<'_>,
         remaining: Duration,
     ) -> bool {
         let Some(left) = self.time_to_end(now) else {
             return true;
         };
-        let bound = lock(times).bound(now, name, caution);
+        let bound = lock(times).bound(now, kind);
         remaining.min(bound) <= left
     }
 
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -7,7 +7,7 @@
 use crate::dialect::{AnswerMeaning, OutgoingCall};
 use crate::slots::Slot;
 use crate::timing::Timing;
-use indigospur_admission::{AdmissionRefusal, Arrival, Caution, Completion};
+use indigospur_admission::{AdmissionRefusal, Arrival, CallKind, Caution, Completion};
 use indigospur_budget::{ClosedCall, add_work};
 use indigospur_members::Verdict;
 use indigospur_once::RecordOutcome;
@@ -100,8 +100,10 @@
 
 /// Whether a call is expected to end before this daemon does.
 fn runs_in_time(daemon: &Daemon, backend: &Backend, context: &Context) -> bool {
-    let caution = Caution::new(context.idempotent, context.depth > 0);
-    let kind = (&*backend.service, caution);
+    let kind = CallKind {
+        name: &backend.service,
+        caution: Caution::new(context.idempotent, context.depth > 0),
+    };
     daemon.ends_in_time(
         Instant::now(),
         &daemon.backend_times,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -5,7 +5,7 @@
 use crate::placement::{self, PlacementSummary};
 use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
 use crate::{inbound, peers};
-use indigospur_admission::Caution;
+use indigospur_admission::{CallKind, Caution};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
@@ -128,10 +128,12 @@
     progress: &CallProgress,
     timed_as: &str,
 ) -> bool {
-    let caution = Caution::new(message.context.idempotent, message.context.depth > 0);
-    let times = &daemon.response_times;
+    let kind = CallKind {
+        name: timed_as,
+        caution: Caution::new(message.context.idempotent, message.context.depth > 0),
+    };
     let remaining = progress.deadline.remaining(Moment::now());
-    daemon.ends_in_time(Instant::now(), times, (timed_as, caution), remaining)
+    daemon.ends_in_time(Instant::now(), &daemon.response_times, kind, remaining)
 }
 
 impl CallProgress {
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -5,7 +5,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
 use crate::{ingress, quotas};
-use indigospur_admission::{Caution, IngressRequest};
+use indigospur_admission::{CallKind, Caution, IngressRequest};
 use indigospur_budget::Token;
 use indigospur_once::parse_key;
 use indigospur_protocol::{
@@ -95,9 +95,11 @@
     }
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     let timed_as = rule.clone().unwrap_or_else(|| head.service.clone());
-    let caution = Caution::new(treatment.idempotent, origin.in_chain);
-    let times = &daemon.response_times;
-    if !daemon.ends_in_time(Instant::now(), times, (&timed_as, caution), remaining) {
+    let kind = CallKind {
+        name: &timed_as,
+        caution: Caution::new(treatment.idempotent, origin.in_chain),
+    };
+    if !daemon.ends_in_time(Instant::now(), &daemon.response_times, kind, remaining) {
         return Err(Refusal::new(
             Kind::Draining,
             "this daemon is stopping before the call would end; call another",
--- a/crates/indigospur-members/src/crash_history.rs
+++ b/crates/indigospur-members/src/crash_history.rs
@@ -20,7 +20,7 @@
 const CLEARED_LIFETIME: Duration = Duration::from_secs(30);
 /// Time from a crash to the first trial run.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(10);
-/// Factor on that time for each further crash.
+/// Factor on that time for each further occasion.
 const TRIAL_DELAY_FACTOR: u32 = 4;
 
 type CrashId = (HostId, u64);
@@ -118,10 +118,10 @@
             return false;
         }
         let last_crash = self.attributed(now).map(|(_, record)| record.at).max();
-        let doublings = self
+        let further = self
             .occasions(now)
             .saturating_sub(CRASHES_UNTIL_REFUSED as u32);
-        let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.saturating_pow(doublings);
+        let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.saturating_pow(further);
         let last = last_crash.max(self.trial_at);
         last.is_none_or(|last| now.saturating_duration_since(last) >= delay)
     }
