Wait for backend servers that read long requests slowly

Cause: the limit on unacknowledged data, which Linux applies to a closed receive window too. While a request of 16 KiB or more is sent it is 30 s now.

Evidence: a_long_request_that_a_backend_server_reads_late_is_answered, ConnectionLost before, answered now; the next call on the connection still notices silence.

--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -23,6 +23,8 @@
 const MAX_FAILED_CALLS: usize = 64;
 /// Lowest status of a response after which its call may be sent again.
 const MIN_FAILURE_STATUS: u16 = 400;
+/// Size from which on a request may not fit into the receive window of a backend server that reads slowly.
+const LONG_REQUEST_BYTES: usize = 16 * 1024;
 /// Maximum number of late responses to earlier calls that are skipped before the response to a call.
 const MAX_STALE_RESPONSES: u32 = 2;
 
@@ -207,6 +209,10 @@
         let has_failed = !kept.failed.is_empty();
         let connection = &mut kept.connection;
         let mut writer = connection.writer();
+        let is_long = bytes.len() >= LONG_REQUEST_BYTES;
+        if is_long {
+            silence::BACKEND_SLOW_READER.apply(&writer);
+        }
         let mut sent = false;
         let sending = async {
             match writer.write_all(&bytes).await {
@@ -235,6 +241,9 @@
             pooled.connection()?.failed.push(call_hash);
         }
         if received.keep_alive && sent {
+            if is_long {
+                silence::BACKEND.apply(&pooled.connection()?.connection.writer());
+            }
             pooled.release(received.idle_timeout);
         }
         Ok(BackendResponse {
--- a/crates/indigospur-relay/src/silence.rs
+++ b/crates/indigospur-relay/src/silence.rs
@@ -34,6 +34,12 @@
     probes: 1,
     unacknowledged: Duration::from_secs(2),
 };
+/// The same while a long request is sent. A backend server that reads slowly closes its receive window,
+/// which can't be told from silence.
+pub(crate) const BACKEND_SLOW_READER: SilenceLimit = SilenceLimit {
+    unacknowledged: Duration::from_secs(30),
+    ..BACKEND
+};
 /// Limit for connections of callers, which may read slowly.
 pub(crate) const CALLER: SilenceLimit = SilenceLimit {
     idle: Duration::from_secs(10),
