--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_admission::{CallKind, IngressAdmission, Pressures, ResponseTimes};
+use indigospur_admission::{IngressAdmission, Pressures, ResponseTimes};
 use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
@@ -32,8 +32,6 @@
 
 /// Time for which a caller's request identifier is remembered, to recognise requests sent again.
 const REQUEST_ID_LIFETIME: Duration = Duration::from_secs(60);
-/// Time for an answer to reach the caller before a stopping daemon ends.
-const REPLY_TIME: Duration = Duration::from_millis(200);
 /// Maximum number of request identifiers that are remembered.
 const MAX_REQUEST_IDS: usize = 65_536;
 /// Range of the retry delay given to callers where the refusal has none.
@@ -128,7 +126,7 @@
     /// Signals the reader of the source that this daemon has begun to do so.
     pub(crate) became_watcher: (Sender<()>, Receiver<()>),
     /// When the graceful shutdown began.
-    draining_since: Mutex<Option<Instant>>,
+    pub(crate) draining_since: Mutex<Option<Instant>>,
     /// Running calls with a key, which continue when their callers disconnect.
     pub(crate) running_keys: AtomicUsize,
     /// Transmissions of calls from other daemons.
@@ -310,41 +308,6 @@
         callers.set_bounds(self.settings().caller_bounds(rule_bounds.as_ref()));
     }
 
-    /// Whether calls of callers are accepted: while serving, and for the shutdown delay after the
-    /// shutdown has begun, in which callers learn of it.
-    pub(crate) fn accepts_callers(&self) -> bool {
-        let since = *lock(&self.draining_since);
-        since.is_none_or(|since| since.elapsed() < self.settings().effective_shutdown_delay())
-    }
-
-    /// Whether a call that is started now is expected to end before this daemon does; every call is while
-    /// the daemon is not stopping. `times` has the response times of such calls, and `remaining` is the
-    /// time until the deadline.
-    pub(crate) fn ends_in_time(
-        &self,
-        now: Instant,
-        times: &Mutex<ResponseTimes>,
-        kind: CallKind<'_>,
-        remaining: Duration,
-    ) -> bool {
-        let Some(left) = self.time_to_end(now) else {
-            return true;
-        };
-        let bound = lock(times).bound(now, kind);
-        remaining.min(bound) <= left
-    }
-
-    /// Time within which calls must end so that their callers get the answers before this daemon ends;
-    /// `None` if it is not stopping.
-    pub(crate) fn time_to_end(&self, now: Instant) -> Option<Duration> {
-        let since = (*lock(&self.draining_since))?;
-        let end = since + self.settings().shutdown_timeout;
-        Some(
-            end.saturating_duration_since(now)
-                .saturating_sub(REPLY_TIME),
-        )
-    }
-
     /// Whether callers should send calls: a rule set is in force, which is the empty one if the log
     /// holds none, and no shutdown has begun.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -1,7 +1,9 @@
 //! Runs calls at the backend server of this host, after admission.
 
 use crate::backend::{self, Backend};
+use crate::backend_refusal::BackendRefusal;
 use crate::backend_status;
+use crate::crashes::{SuspectGuard, crashes_for_sender};
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
@@ -9,12 +11,9 @@
 use crate::timing::Timing;
 use indigospur_admission::{AdmissionRefusal, Arrival, CallKind, Caution, Completion};
 use indigospur_budget::{ClosedCall, add_work};
-use indigospur_members::Verdict;
 use indigospur_once::RecordOutcome;
-use indigospur_protocol::{Context, Crash, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work};
-use indigospur_relay::{
-    BackendError, BackendResponse, Exchange, HttpRequest, ResponseCheck, runtime,
-};
+use indigospur_protocol::{Context, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work};
+use indigospur_relay::{BackendError, BackendResponse, HttpRequest, ResponseCheck, runtime};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -52,16 +51,6 @@
     reply
 }
 
-/// The crashes of the request that the sender does not know as they are known here. It must know them
-/// before it tries another host.
-fn crashes_for_sender(daemon: &Daemon, digest: u64, known_to_sender: &[Crash]) -> Vec<Crash> {
-    let mut crashes = lock(&daemon.fleet)
-        .suspects
-        .crashes_of(Instant::now(), digest);
-    crashes.retain(|crash| !known_to_sender.iter().any(|known| known.says_same(crash)));
-    crashes
-}
-
 async fn admit(daemon: &Arc<Daemon>, backend: &Arc<Backend>, message: RelayMessage) -> Reply {
     let retries = message.context.retries;
     let now = Moment::now();
@@ -372,34 +361,6 @@
     })
 }
 
-/// A refusal of the backend server, and on which connection it came.
-struct BackendRefusal {
-    status: u16,
-    ran: Ran,
-    names_call: bool,
-    exchange: Exchange,
-}
-
-impl BackendRefusal {
-    fn observe(&self, daemon: &Daemon, backend: &Backend, context: &Context) {
-        let is_kept = self.exchange.call > 1;
-        daemon
-            .metrics
-            .count_backend_refusal(self.names_call, is_kept);
-        log::info!(
-            request = &*context.request_id,
-            instance = &*backend.instance,
-            status = self.status,
-            ran = self.ran.as_str(),
-            names_call = self.names_call,
-            connection = self.exchange.connection,
-            call = self.exchange.call,
-            skipped = self.exchange.skipped;
-            "backend server refused a call"
-        );
-    }
-}
-
 async fn connection_broken(daemon: &Arc<Daemon>, backend: &Arc<Backend>) -> Refusal {
     if check_down(daemon, backend, None).await {
         Refusal::new(
@@ -453,41 +414,6 @@
     }
 }
 
-/// Registers a call as a suspect in case the backend server crashes, until it is dropped.
-struct SuspectGuard<'a> {
-    daemon: &'a Daemon,
-    fingerprint: u64,
-}
-
-impl<'a> SuspectGuard<'a> {
-    fn start(daemon: &'a Daemon, fingerprint: u64) -> Result<SuspectGuard<'a>, Refusal> {
-        let verdict =
-            lock(&daemon.fleet)
-                .suspects
-                .try_start(Instant::now(), daemon.host(), fingerprint);
-        match verdict {
-            Verdict::Run => Ok(SuspectGuard {
-                daemon,
-                fingerprint,
-            }),
-            Verdict::OtherHost => Err(Refusal::new(
-                Kind::Overloaded,
-                "another suspect of a crash runs here",
-            )),
-            Verdict::Poisonous => Err(Refusal::new(
-                Kind::PoisonRequest,
-                "the request has taken down several backend servers",
-            )),
-        }
-    }
-}
-
-impl Drop for SuspectGuard<'_> {
-    fn drop(&mut self) {
-        lock(&self.daemon.fleet).suspects.finish(self.fingerprint);
-    }
-}
-
 /// A running call's entry in the ledger, removed on close or drop.
 struct LedgerEntry<'a> {
     daemon: &'a Daemon,
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -4,12 +4,14 @@
 mod admin;
 mod authentication;
 mod backend;
+mod backend_refusal;
 mod backend_status;
 mod builtin_dialect;
 mod caller;
 mod configuration;
 mod contact;
 mod control;
+mod crashes;
 mod daemon;
 mod deadline;
 mod dialect;
@@ -33,6 +35,7 @@
 mod settings_file;
 mod signals;
 mod slots;
+mod stopping;
 mod timing;
 
 pub use authentication::{AuthenticationError, CallerIdentity, Credential};
