Ask the next registered daemons once the last ones have failed

Cause: a daemon that starts asks registered daemons four at a time and waited 0.4 s for each four, also where all of them had refused the connection; one address was asked as often as it was listed. The daemon's log shows four failed exchanges every 0.4 s for 18 s.

--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -81,16 +81,14 @@
     apply_changes(daemon, &changed);
 }
 
-/// Joins the fleet by way of the daemon at `address`, unless that daemon is known already.
-pub(crate) fn join_via(daemon: &Arc<Daemon>, address: Arc<str>) {
+/// Starts to join the fleet by way of the daemon at `address`, unless that daemon is known already.
+pub(crate) fn join_via(daemon: &Arc<Daemon>, address: Arc<str>) -> Option<runtime::JoinHandle<()>> {
     let known = lock(&daemon.fleet)
         .members
         .all()
         .any(|member| member.address == address);
-    if !known {
-        let daemon = daemon.clone();
-        runtime::spawn(async move { exchange(&daemon, &address, None).await });
-    }
+    let daemon = daemon.clone();
+    (!known).then(|| runtime::spawn(async move { exchange(&daemon, &address, None).await }))
 }
 
 /// Exchanges gossip with the seeds from the settings and the log until another member is known.
--- a/crates/indigospur-daemon/src/control/log_reader.rs
+++ b/crates/indigospur-daemon/src/control/log_reader.rs
@@ -122,7 +122,7 @@
                 daemon.apply_rules(in_force.rules);
             }
             Change::Epoch(epoch) => epochs::apply(daemon, epoch),
-            Change::Seed(address) => gossip::join_via(daemon, address),
+            Change::Seed(address) => drop(gossip::join_via(daemon, address)),
         }
     }
     daemon.wake_gossip();
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -16,7 +16,7 @@
 
 /// Registered daemons that are asked for the member list at a time.
 const CONTACTS_AT_ONCE: usize = 4;
-/// Time after which the next ones are asked, if none of them has answered.
+/// Time after which the next ones are asked, if some of them have neither answered nor failed.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Registrations a second that the whole fleet sends after the source was restored.
 const RENEWALS_PER_SECOND: u32 = 200;
@@ -192,12 +192,20 @@
             member.is_none_or(|member| member.address != contact.address)
         };
         others.retain(is_unknown);
+        others.sort_by(|one, other| one.address.cmp(&other.address));
+        others.dedup_by(|one, other| one.address == other.address);
         others.shuffle(&mut *lock(&daemon.rng));
         for contacts in others.chunks(CONTACTS_AT_ONCE) {
-            for contact in contacts {
-                gossip::join_via(daemon, contact.address.clone());
-            }
-            runtime::sleep(CONTACT_TIMEOUT).await;
+            let addresses = contacts.iter().map(|contact| contact.address.clone());
+            let attempts: Vec<_> = addresses
+                .filter_map(|address| gossip::join_via(daemon, address))
+                .collect();
+            let finished = async {
+                for attempt in attempts {
+                    attempt.await;
+                }
+            };
+            runtime::timeout(CONTACT_TIMEOUT, finished).await;
             if !lock(&daemon.fleet).members.is_empty() {
                 return true;
             }
