Share what the checks of a stop and their tests have in common

No change of behaviour: the kind of a call and the refusal of one that comes too late are built in one place, a call that a daemon serves itself clears its suspect once, and crashes known to the sender are moved instead of copied.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -8,8 +8,9 @@
 use crate::deadline::{Deadline, Moment};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
 use crate::slots::Slot;
+use crate::stopping::{call_kind, too_late};
 use crate::timing::Timing;
-use indigospur_admission::{AdmissionRefusal, Arrival, CallKind, Caution, Completion};
+use indigospur_admission::{AdmissionRefusal, Arrival, Completion};
 use indigospur_budget::{ClosedCall, add_work};
 use indigospur_once::RecordOutcome;
 use indigospur_protocol::{Context, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work};
@@ -22,7 +23,7 @@
 const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(40), Duration::ZERO];
 
 /// Runs a call at the backend server, or refuses it.
-pub(crate) async fn serve(daemon: &Arc<Daemon>, message: RelayMessage) -> Reply {
+pub(crate) async fn serve(daemon: &Arc<Daemon>, mut message: RelayMessage) -> Reply {
     let arrived = Instant::now();
     let retries = message.context.retries;
     let not_ready = |detail| Reply::refused(Refusal::new(Kind::NotReady, detail), retries);
@@ -32,7 +33,7 @@
     if backend.service != message.call.service {
         return not_ready("the backend server serves another service");
     }
-    let known_to_sender = message.context.crashes.clone();
+    let known_to_sender = std::mem::take(&mut message.context.crashes);
     if !known_to_sender.is_empty() {
         lock(&daemon.fleet)
             .suspects
@@ -56,8 +57,7 @@
     let now = Moment::now();
     let deadline = Deadline::after(now, message.context.remaining);
     if !runs_in_time(daemon, backend, &message.context) {
-        let detail = "this daemon is stopping before the call would end; call another";
-        return Reply::refused(Refusal::new(Kind::Draining, detail), retries);
+        return Reply::refused(too_late(), retries);
     }
     let suspect = match SuspectGuard::start(daemon, message.context.digest) {
         Ok(suspect) => suspect,
@@ -89,10 +89,7 @@
 
 /// Whether a call is expected to end before this daemon does.
 fn runs_in_time(daemon: &Daemon, backend: &Backend, context: &Context) -> bool {
-    let kind = CallKind {
-        name: &backend.service,
-        caution: Caution::new(context.idempotent, context.depth > 0),
-    };
+    let kind = call_kind(&backend.service, context);
     daemon.ends_in_time(
         Instant::now(),
         &daemon.backend_times,
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -4,8 +4,8 @@
 use crate::deadline::{Deadline, Moment};
 use crate::placement::{self, PlacementSummary};
 use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
+use crate::stopping::call_kind;
 use crate::{inbound, peers};
-use indigospur_admission::{CallKind, Caution};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
@@ -128,10 +128,7 @@
     progress: &CallProgress,
     timed_as: &str,
 ) -> bool {
-    let kind = CallKind {
-        name: timed_as,
-        caution: Caution::new(message.context.idempotent, message.context.depth > 0),
-    };
+    let kind = call_kind(timed_as, &message.context);
     let remaining = progress.deadline.remaining(Moment::now());
     daemon.ends_in_time(Instant::now(), &daemon.response_times, kind, remaining)
 }
@@ -257,7 +254,8 @@
     progress.retried |= reply.retried;
     record_in_ratio(daemon, &service, &reply.outcome);
     apply_reply_info(daemon, &service, &reply);
-    if matches!(reply.outcome, Outcome::Answered(_)) {
+    let is_remote = member.host != *daemon.host();
+    if is_remote && matches!(reply.outcome, Outcome::Answered(_)) {
         lock(&daemon.fleet)
             .suspects
             .clear(Instant::now(), message.context.digest);
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -4,6 +4,7 @@
 use crate::authentication::{CallerIdentity, Credential};
 use crate::daemon::{Daemon, lock};
 use crate::dialect::{CallHead, ParentRef};
+use crate::stopping::too_late;
 use crate::{ingress, quotas};
 use indigospur_admission::{CallKind, Caution, IngressRequest};
 use indigospur_budget::Token;
@@ -100,10 +101,7 @@
         caution: Caution::new(treatment.idempotent, origin.in_chain),
     };
     if !daemon.ends_in_time(Instant::now(), &daemon.response_times, kind, remaining) {
-        return Err(Refusal::new(
-            Kind::Draining,
-            "this daemon is stopping before the call would end; call another",
-        ));
+        return Err(too_late());
     }
     if let Some(workspace) = caller.workspace() {
         quotas::admit(daemon, &origin.request_id, workspace)?;
--- a/crates/indigospur-daemon/src/stopping.rs
+++ b/crates/indigospur-daemon/src/stopping.rs
@@ -1,13 +1,28 @@
 //! What a stopping daemon still takes.
 
 use crate::daemon::{Daemon, lock};
-use indigospur_admission::{CallKind, ResponseTimes};
+use indigospur_admission::{CallKind, Caution, ResponseTimes};
+use indigospur_protocol::{Context, Kind, Refusal};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// Time for an answer to reach the caller before a stopping daemon ends.
 const REPLY_TIME: Duration = Duration::from_millis(200);
 
+/// The kind of a call with `context`, whose response time is recorded under `name`.
+pub(crate) fn call_kind<'a>(name: &'a str, context: &Context) -> CallKind<'a> {
+    CallKind {
+        name,
+        caution: Caution::new(context.idempotent, context.depth > 0),
+    }
+}
+
+/// Refuses a call that is not expected to end before this daemon does.
+pub(crate) fn too_late() -> Refusal {
+    let detail = "this daemon is stopping before the call would end; call another";
+    Refusal::new(Kind::Draining, detail)
+}
+
 impl Daemon {
     /// Whether calls of callers are accepted: while serving, and for the shutdown delay after the
     /// shutdown has begun, in which callers learn of it.
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -21,11 +21,12 @@
 
 fn call_with(
     pool: &BackendPool,
+    method: &str,
     call_id: &str,
     owner: &(dyn Fn(&Answer) -> ResponseOwner + Send + Sync),
 ) -> Result<BackendResponse, BackendError> {
     let request = HttpRequest {
-        method: "GET",
+        method,
         host: "a",
         path: "/x",
         headers: &[],
@@ -41,7 +42,7 @@
 
 /// Sends a call; returns the number of its connection.
 fn call(pool: &BackendPool, call_id: &str) -> u64 {
-    let response = call_with(pool, call_id, &|_| ResponseOwner::Current);
+    let response = call_with(pool, "GET", call_id, &|_| ResponseOwner::Current);
     response.expect("there is a response").exchange.connection
 }
 
@@ -101,7 +102,7 @@
         ResponseOwner::Unnamed,
     ];
     let connections = owners.iter().enumerate().map(|(number, owner)| {
-        let response = call_with(&pool, &number.to_string(), &|_| *owner);
+        let response = call_with(&pool, "GET", &number.to_string(), &|_| *owner);
         response.expect("it is accepted").exchange.connection
     });
     assert_eq!(connections.collect::<Vec<_>>(), [1, 1, 2, 2, 3]);
@@ -118,7 +119,7 @@
     pool.stop_sending_at(now);
     pool.stop_sending_at(now + Duration::from_secs(60));
     let requests = server.requests();
-    let result = call_with(&pool, "after", &|_| ResponseOwner::Current);
+    let result = call_with(&pool, "GET", "after", &|_| ResponseOwner::Current);
     assert_eq!(result.err(), Some(BackendError::NoConnection));
     assert_eq!(server.requests(), requests);
     pool.resume_sending();
@@ -136,7 +137,7 @@
         200 => ResponseOwner::Current,
         _ => ResponseOwner::Unnamed,
     };
-    let second = call_with(&pool, "second", &owner).expect("it is answered");
+    let second = call_with(&pool, "GET", "second", &owner).expect("it is answered");
     assert_eq!(second.answer.status, 200);
     assert_eq!(
         (second.exchange.connection, second.exchange.skipped),
@@ -149,21 +150,10 @@
     let late = "HTTP/1.1 200 OK\r\nearlier: 1\r\ncontent-length: 58\r\n\r\n\
                 HTTP/1.1 503 Busy\r\nrefused: 1\r\ncontent-length: 0\r\n\r\n";
     let (_server, pool) = start(late.as_bytes(), 8);
-    let request = HttpRequest {
-        method: "HEAD",
-        host: "a",
-        path: "/x",
-        headers: &[],
-        body: b"",
-    };
-    let check = ResponseCheck {
-        call_id: "call",
-        owner: &|answer| match answer.header("earlier") {
-            Some(_) => ResponseOwner::Earlier,
-            None => ResponseOwner::Current,
-        },
-        close_delimited: false,
+    let owner = |answer: &Answer| match answer.header("earlier") {
+        Some(_) => ResponseOwner::Earlier,
+        None => ResponseOwner::Current,
     };
-    let response = runtime::block_on(pool.call(&request, check));
+    let response = call_with(&pool, "HEAD", "call", &owner);
     assert_eq!(response.err(), Some(BackendError::InvalidResponse));
 }
