Check again that a call ends in time once it has waited for a slot

While a daemon stopped, callers of queued calls got no answer although the calls ran: of calls of 1 s of whose kind none was known, those that waited about a second for one of eight slots were started 0.8 s before the end of the caller's daemon (grace 3 s; one with 6 s) and cut.

Cause: whether a call ends in time was checked on arrival only. The queue knows the end of either daemon as the time to have a slot by, and compares it with the mean service time, which is zero where no call has ended.

Now a call that got its slot after a wait is checked once more, with the bound that is used on arrival, against the end of this daemon and of the caller's. It has not run yet and is refused as such.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -56,8 +56,10 @@
     let retries = message.context.retries;
     let now = Moment::now();
     let deadline = Deadline::after(now, message.context.remaining);
-    if !runs_in_time(daemon, backend, &message.context) {
-        return Reply::refused(too_late(), retries);
+    let sender_end = message.context.ends_within;
+    let sender_end = sender_end.map(|left| Deadline::after(now, left));
+    if let Err(refusal) = check_end(daemon, backend, &message.context, deadline, None) {
+        return Reply::refused(refusal, retries);
     }
     let suspect = match SuspectGuard::start(daemon, message.context.digest) {
         Ok(suspect) => suspect,
@@ -75,6 +77,11 @@
         let detail = "the deadline passed before the call got its slot";
         return Reply::refused(Refusal::new(Kind::DeadlineWaiting, detail), retries);
     }
+    if slot.has_waited()
+        && let Err(refusal) = check_end(daemon, backend, &message.context, deadline, sender_end)
+    {
+        return Reply::refused(refusal, retries);
+    }
     if let Err(refusal) = record_key(daemon, &message.context) {
         return Reply::refused(refusal, retries);
     }
@@ -87,15 +94,29 @@
     reply
 }
 
-/// Whether a call is expected to end before this daemon does.
-fn runs_in_time(daemon: &Daemon, backend: &Backend, context: &Context) -> bool {
+/// Refuses a call that is not expected to end before this daemon, or before the caller's at `sender_end`.
+fn check_end(
+    daemon: &Daemon,
+    backend: &Backend,
+    context: &Context,
+    deadline: Deadline,
+    sender_end: Option<Deadline>,
+) -> Result<(), Refusal> {
+    let now = Moment::now();
+    let remaining = deadline.remaining(now);
     let kind = call_kind(&backend.service, context);
-    daemon.ends_in_time(
-        Instant::now(),
-        &daemon.backend_times,
-        kind,
-        context.remaining,
-    )
+    if !daemon.ends_in_time(now.instant, &daemon.backend_times, kind, remaining) {
+        return Err(too_late());
+    }
+    let Some(sender_end) = sender_end else {
+        return Ok(());
+    };
+    let bound = lock(&daemon.backend_times).bound(now.instant, kind);
+    if remaining.min(bound) > sender_end.remaining(now) {
+        let detail = "the caller's daemon is stopping before the call would end";
+        return Err(Refusal::new(Kind::DeadlineUnreachable, detail));
+    }
+    Ok(())
 }
 
 /// The deadline by which a call must get its slot is earlier where the caller's daemon or this one ends
--- a/crates/indigospur-daemon/src/slots.rs
+++ b/crates/indigospur-daemon/src/slots.rs
@@ -207,6 +207,11 @@
 }
 
 impl Slot {
+    /// Whether the call waited for its slot.
+    pub(crate) fn has_waited(&self) -> bool {
+        !self.immediate
+    }
+
     /// Sets how the call ended; without it the slot is released as that of a failed call.
     pub(crate) fn set_completion(&mut self, completion: Completion) {
         self.completion = completion;
