Notice a caller's close behind requests that are not read

Cause: after 32 requests and 8 KiB more the socket is not read any more, so that the end of the stream behind further bytes is not seen. Reading on without bound was ruled out: the bytes would have to be kept. Now the socket is polled for POLLRDHUP every 100 ms while no more is read; the system sets it when the close arrives, whatever comes before it.

a_caller_that_closes_its_connection_behind_unread_requests_cancels_all_its_requests timed out before and holds now.

--- a/crates/indigospur-relay/src/connection.rs
+++ b/crates/indigospur-relay/src/connection.rs
@@ -9,6 +9,7 @@
 use crate::head::{HeadError, RequestHead, ResponseHead};
 use crate::runtime;
 use crate::stream::Stream;
+use crate::timer::Sleep;
 use bytes::{Buf, BytesMut};
 use futures_lite::io::{AsyncRead, AsyncWriteExt};
 use std::io;
@@ -21,6 +22,8 @@
 
 /// Maximum number of bytes read from the socket at a time.
 const READ_BYTES: usize = 8 * 1024;
+/// Time between two checks whether the peer has closed a connection on which no more is read.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of line ends before a message.
 const MAX_EMPTY_LINE_BYTES: usize = 1024;
 /// Reads after which a task lets others run. A socket on which data arrives faster than it is read
@@ -64,6 +67,8 @@
     empty_bytes: usize,
     /// Reads left until the task lets others run.
     reads_left: u32,
+    /// Until the next check whether the peer has closed the connection behind unread data.
+    close_check: Option<Sleep>,
 }
 
 /// How much of a head was searched for its end.
@@ -83,6 +88,7 @@
             arrivals: Arrivals::default(),
             empty_bytes: 0,
             reads_left: READS_PER_TURN,
+            close_check: None,
         }
     }
 
@@ -242,8 +248,8 @@
     }
 
     /// Waits until the peer closes the connection or it fails. Data that the peer sends meanwhile
-    /// is buffered. Once `READ_BYTES` or more are buffered, reading stops and a close is no longer
-    /// noticed.
+    /// is buffered. Once `READ_BYTES` or more are buffered, reading stops, and a close is noticed
+    /// within [`CLOSE_CHECK_INTERVAL`] of its arrival.
     pub(crate) async fn wait_closed(&mut self) {
         futures_lite::future::poll_fn(|context| self.poll_closed(context)).await;
     }
@@ -256,7 +262,16 @@
                 Ok(_) => {}
             }
         }
-        Poll::Pending
+        loop {
+            let check = self
+                .close_check
+                .get_or_insert_with(|| Sleep::until(Instant::now() + CLOSE_CHECK_INTERVAL));
+            ready!(Pin::new(check).poll(context));
+            self.close_check = None;
+            if self.stream.is_closed_by_peer() {
+                return Poll::Ready(());
+            }
+        }
     }
 
     /// Releases the memory of the buffer if it is empty, for the time that the connection is idle.
--- a/crates/indigospur-relay/src/stream.rs
+++ b/crates/indigospur-relay/src/stream.rs
@@ -7,6 +7,7 @@
 use async_io::Async;
 use async_std::net::TcpListener;
 use futures_lite::io::{AsyncRead, AsyncWrite};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -49,6 +50,15 @@
         self.socket.get_ref().shutdown(how)
     }
 
+    /// Whether the peer has closed its side or the connection has failed, also where unread data comes
+    /// before that.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let mut sockets = [PollFd::new(self, PollFlags::RDHUP)];
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        poll(&mut sockets, Some(&Timespec::default())).is_ok()
+            && sockets[0].revents().intersects(closed)
+    }
+
     /// Reads what has arrived, without waiting.
     ///
     /// # Errors
--- a/crates/indigospur-relay/tests/pipelined/order.rs
+++ b/crates/indigospur-relay/tests/pipelined/order.rs
@@ -241,6 +241,33 @@
     }
 }
 
+/// Guards against a close that is not noticed behind more requests than are read.
+#[test]
+fn a_caller_that_closes_its_connection_behind_unread_requests_cancels_all_its_requests() {
+    let long = format!("x: {}\r\n", "y".repeat(2_000));
+    let closing = request("GET", "/gate/closing", "connection: close\r\n", "");
+    let all = |count| {
+        many_paths(count)
+            .iter()
+            .map(|path| request("GET", path, &long, ""))
+            .collect::<String>()
+    };
+    for (bytes, read) in [
+        (all(MAX_PIPELINED + 40), MAX_PIPELINED),
+        (closing + &all(10), 1),
+    ] {
+        let server = Server::start();
+        let mut caller = Caller::connect(&server);
+        caller.send(&bytes);
+        wait_for(|| server.started().len() == read);
+        let running = server.running().len();
+        drop(caller);
+        wait_for(|| server.cancelled() == running);
+        server.wait_idle();
+        assert_eq!(server.started().len(), read);
+    }
+}
+
 #[test]
 fn a_request_counts_from_its_first_byte_also_behind_others() {
     let server = Server::start();
