Keep half of the mean admitted share for each rule class of a workspace

What callers saw: where workspaces of one class need a service that is full, requests of the second most urgent rule kept half of the admitted share of the first, and those of the third a quarter. With a fifth of the demand most urgent and 70 % refused, half of the most urgent requests were refused although there was room for all of them, and with three rules the last ones came down to an eighth of the first.

Nothing is to be starved (served under a quarter as often as all), and what matters is to be shed last; a chain of halves promises neither.

Each rule class keeps half of the share that is admitted of all requests of the class, however many rules there are, and the most urgent ones get the rest. The tests of the fleet model hold unchanged (urgent_requests_of_a_workspace_are_refused_after_the_others).

--- a/crates/indigospur-admission/src/controller.rs
+++ b/crates/indigospur-admission/src/controller.rs
@@ -37,9 +37,9 @@
 const CLASS_LIFETIME: Duration = Duration::from_secs(10);
 /// Time over which earlier demand loses its weight.
 const DEMAND_DECAY: Duration = Duration::from_secs(2);
-/// Least admitted share of the requests of a rule class as a part of that of the next more urgent one
-/// in the same class: a workspace whose class takes precedence must not lose all its less urgent
-/// requests while the more urgent ones are served.
+/// Least admitted share of the requests of a rule class as a part of that of all requests of the class: a
+/// workspace whose class takes precedence must not lose all its less urgent requests while the more
+/// urgent ones are served.
 const LEAST_ADMITTED: f64 = 0.5;
 
 /// Proportional-integral controller of the share of requests refused for one service.
@@ -180,20 +180,20 @@
 
     /// Share of the requests of a rule class to refuse so that `share` of the whole demand is refused:
     /// the most urgent rule classes are admitted first, but each of the others keeps
-    /// [`LEAST_ADMITTED`] of the admitted share of the next more urgent one.
+    /// [`LEAST_ADMITTED`] of the admitted share of all.
     fn refused_share(&self, rule_class: Class, share: f64) -> f64 {
         let total: f64 = self.by_rule.values().sum();
         if self.by_rule.len() < 2 || total <= 0.0 {
             return share;
         }
+        let least = LEAST_ADMITTED * (1.0 - share);
         let mut left = (1.0 - share) * total;
+        let mut lower = total;
         for (&current, &demand) in &self.by_rule {
-            let reserved = self.by_rule.range(current..).enumerate();
-            let weights =
-                reserved.map(|(below, (_, demand))| demand * LEAST_ADMITTED.powi(below as i32));
-            // Without demand left, all of it can be admitted.
-            let weight = weights.sum::<f64>().max(f64::MIN_POSITIVE);
-            let admitted = (left / weight).clamp(0.0, 1.0);
+            lower -= demand;
+            // Without demand, all of it can be admitted.
+            let available = (left - least * lower) / demand.max(f64::MIN_POSITIVE);
+            let admitted = available.clamp(least, 1.0);
             if current == rule_class {
                 return 1.0 - admitted;
             }
