Name times to come back, and wait after a start, by the time that callers have left

What callers saw: one that was refused on arrival was told to come back after 0.2 to 0.6 of its rule's objective, 0.3 to 0.9 s for an objective of 1.5 s, whatever its deadline. It waits until its deadline and follows a time up to a third of what is left of it, so most came back while the overload went on and were refused again. After a start of all daemons a call waited for its first upstream for half of the objective. Refusals without a time named 0.5 to 1.5 s, also to callers with 0.7 s left.

Cause: the objective is the time within which an answer is worth most.

Now the time is the second half of the third of the caller's remaining time, less if its request would not finish after that, with jitter. A queue that names a later time is believed; quotas and ingress admission name their own. A call waits for its first upstream for up to a third of its remaining time, as long as a refused caller.

The jitter of the queue's times is tested with a queue, in which the shortest time is 0.5 s again, since it is no longer 0.5 s everywhere.

--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -10,6 +10,7 @@
 use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
 use crate::request::IngressRequest;
+use crate::retry_after::retry_after;
 use crate::shedding::{ShedRefusal, SheddingGate};
 use indigospur_protocol::{Class, Pressure, Rank, RetryOrder, ServiceName, Work};
 use std::collections::HashMap;
@@ -22,9 +23,6 @@
 const MAX_RULES: usize = 1_024;
 /// A rule whose mean slot time at a service is smaller does not need the service.
 const MIN_COST: Duration = Duration::from_millis(1);
-/// Bounds of the Retry-After time, as shares of the objective, so that a retried request can still
-/// be answered within it.
-const RETRY_AFTER_SHARES: (f64, f64) = (0.2, 0.6);
 
 /// A refusal of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -193,10 +191,12 @@
         }
     }
 
+    /// Nothing tells when an overload ends, so the time depends on the caller's and on the request's alone.
     fn retry_after(&mut self, request: IngressRequest<'_>) -> Duration {
-        let (shortest, longest) = RETRY_AFTER_SHARES;
-        let objective_share = shortest + (longest - shortest) * self.next_jitter();
-        request.objective.mul_f64(objective_share)
+        let costs = self.costs.get(request.rule);
+        let work = costs.and_then(|costs| costs.values().max().copied());
+        let jitter = self.next_jitter();
+        retry_after(request.remaining, work.unwrap_or_default(), jitter)
     }
 
     /// The service for which the largest share of the request's class is refused, with its level
--- a/crates/indigospur-admission/src/request.rs
+++ b/crates/indigospur-admission/src/request.rs
@@ -15,8 +15,8 @@
     pub rule_class: Class,
     /// Shed rank within the class.
     pub rank: Rank,
-    /// Response time to aim at; the Retry-After time is a share of it.
-    pub objective: Duration,
+    /// Time until the caller stops waiting, over all of its attempts.
+    pub remaining: Duration,
     /// Whether the request may run more than once without harm.
     pub idempotent: bool,
     /// How often the caller has sent the request before.
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -18,7 +18,14 @@
     let started = Instant::now();
     let mut request_id: RequestId = "".into();
     let mut charged = None;
-    let outcome = match prepare(&daemon, &mut received, &mut request_id, &mut charged) {
+    let mut deadline = None;
+    let outcome = match prepare(
+        &daemon,
+        &mut received,
+        &mut request_id,
+        &mut charged,
+        &mut deadline,
+    ) {
         Ok(prepared) => execute(&daemon, prepared).await,
         Err(refusal) => Outcome::Refused(refusal),
     };
@@ -31,7 +38,9 @@
             if let Some(workspace) = charged.filter(|_| refusal.ran == Ran::No) {
                 lock(&daemon.quotas.gate).refund(Instant::now(), &workspace.name);
             }
-            let refusal = daemon.with_retry_advice(refusal);
+            let remaining =
+                deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
+            let refusal = daemon.with_retry_advice(refusal, remaining);
             daemon.metrics.count_refusal(refusal.kind);
             log_refusal(&daemon, &refusal, &request_id, &received, started);
             daemon.dialect.write_refusal(&refusal)
@@ -69,7 +78,6 @@
         parent,
         rule,
         max_runs,
-        objective,
         timed_as,
     } = prepared;
     let timing = Timing::start(&daemon.response_times, &timed_as);
@@ -78,7 +86,7 @@
     let reply = match key {
         Some(key) => keyed::send(daemon, message, &key).await,
         None => {
-            wait_for_upstream(daemon, &mut message, objective).await;
+            wait_for_upstream(daemon, &mut message).await;
             let limits = outbound::SendLimits {
                 excluded: Vec::new(),
                 max_runs,
@@ -97,9 +105,10 @@
 
 /// Holds a call of a daemon that has just started until an upstream of the service is known, as long as
 /// [`Discovery`](indigospur_routing::Discovery) allows. The call's remaining time shrinks by the wait.
-async fn wait_for_upstream(daemon: &Daemon, message: &mut RelayMessage, objective: Duration) {
+async fn wait_for_upstream(daemon: &Daemon, message: &mut RelayMessage) {
     let started = Instant::now();
-    let Some(end) = daemon.discovery.wait_until(started, objective) else {
+    let remaining = message.context.remaining;
+    let Some(end) = daemon.discovery.wait_until(started, remaining) else {
         return;
     };
     let knows_service = || lock(&daemon.router).knows(&message.call.service);
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -33,8 +33,6 @@
     pub(crate) rule: Option<Arc<str>>,
     /// Number of upstreams on which the call may run, whether or not it is known to have run there.
     pub(crate) max_runs: u32,
-    /// Response time to aim at.
-    pub(crate) objective: Duration,
     /// Name under which the response time is recorded.
     pub(crate) timed_as: Arc<str>,
 }
@@ -54,14 +52,17 @@
 }
 
 /// Turns a request into a call. Sets `request_id` as soon as it is known, and `charged` to the workspace
-/// from whose quota the request was taken, also for a request that is refused.
+/// from whose quota the request was taken and `deadline` to the time at which the caller stops waiting,
+/// also for a request that is refused.
 pub(crate) fn prepare(
     daemon: &Daemon,
     received: &mut ReceivedRequest,
     request_id: &mut RequestId,
     charged: &mut Option<Arc<Workspace>>,
+    deadline: &mut Option<Instant>,
 ) -> Result<Prepared, Refusal> {
     let head = daemon.dialect.read_call(received)?;
+    *deadline = head.deadline.map(|deadline| received.started + deadline);
     if let Some(request) = &head.request_id {
         *request_id = request.clone();
     }
@@ -94,6 +95,8 @@
         let name = caller.workspace().map(|workspace| &*workspace.name);
         daemon.dialect.set_workspace(&mut received.headers, name);
     }
+    let caller_end = received.started + head.deadline.unwrap_or(treatment.deadline);
+    *deadline = Some(caller_end);
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     let timed_as = rule.clone().unwrap_or_else(|| head.service.clone());
     let kind = CallKind {
@@ -108,7 +111,8 @@
         *charged = Some(workspace.clone());
     }
     if let (false, Some(rule)) = (origin.in_chain, &rule) {
-        let request = ingress_request(rule, &origin, &treatment);
+        let caller_remaining = caller_end.saturating_duration_since(Instant::now());
+        let request = ingress_request(rule, &origin, &treatment, caller_remaining);
         ingress::admit(daemon, &origin.request_id, request)?;
     }
     let service = choose_service(daemon, rule.as_ref(), &treatment, &head)?;
@@ -132,7 +136,6 @@
         parent: origin.parent,
         rule,
         max_runs: treatment.attempts,
-        objective: treatment.objective,
         timed_as,
     })
 }
@@ -312,13 +315,14 @@
     rule: &'a Arc<str>,
     origin: &RequestOrigin,
     treatment: &Treatment,
+    remaining: Duration,
 ) -> IngressRequest<'a> {
     IngressRequest {
         rule,
         class: treatment.class,
         rule_class: treatment.rule_class,
         rank: treatment.rank(&origin.customer, &origin.request_id),
-        objective: treatment.objective,
+        remaining,
         idempotent: treatment.idempotent,
         attempt: origin.attempt,
     }
