Let requests in by their own prospects, and give retries by the calls that are left

Causes, ruled out one by one in the model (tests/shedding): - `urgent_share` kept every kind below the share of more urgent ones that succeeds. Nobody gains by that: a request without a claim to retries takes none. It is promised nowhere. It also hid the next two. - `may_fail` told first tries and repeats apart by `attempt`, and only requests refused by ingress admission, and only with a retry window, were not counted as sent. A client's own retry is a new request; ours are bounded by the credit, of which one that was let in and comes back still gets none. Now no request that is refused on arrival counts as sent, whatever refused it. - A place in the retry order counted all calls of the request, also those that it had made. Now the calls that are left count where a retry is asked for, so that what was begun is finished. - Daemons that call a service for one-call requests of the least class only reported cutoffs among those, which raised the fleet's above all other requests (25 % of the most urgent eight-call requests let in and failed, where the limit is away). A report tells nothing about classes more urgent than its cutoff; it counts once no other has been heard for 1.5 s. Resends, ranks and later returns were ruled out: the same with each of them as before. - Daemons with few attempts reported too small shares, since theirs were taken of six attempts at least. The least number now counts only where nothing else is known.

The chance of one third (MIN_CHANCE) is replaced by what it stands for: a request without retries is let in if as much work is expected to be finished as wasted, by its calls and the refused share.

Tests: a_less_urgent_kind_is_not_served_more_often_than_a_more_urgent_one asserted the users' price that a less urgent kind is served no more often, at the cost of those callers. the_most_urgent_get_the_retries_and_nobody_is_held_back_for_them asks for four shares and two sizes that the most urgent kind finishes as often as alone, that one-call requests are not refused and finish at least as often as their calls are accepted, that under 5 % of the others are let in and fail, and the bound.

--- a/crates/indigospur-admission/src/ingress.rs
+++ b/crates/indigospur-admission/src/ingress.rs
@@ -4,14 +4,14 @@
 //! request is wasted. So a request is refused here, before any work, when a service further down
 //! its chain is full: lowest-priority classes first, and an even share of the requests of a class. The
 //! same holds for a service that has slots and refuses calls all the same: requests that get no
-//! retries there and would probably fail are refused, unless their failure takes nothing from others.
+//! retries there and would probably waste work are refused, unless their failure takes nothing from others.
 
 use crate::controller::Controller;
 use crate::needs::{CallNeeds, retry_order};
 use crate::pressure::Pressures;
 use crate::request::IngressRequest;
 use crate::retry_after::retry_after;
-use crate::shedding::{ShedRefusal, SheddingGate};
+use crate::shedding::{self, ShedRefusal};
 use indigospur_protocol::{Class, Pressure, Rank, RetryOrder, ServiceName, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -29,7 +29,7 @@
 pub struct IngressRefusal {
     /// The overloaded service because of which it was refused.
     pub service: ServiceName,
-    /// Share of the requests of its class that is refused, 0 to 1.
+    /// Share of the requests of its class that is refused for want of room, 0 to 1.
     pub share: f64,
     /// Running and queued calls at the service divided by its concurrency limit; zero without a
     /// fresh report.
@@ -53,7 +53,6 @@
     /// Mean slot time of a request at each service, by rule.
     costs: HashMap<Arc<str>, HashMap<ServiceName, Duration>>,
     needs: CallNeeds,
-    shedding: SheddingGate,
     controllers: HashMap<ServiceName, Controller>,
     /// Accumulated refused shares by class. When the sum reaches one, a request is refused and one
     /// is subtracted, which spreads the refusals evenly.
@@ -67,7 +66,6 @@
         IngressAdmission {
             costs: HashMap::new(),
             needs: CallNeeds::default(),
-            shedding: SheddingGate::default(),
             controllers: HashMap::new(),
             shed_fractions: HashMap::new(),
             jitter_state: seed,
@@ -100,11 +98,6 @@
         self.needs.record(rule, work);
     }
 
-    /// Records whether an admitted request of a rule succeeded.
-    pub fn record_outcome(&mut self, rule: &str, succeeded: bool) {
-        self.shedding.record(rule, succeeded);
-    }
-
     /// Position of a request among those that compete for retries, by the calls that requests of its
     /// rule make to the service that they call most.
     pub fn retry_order(&self, rule: Option<&str>, class: Class, rank: Rank) -> RetryOrder {
@@ -125,10 +118,8 @@
         pressures: &Pressures,
     ) -> Result<(), IngressRefusal> {
         let order = self.retry_order(Some(request.rule), request.class, request.rank);
-        let shed = self
-            .shedding
-            .admit(now, request, order, &self.needs, pressures);
-        if let Err(refusal) = shed {
+        let outlook = shedding::check(now, request, order, &self.needs, pressures);
+        if let Err(refusal) = outlook {
             return Err(self.shed_refusal(now, request, order, refusal, pressures));
         }
         let Some((service, level, share)) = self.bottleneck(now, request, pressures) else {
@@ -180,7 +171,7 @@
         pressures: &Pressures,
     ) -> IngressRefusal {
         IngressRefusal {
-            share: refusal.share,
+            share: 0.0,
             level: pressures.level(now, &refusal.service).unwrap_or_default(),
             age: pressures.age(now, &refusal.service),
             retry_after: self.retry_after(request),
--- a/crates/indigospur-admission/src/pressure.rs
+++ b/crates/indigospur-admission/src/pressure.rs
@@ -25,6 +25,8 @@
 /// Smallest number of attempts behind a report that counts, as a part of the mean of those before: a
 /// daemon that makes few calls measures little, and must not make older, better reports look fresh.
 const MIN_WEIGHT: f64 = 0.125;
+/// Number of attempts from which on a single report counts in full.
+const MIN_ATTEMPTS: f64 = 6.0;
 /// Time over which reports lose their weight beside a new one. A daemon that gets few replies would
 /// otherwise follow a change for seconds.
 const WEIGHT_DECAY: Duration = Duration::from_millis(500);
@@ -61,6 +63,8 @@
     cut: f64,
     /// Mean of their cutoffs, see [`place`].
     cutoff: f64,
+    /// Time of the latest report that counts in the mean.
+    cutoff_at: Instant,
     /// Mean number of recent attempts behind a report.
     attempts: f64,
 }
@@ -87,10 +91,20 @@
             refused,
             cut: if cutoff.is_some() { 1.0 } else { 0.0 },
             cutoff: cutoff.map_or(0.0, place),
+            cutoff_at: at,
             attempts: f64::from(attempts),
         }
     }
 
+    /// The report where no other is known: a single refusal at a service that is seldom called is no large
+    /// share.
+    fn alone(self) -> Refusals {
+        Refusals {
+            refused: self.refused * (self.attempts / MIN_ATTEMPTS).min(1.0),
+            ..self
+        }
+    }
+
     fn update(&mut self, report: Refusals) {
         if report.attempts < MIN_WEIGHT * self.attempts {
             return;
@@ -100,7 +114,8 @@
         self.attempts += REPORT_WEIGHT * (report.attempts - self.attempts);
         let weight = REPORT_WEIGHT * report.attempts / self.attempts;
         self.refused += weight * (report.refused - self.refused);
-        if report.cut > 0.0 {
+        if report.cut > 0.0 && self.covers(report) {
+            self.cutoff_at = self.cutoff_at.max(report.at);
             // The first cutoff after a time without one counts as a whole.
             let cutoff_weight = match report.cutoff < self.cutoff {
                 _ if self.cut <= 0.01 => 1.0,
@@ -112,6 +127,13 @@
         self.cut += weight * (report.cut - self.cut);
     }
 
+    /// Whether a report tells anything about the class of the cutoff. A daemon that calls the service for
+    /// less urgent requests only has its cutoff among those, and no calls of more urgent ones to refuse.
+    fn covers(&self, report: Refusals) -> bool {
+        let is_stale = report.at.saturating_duration_since(self.cutoff_at) >= MAX_AGE;
+        self.cut <= 0.01 || is_stale || report.cutoff.trunc() <= self.cutoff.trunc()
+    }
+
     /// Weight of what was reported, beside a report made at `now`.
     fn weight(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at);
@@ -177,7 +199,8 @@
                     known.update(report);
                 }
                 _ => {
-                    self.refusals.insert(pressure.service.clone(), report);
+                    self.refusals
+                        .insert(pressure.service.clone(), report.alone());
                 }
             }
         }
--- a/crates/indigospur-admission/src/request.rs
+++ b/crates/indigospur-admission/src/request.rs
@@ -19,6 +19,4 @@
     pub remaining: Duration,
     /// Whether the request may run more than once without harm.
     pub idempotent: bool,
-    /// How often the caller has sent the request before.
-    pub attempt: u32,
 }
--- a/crates/indigospur-budget/src/claim.rs
+++ b/crates/indigospur-budget/src/claim.rs
@@ -1,6 +1,6 @@
 //! A call's claim to a retry, and what is known of the service that it calls.
 
-use indigospur_protocol::{Class, RetryOrder};
+use indigospur_protocol::{Class, Rank, RetryOrder};
 
 /// A call that asks for a retry.
 #[derive(Clone, Copy, Debug, Default)]
@@ -13,6 +13,16 @@
     pub fleet: Option<RetryStatus>,
 }
 
+/// Position of a request of this rank once it has made `calls` of the calls that its position counts. The
+/// lower half of a position is the product of the rank and the number of calls.
+pub fn order_after_calls(order: RetryOrder, rank: Rank, calls: u32) -> RetryOrder {
+    const PRODUCT: RetryOrder = u32::MAX as RetryOrder;
+    let product = order & PRODUCT;
+    let made = u64::from(rank) * u64::from(calls);
+    let last = u64::from(rank).clamp(1, product.max(1));
+    (order & !PRODUCT) | product.saturating_sub(made).max(last)
+}
+
 /// What calling daemons report on a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RetryStatus {
--- a/crates/indigospur-budget/src/ledger.rs
+++ b/crates/indigospur-budget/src/ledger.rs
@@ -1,7 +1,8 @@
 //! The calls that a backend server runs, with the retry credit that their child calls draw on.
 
+use crate::claim::order_after_calls;
 use crate::credit::Credit;
-use indigospur_protocol::{Context, Work};
+use indigospur_protocol::{Context, RetryOrder, Work};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -87,6 +88,16 @@
         Some(context)
     }
 
+    /// Position of a child call among those that compete for retries: that of a request which makes only
+    /// the calls that are left, since it finishes with fewer retries, and its failure wastes more.
+    pub fn retry_order(&self, token: &str, context: &Context) -> RetryOrder {
+        let entry = self.entries.get(token);
+        let calls = entry.map_or(0, |entry| {
+            entry.work.iter().map(|work| work.calls).max().unwrap_or(0)
+        });
+        order_after_calls(context.retry_order, context.rank, calls)
+    }
+
     /// Lends a child call its share of the credit and returns the number of retries; zero if the
     /// parent call does not run here. To be called once the child call is sure to be sent, and
     /// undone by [`Ledger::reclaim`].
--- a/crates/indigospur-budget/src/lib.rs
+++ b/crates/indigospur-budget/src/lib.rs
@@ -12,7 +12,7 @@
 mod transmissions;
 mod window;
 
-pub use claim::{RetryClaim, RetryStatus};
+pub use claim::{RetryClaim, RetryStatus, order_after_calls};
 pub use credit::Credit;
 pub use decision::{
     FailedAttempt, RetryOptions, decide_retry, is_passed_over, is_upstream_unavailable,
--- a/crates/indigospur-budget/src/order_cutoff.rs
+++ b/crates/indigospur-budget/src/order_cutoff.rs
@@ -7,9 +7,6 @@
 
 /// Time over which attempts and refusals lose their weight in the refused share.
 const SHARE_DECAY: Duration = Duration::from_millis(250);
-/// Number of recent attempts that the refused share is taken of where fewer were made, so that a single
-/// refusal at a service that is seldom called is no large share.
-const MIN_ATTEMPTS: f64 = 6.0;
 /// Largest share of refused attempts that is reckoned with. Above it a call would need more attempts
 /// than its deadline allows.
 const MAX_SHARE: f64 = 0.9;
@@ -83,7 +80,7 @@
         let decay = self.decay(now);
         let is_fresh = |at| now.saturating_duration_since(at) < MAX_AGE;
         RetryStatus {
-            refused: self.refused * decay / (self.attempts * decay).max(MIN_ATTEMPTS),
+            refused: self.refused / self.attempts.max(1.0),
             cutoff: self.cutoff.filter(|_| self.computed.is_some_and(is_fresh)),
             attempts: self.attempts * decay,
         }
--- a/crates/indigospur-daemon/src/caller.rs
+++ b/crates/indigospur-daemon/src/caller.rs
@@ -2,10 +2,10 @@
 
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
-use crate::preparation::{Prepared, prepare};
+use crate::preparation::{Prepared, RequestNotes, prepare};
 use crate::timing::Timing;
 use crate::{keyed, outbound};
-use indigospur_protocol::{Answer, Outcome, Ran, Refusal, RelayMessage, Reply, RequestId};
+use indigospur_protocol::{Answer, Outcome, Ran, Refusal, RelayMessage, Reply};
 use indigospur_relay::{ReceivedRequest, runtime};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,16 +16,8 @@
 /// Handles a caller's request and returns the answer or the refusal to send back.
 pub(crate) async fn answer(daemon: Arc<Daemon>, mut received: ReceivedRequest) -> Answer {
     let started = Instant::now();
-    let mut request_id: RequestId = "".into();
-    let mut charged = None;
-    let mut deadline = None;
-    let outcome = match prepare(
-        &daemon,
-        &mut received,
-        &mut request_id,
-        &mut charged,
-        &mut deadline,
-    ) {
+    let mut notes = RequestNotes::default();
+    let outcome = match prepare(&daemon, &mut received, &mut notes) {
         Ok(prepared) => execute(&daemon, prepared).await,
         Err(refusal) => Outcome::Refused(refusal),
     };
@@ -35,14 +27,16 @@
             answer
         }
         Outcome::Refused(refusal) => {
-            if let Some(workspace) = charged.filter(|_| refusal.ran == Ran::No) {
-                lock(&daemon.quotas.gate).refund(Instant::now(), &workspace.name);
+            let now = Instant::now();
+            if let Some(workspace) = notes.charged.filter(|_| refusal.ran == Ran::No) {
+                lock(&daemon.quotas.gate).refund(now, &workspace.name);
             }
-            let remaining =
-                deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
+            let remaining = notes
+                .deadline
+                .map(|deadline| deadline.saturating_duration_since(now));
             let refusal = daemon.with_retry_advice(refusal, remaining);
             daemon.metrics.count_refusal(refusal.kind);
-            log_refusal(&daemon, &refusal, &request_id, &received, started);
+            log_refusal(&daemon, &refusal, &notes.request_id, &received, started);
             daemon.dialect.write_refusal(&refusal)
         }
     }
@@ -78,6 +72,7 @@
         parent,
         rule,
         max_runs,
+        retry_order,
         timed_as,
     } = prepared;
     let timing = Timing::start(&daemon.response_times, &timed_as);
@@ -90,6 +85,7 @@
             let limits = outbound::SendLimits {
                 excluded: Vec::new(),
                 max_runs,
+                retry_order,
                 timed_as: timed_as.clone(),
             };
             outbound::send(daemon, message, limits).await
@@ -143,15 +139,12 @@
 /// Updates the mean slot time that a request of the rule takes at each service, from a request that
 /// was answered, and its mean numbers of calls, from one that succeeded.
 fn learn_work(daemon: &Daemon, rule: Option<&Arc<str>>, reply: &Reply) {
-    let Some(rule) = rule else { return };
+    let (Some(rule), Outcome::Answered(answer)) = (rule, &reply.outcome) else {
+        return;
+    };
     let mut ingress = lock(&daemon.ingress);
-    let mut succeeded = false;
-    if let Outcome::Answered(answer) = &reply.outcome {
-        ingress.record_work(rule, &reply.work);
-        if answer.status < 400 {
-            ingress.record_calls(rule, &reply.work);
-        }
-        succeeded = answer.status < 500;
+    ingress.record_work(rule, &reply.work);
+    if answer.status < 400 {
+        ingress.record_calls(rule, &reply.work);
     }
-    ingress.record_outcome(rule, succeeded);
 }
--- a/crates/indigospur-daemon/src/ingress.rs
+++ b/crates/indigospur-daemon/src/ingress.rs
@@ -11,17 +11,14 @@
 /// The refusal of a request that has not run and makes no calls.
 pub(crate) fn admit(
     daemon: &Daemon,
+    now: Instant,
     request: &RequestId,
     ingress_request: IngressRequest<'_>,
 ) -> Result<(), Refusal> {
     let pressures = lock(&daemon.pressures);
-    let admitted = lock(&daemon.ingress).admit(Instant::now(), ingress_request, &pressures);
+    let admitted = lock(&daemon.ingress).admit(now, ingress_request, &pressures);
     drop(pressures);
     admitted.map_err(|refusal| {
-        if daemon.settings().retry_window.is_some() {
-            // Its calls are no repeats when it comes back.
-            lock(&daemon.request_counts).undo(request);
-        }
         log::info!(
             request = &**request,
             rule = &**ingress_request.rule,
--- a/crates/indigospur-daemon/src/keyed.rs
+++ b/crates/indigospur-daemon/src/keyed.rs
@@ -193,6 +193,7 @@
     let limits = outbound::SendLimits {
         excluded: non_executors(daemon, &message.call.service, &key),
         max_runs: u32::MAX,
+        retry_order: message.context.retry_order,
         timed_as: message.call.service.clone(),
     };
     let reply = outbound::send(daemon, message, limits).await;
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -11,8 +11,8 @@
     is_upstream_unavailable,
 };
 use indigospur_protocol::{
-    Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, RetryReason,
-    ServiceName, Work,
+    Crash, HostId, Kind, Member, Outcome, Ran, Refusal, RelayMessage, Reply, RetryOrder,
+    RetryReason, ServiceName, Work,
 };
 use indigospur_relay::runtime;
 use indigospur_routing::{AttemptResult, Criteria, Placement};
@@ -57,6 +57,8 @@
     pub(crate) excluded: Vec<HostId>,
     /// Number of upstreams on which the call may run, whether or not it is known to have run there.
     pub(crate) max_runs: u32,
+    /// Position of the call among those that compete for retries.
+    pub(crate) retry_order: RetryOrder,
     /// Name of the response times that tell whether a retry ends before a stopping daemon does.
     pub(crate) timed_as: Arc<str>,
 }
@@ -109,7 +111,14 @@
             retried: reply.retried,
         };
         if !retry_ends_in_time(daemon, &message, &progress, &limits.timed_as)
-            || !decide_and_log_retry(daemon, &message, &mut progress, &placement, failed_attempt)
+            || !decide_and_log_retry(
+                daemon,
+                &message,
+                &mut progress,
+                limits.retry_order,
+                &placement,
+                failed_attempt,
+            )
         {
             return progress.into_reply(Outcome::Refused(refusal));
         }
@@ -349,6 +358,7 @@
     daemon: &Daemon,
     message: &RelayMessage,
     progress: &mut CallProgress,
+    retry_order: RetryOrder,
     placement: &Placement,
     failed_attempt: FailedAttempt<'_>,
 ) -> bool {
@@ -366,7 +376,7 @@
         free_sheds: progress.free_sheds,
         claim: RetryClaim {
             class: message.context.class,
-            order: message.context.retry_order,
+            order: retry_order,
             fleet: fleet_status(daemon, now, service),
         },
     };
@@ -385,7 +395,7 @@
         upstream = &*placement.member.host,
         placement:% = PlacementSummary(placement),
         class = message.context.class,
-        order = message.context.retry_order,
+        order = retry_order,
         cutoff:? = options.claim.fleet.and_then(|fleet| fleet.cutoff),
         kind = refusal.kind.name(),
         ran = refusal.ran.as_str(),
--- a/crates/indigospur-daemon/src/preparation.rs
+++ b/crates/indigospur-daemon/src/preparation.rs
@@ -10,8 +10,8 @@
 use indigospur_budget::Token;
 use indigospur_once::parse_key;
 use indigospur_protocol::{
-    Call, Context, Customer, Key, Kind, Ran, Refusal, RelayMessage, RequestId, ServiceName,
-    fingerprint, is_idempotent_method,
+    Call, Context, Customer, Key, Kind, Ran, Refusal, RelayMessage, RequestId, RetryOrder,
+    ServiceName, fingerprint, is_idempotent_method,
 };
 use indigospur_relay::ReceivedRequest;
 use indigospur_rules::{CallAttributes, RuleSet, Treatment, Workspace};
@@ -33,10 +33,25 @@
     pub(crate) rule: Option<Arc<str>>,
     /// Number of upstreams on which the call may run, whether or not it is known to have run there.
     pub(crate) max_runs: u32,
+    /// Position of the call among those that compete for retries.
+    pub(crate) retry_order: RetryOrder,
     /// Name under which the response time is recorded.
     pub(crate) timed_as: Arc<str>,
 }
 
+/// What is known of a request, also if it is refused.
+#[derive(Debug, Default)]
+pub(crate) struct RequestNotes {
+    /// Identifier of the request; empty before it is known.
+    pub(crate) request_id: RequestId,
+    /// Workspace from whose quota the request was taken.
+    pub(crate) charged: Option<Arc<Workspace>>,
+    /// When the caller stops waiting; `None` before the request is read.
+    pub(crate) deadline: Option<Instant>,
+    /// Whether the request is counted among those that its caller has sent.
+    counted: bool,
+}
+
 /// Identity of a request: its identifier, customer and parent call.
 struct RequestOrigin {
     request_id: RequestId,
@@ -51,20 +66,29 @@
     in_chain: bool,
 }
 
-/// Turns a request into a call. Sets `request_id` as soon as it is known, and `charged` to the workspace
-/// from whose quota the request was taken and `deadline` to the time at which the caller stops waiting,
-/// also for a request that is refused.
+/// Turns a request into a call, and fills in `notes`. A request that is refused here has caused no
+/// attempt, so it does not count as sent when its caller sends it again.
 pub(crate) fn prepare(
     daemon: &Daemon,
     received: &mut ReceivedRequest,
-    request_id: &mut RequestId,
-    charged: &mut Option<Arc<Workspace>>,
-    deadline: &mut Option<Instant>,
+    notes: &mut RequestNotes,
+) -> Result<Prepared, Refusal> {
+    let prepared = try_prepare(daemon, received, notes);
+    if prepared.is_err() && notes.counted {
+        lock(&daemon.request_counts).undo(&notes.request_id);
+    }
+    prepared
+}
+
+fn try_prepare(
+    daemon: &Daemon,
+    received: &mut ReceivedRequest,
+    notes: &mut RequestNotes,
 ) -> Result<Prepared, Refusal> {
     let head = daemon.dialect.read_call(received)?;
-    *deadline = head.deadline.map(|deadline| received.started + deadline);
+    notes.deadline = head.deadline.map(|deadline| received.started + deadline);
     if let Some(request) = &head.request_id {
-        *request_id = request.clone();
+        notes.request_id = request.clone();
     }
     let parent = find_parent(daemon, &head.parent)?;
     if parent.is_none() && !daemon.accepts_callers() {
@@ -82,7 +106,8 @@
     let is_nested = parent.is_some() || may_be_nested && !has_key;
     let caller = CallerIdentity::new(&rules.workspaces, head.credential, is_nested);
     let origin = identify(daemon, &head, parent, &caller)?;
-    *request_id = origin.request_id.clone();
+    notes.request_id = origin.request_id.clone();
+    notes.counted = origin.parent_context.is_none();
     let (rule, treatment) = decide(daemon, &rules, received, &head, &origin)?;
     authorize(
         daemon,
@@ -95,8 +120,8 @@
         let name = caller.workspace().map(|workspace| &*workspace.name);
         daemon.dialect.set_workspace(&mut received.headers, name);
     }
-    let caller_end = received.started + head.deadline.unwrap_or(treatment.deadline);
-    *deadline = Some(caller_end);
+    let deadline = received.started + head.deadline.unwrap_or(treatment.deadline);
+    notes.deadline = Some(deadline);
     let remaining = remaining_time(&head, &treatment, received.started.elapsed())?;
     let timed_as = rule.clone().unwrap_or_else(|| head.service.clone());
     let kind = CallKind {
@@ -108,12 +133,12 @@
     }
     if let Some(workspace) = caller.workspace() {
         quotas::admit(daemon, &origin.request_id, workspace)?;
-        *charged = Some(workspace.clone());
+        notes.charged = Some(workspace.clone());
     }
     if let (false, Some(rule)) = (origin.in_chain, &rule) {
-        let caller_remaining = caller_end.saturating_duration_since(Instant::now());
-        let request = ingress_request(rule, &origin, &treatment, caller_remaining);
-        ingress::admit(daemon, &origin.request_id, request)?;
+        let now = Instant::now();
+        let request = ingress_request(rule, &origin, &treatment, deadline - now);
+        ingress::admit(daemon, now, &origin.request_id, request)?;
     }
     let service = choose_service(daemon, rule.as_ref(), &treatment, &head)?;
     log_decision(&rules, rule.as_deref(), &service, &received.path);
@@ -131,11 +156,16 @@
         let admission = lock(&daemon.ingress);
         context.retry_order = admission.retry_order(rule.as_deref(), context.class, context.rank);
     }
+    let retry_order = match &origin.parent {
+        Some(token) => lock(&daemon.ledger).retry_order(token, &context),
+        None => context.retry_order,
+    };
     Ok(Prepared {
         message: RelayMessage { call, context },
         parent: origin.parent,
         rule,
         max_runs: treatment.attempts,
+        retry_order,
         timed_as,
     })
 }
@@ -324,7 +354,6 @@
         rank: treatment.rank(&origin.customer, &origin.request_id),
         remaining,
         idempotent: treatment.idempotent,
-        attempt: origin.attempt,
     }
 }
 
