Send a call whose connection broke again to the only upstream

What callers saw: a safe request with credit and time left was answered 502 link-lost where the service had one upstream, although that served all others.

The decision said "again", and spent the credit, but an upstream that failed a call was never chosen for it again, unless it had refused it. Where no other is left, it is chosen now; the credit, the window and the rule's `attempts` bound that as before, and a call that must not run twice is not sent again.

--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -34,9 +34,8 @@
     credit: Credit,
     /// Hosts that were tried or are excluded from the start.
     excluded: Vec<HostId>,
-    /// Those of `excluded` whose backend servers refused the call, and may accept it later; only where
-    /// retries are bounded by a window.
-    shedding: Vec<HostId>,
+    /// Those of `excluded` that may take the call when it is sent once more.
+    repeatable: Vec<HostId>,
     /// Number of upstreams on which the call may still run.
     runs_left: u32,
     /// Whether any attempt so far has run the call.
@@ -73,7 +72,7 @@
     let mut progress = CallProgress {
         credit: Credit::new(message.context.retries),
         excluded: limits.excluded,
-        shedding: Vec::new(),
+        repeatable: Vec::new(),
         runs_left: limits.max_runs,
         ran: Ran::No,
         retried: false,
@@ -122,14 +121,20 @@
         {
             return progress.into_reply(Outcome::Refused(refusal));
         }
-        if has_window && is_shed(&refusal) {
-            progress.shedding.push(placement.member.host.clone());
+        if may_take_again(&refusal, has_window) {
+            progress.repeatable.push(placement.member.host.clone());
         }
         progress.excluded.push(placement.member.host);
         last_refusal = Some(refusal);
     }
 }
 
+/// Whether an upstream that failed a call may take it when it is sent once more: its backend server refuses a
+/// share of its calls, or closed a kept connection while the call was on its way.
+fn may_take_again(refusal: &Refusal, has_window: bool) -> bool {
+    refusal.kind == Kind::LinkLost || has_window && is_shed(refusal)
+}
+
 /// Whether a retry is expected to end before this daemon does.
 fn retry_ends_in_time(
     daemon: &Daemon,
@@ -157,19 +162,18 @@
     }
 }
 
-/// Chooses an upstream that was not tried, or else one whose backend server refused the call: one
-/// that refuses a share of its calls at random may accept it now.
+/// Chooses an upstream that was not tried, or else one of those that may take the call now.
 fn choose_again(
     daemon: &Daemon,
     message: &RelayMessage,
     progress: &mut CallProgress,
 ) -> Option<Placement> {
     let chosen = choose_upstream(daemon, message, progress);
-    if chosen.is_some() || progress.shedding.is_empty() {
+    if chosen.is_some() || progress.repeatable.is_empty() {
         return chosen;
     }
-    let shedding = std::mem::take(&mut progress.shedding);
-    progress.excluded.retain(|host| !shedding.contains(host));
+    let repeatable = std::mem::take(&mut progress.repeatable);
+    progress.excluded.retain(|host| !repeatable.contains(host));
     choose_upstream(daemon, message, progress)
 }
 
