Send calls that must not run twice on the connection that was idle longest

What callers saw: the same loss for requests that must not run twice, which no retry mends: answered 502, never arrived.

Cause: the pool takes the connection that was used last, on which a close by the backend server has had least time to arrive. Such calls take the one that has been idle longest; others stay with the latest, so that connections which are not needed are still closed. The race is smaller, not gone: a single connection that is reset within the time of a message can't be told from a good one.

The order is tested in resends.rs.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -14,7 +14,7 @@
 use indigospur_budget::{ClosedCall, add_work};
 use indigospur_once::RecordOutcome;
 use indigospur_protocol::{Context, Kind, Outcome, Ran, Refusal, RelayMessage, Reply, Work};
-use indigospur_relay::{BackendError, BackendResponse, HttpRequest, ResponseCheck, runtime};
+use indigospur_relay::{BackendError, BackendResponse, HttpRequest, ResponseCheck, Reuse, runtime};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -259,8 +259,12 @@
         owner: &|answer| daemon.dialect.owner(answer, token),
         close_delimited: daemon.dialect.close_delimited(),
     };
+    let reuse = match message.context.idempotent {
+        true => Reuse::Latest,
+        false => Reuse::LongestIdle,
+    };
     let answered = async {
-        match backend.pool.call(&request, check).await {
+        match backend.pool.call(&request, check, reuse).await {
             Ok(response) => CallEnd::Answered(response),
             Err(error) => CallEnd::Failed(error),
         }
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -81,6 +81,16 @@
     pub close_delimited: bool,
 }
 
+/// Which idle connection a call uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// The one that was used last, so that connections that are not needed become idle and close.
+    Latest,
+    /// The one that has been idle longest. If the backend server is closing it, that has most probably
+    /// arrived. For calls that can't be sent again when they are lost with their connection.
+    LongestIdle,
+}
+
 /// How a response arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Exchange {
@@ -126,6 +136,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Idle connections, the one that was used last at the end.
     idle: Vec<IdleConnection>,
     /// Open connections: idle, in use or being opened.
     open: u32,
@@ -188,7 +199,7 @@
     /// before the whole request is sent. A call that is sent again after a response with status 400 or
     /// higher gets another connection than before. A response that names no call is the last one on its
     /// connection. Dropping the future closes it too, which tells the backend
-    /// server that the call is cancelled.
+    /// server that the call is cancelled. `reuse` says which idle connection is used.
     ///
     /// # Errors
     /// Nothing was sent, the connection failed, or there is no valid response to this call.
@@ -196,10 +207,11 @@
         &self,
         request: &HttpRequest<'_>,
         check: ResponseCheck<'_>,
+        reuse: Reuse,
     ) -> Result<BackendResponse, BackendError> {
         let bytes = encode(request).ok_or(BackendError::InvalidRequest)?;
         let call_hash = self.hasher.hash_one(check.call_id);
-        let mut pooled = self.acquire(call_hash).await?;
+        let mut pooled = self.acquire(call_hash, reuse).await?;
         if self.has_stopped_sending(Instant::now()) {
             return Err(BackendError::NoConnection);
         }
@@ -256,8 +268,12 @@
         })
     }
 
-    async fn acquire(&self, call: CallHash) -> Result<PooledConnection<'_>, BackendError> {
-        if let Some(kept) = self.take_idle(call) {
+    async fn acquire(
+        &self,
+        call: CallHash,
+        reuse: Reuse,
+    ) -> Result<PooledConnection<'_>, BackendError> {
+        if let Some(kept) = self.take_idle(call, reuse) {
             return Ok(PooledConnection {
                 pool: self,
                 kept: Some(kept),
@@ -280,20 +296,25 @@
         })
     }
 
-    /// Returns the last idle connection on which `call` has not failed; closes those that can't be used
-    /// any more.
-    fn take_idle(&self, call: CallHash) -> Option<KeptConnection> {
+    /// Takes an idle connection on which `call` has not failed; closes those on the way to it that can't be
+    /// used any more.
+    fn take_idle(&self, call: CallHash, reuse: Reuse) -> Option<KeptConnection> {
         let now = Instant::now();
         let mut state = self.lock();
-        let mut index = state.idle.len();
-        while let Some(before) = index.checked_sub(1) {
-            index = before;
+        let mut passed = 0;
+        while passed < state.idle.len() {
+            let index = match reuse {
+                Reuse::Latest => state.idle.len() - 1 - passed,
+                Reuse::LongestIdle => passed,
+            };
             let idle = &mut state.idle[index];
             if idle.expires_at <= now || !idle.kept.connection.is_idle() {
                 state.idle.remove(index);
                 state.open -= 1;
             } else if !idle.kept.failed.contains(&call) {
                 return Some(state.idle.remove(index).kept);
+            } else {
+                passed += 1;
             }
         }
         None
--- a/crates/indigospur-relay/src/lib.rs
+++ b/crates/indigospur-relay/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use address::SharedAddress;
 pub use backend::{
-    BackendError, BackendPool, BackendResponse, Exchange, ResponseCheck, ResponseOwner,
+    BackendError, BackendPool, BackendResponse, Exchange, ResponseCheck, ResponseOwner, Reuse,
 };
 pub use http::{HttpError, HttpRequest, get, post, request};
 pub use link::{Channel, Link, LinkError};
--- a/crates/indigospur-relay/tests/backend.rs
+++ b/crates/indigospur-relay/tests/backend.rs
@@ -2,7 +2,7 @@
 
 use indigospur_protocol::Answer;
 use indigospur_relay::{
-    BackendError, BackendPool, HttpRequest, ResponseCheck, ResponseOwner, runtime,
+    BackendError, BackendPool, HttpRequest, ResponseCheck, ResponseOwner, Reuse, runtime,
 };
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -63,7 +63,7 @@
             owner: &|_| ResponseOwner::Current,
             close_delimited: false,
         };
-        let outcome = runtime::timeout(TIMEOUT, self.pool.call(&request, check));
+        let outcome = runtime::timeout(TIMEOUT, self.pool.call(&request, check, Reuse::Latest));
         let outcome = runtime::block_on(outcome).expect("the call ends within the time limit");
         outcome.map(|response| response.answer)
     }
--- a/crates/indigospur-relay/tests/endless.rs
+++ b/crates/indigospur-relay/tests/endless.rs
@@ -3,7 +3,8 @@
 
 use indigospur_protocol::Answer;
 use indigospur_relay::{
-    BackendError, BackendPool, BodyMemory, HttpRequest, ResponseCheck, ResponseOwner, get, runtime,
+    BackendError, BackendPool, BodyMemory, HttpRequest, ResponseCheck, ResponseOwner, Reuse, get,
+    runtime,
 };
 use indigospur_test_support::{Script, ScriptedBackend};
 use std::sync::mpsc::{Receiver, channel};
@@ -107,7 +108,7 @@
             },
             close_delimited: true,
         };
-        let outcome = pool.call(&request, check).await;
+        let outcome = pool.call(&request, check, Reuse::Latest).await;
         let _ = sender.send(outcome.map(|response| response.answer));
     });
     outcome
--- a/crates/indigospur-relay/tests/http_server.rs
+++ b/crates/indigospur-relay/tests/http_server.rs
@@ -4,7 +4,7 @@
 use indigospur_protocol::{Answer, Refusal};
 use indigospur_relay::{
     BackendPool, BodyMemory, Bounds, Handler, HttpRequest, HttpService, ReceivedRequest,
-    RefusalEncoder, ResponseCheck, ResponseOwner, runtime, serve_http,
+    RefusalEncoder, ResponseCheck, ResponseOwner, Reuse, runtime, serve_http,
 };
 use indigospur_test_support::{Script, ScriptedBackend};
 use socket2::{Domain, Socket, Type};
@@ -314,7 +314,7 @@
         owner: &|_| ResponseOwner::Current,
         close_delimited: false,
     };
-    let response = runtime::block_on(pool.call(&request, check));
+    let response = runtime::block_on(pool.call(&request, check, Reuse::Latest));
     response.ok().map(|response| response.answer.body.len())
 }
 
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -2,7 +2,8 @@
 
 use indigospur_protocol::Answer;
 use indigospur_relay::{
-    BackendError, BackendPool, BackendResponse, HttpRequest, ResponseCheck, ResponseOwner, runtime,
+    BackendError, BackendPool, BackendResponse, HttpRequest, ResponseCheck, ResponseOwner, Reuse,
+    runtime,
 };
 use indigospur_test_support::{Script, ScriptedBackend};
 use std::sync::Arc;
@@ -24,6 +25,16 @@
     method: &str,
     call_id: &str,
     owner: &(dyn Fn(&Answer) -> ResponseOwner + Send + Sync),
+) -> Result<BackendResponse, BackendError> {
+    call_reusing(pool, method, call_id, owner, Reuse::Latest)
+}
+
+fn call_reusing(
+    pool: &BackendPool,
+    method: &str,
+    call_id: &str,
+    owner: &(dyn Fn(&Answer) -> ResponseOwner + Send + Sync),
+    reuse: Reuse,
 ) -> Result<BackendResponse, BackendError> {
     let request = HttpRequest {
         method,
@@ -37,7 +48,7 @@
         owner,
         close_delimited: false,
     };
-    runtime::block_on(pool.call(&request, check))
+    runtime::block_on(pool.call(&request, check, reuse))
 }
 
 /// Sends a call; returns the number of its connection.
@@ -63,6 +74,27 @@
     assert_eq!(call(&pool, "second"), 4);
 }
 
+/// A connection that has just been used may be closed behind its last response.
+#[test]
+fn a_call_that_must_not_run_twice_uses_the_connection_that_was_idle_longest() {
+    let (_server, pool) = start(REFUSAL, 8);
+    let call_longest_idle = |call_id: &str| {
+        let owner = &|_: &Answer| ResponseOwner::Current;
+        let response = call_reusing(&pool, "POST", call_id, owner, Reuse::LongestIdle);
+        response.expect("there is a response").exchange.connection
+    };
+    for connection in 1..=3 {
+        assert_eq!(call(&pool, "refused"), connection);
+    }
+    let order: Vec<u64> = (0..5)
+        .map(|number| call_longest_idle(&number.to_string()))
+        .collect();
+    assert_eq!(order, [1, 2, 3, 1, 2]);
+    assert_eq!(call(&pool, "other"), 2, "the last connection used is taken");
+    // It is passed over where it would take the same call again.
+    assert_eq!(call_longest_idle("2"), 1);
+}
+
 #[test]
 fn a_call_that_succeeded_may_use_its_connection_again() {
     let (server, pool) = start(SUCCESS, 8);
--- a/crates/indigospur-relay/tests/silent_connections.rs
+++ b/crates/indigospur-relay/tests/silent_connections.rs
@@ -2,7 +2,8 @@
 //! even acknowledgements, while new connections work.
 
 use indigospur_relay::{
-    BackendError, BackendPool, HttpError, HttpRequest, ResponseCheck, ResponseOwner, get, runtime,
+    BackendError, BackendPool, HttpError, HttpRequest, ResponseCheck, ResponseOwner, Reuse, get,
+    runtime,
 };
 use indigospur_test_support::{FaultProxy, silence};
 use std::io::{Read, Write};
@@ -54,7 +55,7 @@
         owner: &|_| ResponseOwner::Current,
         close_delimited: false,
     };
-    let outcome = runtime::timeout(TIMEOUT, pool.call(&request, check));
+    let outcome = runtime::timeout(TIMEOUT, pool.call(&request, check, Reuse::Latest));
     let outcome = runtime::block_on(outcome).expect("the call ends within the time limit");
     outcome.map(|response| response.answer.status)
 }
