Report the share that a service refuses by attempts of the last moments only

Since a report tells the plain share of the attempts it stands for, and its weight was their number rounded up: after a call that neither was accepted nor refused, as one whose connection broke, a refusal of long ago was told again as a whole share with a weight of one. Rounded to the nearest, such a report has no weight and is left out.

Found by reading.

--- a/crates/indigospur-admission/tests/shedding/model.rs
+++ b/crates/indigospur-admission/tests/shedding/model.rs
@@ -338,7 +338,7 @@
             age: Duration::ZERO,
             refused: status.map(|status| (status.refused * 1_000.0).round() as u32),
             cutoff: status.and_then(|status| status.cutoff),
-            attempts: status.map_or(0, |status| status.attempts.ceil() as u32),
+            attempts: status.map_or(0, |status| status.attempts.round() as u32),
             shedding: None,
         };
         self.daemons[daemon].pressures.merge(now, &[report]);
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -313,7 +313,7 @@
     if let (Some(pressure), Some(status)) = (&mut own_pressure, status) {
         pressure.refused = Some((status.refused * 1_000.0).round() as u32);
         pressure.cutoff = status.cutoff;
-        pressure.attempts = status.attempts.ceil() as u32;
+        pressure.attempts = status.attempts.round() as u32;
     }
     let mut reported = reply.pressures.clone();
     if status.is_none() {
