Ask no caller to come back at once

A caller with less time than its request is expected to take was told to come back after no time at all. Such a request can't finish whenever it comes back, so that the usual time is named.

--- a/crates/indigospur-admission/src/retry_after.rs
+++ b/crates/indigospur-admission/src/retry_after.rs
@@ -13,8 +13,11 @@
 /// leaves its request enough time to finish. `jitter`, 0 to 1, spreads callers over the second half of
 /// that time, so that they do not all come back at once.
 pub fn retry_after(remaining: Duration, work: Duration, jitter: f64) -> Duration {
-    let longest = remaining
-        .mul_f64(LONGEST_SHARE)
-        .min(remaining.saturating_sub(work));
+    let longest = match remaining.saturating_sub(work) {
+        // The request can't finish any more, whenever the caller comes back.
+        Duration::ZERO => remaining,
+        latest => latest,
+    };
+    let longest = longest.min(remaining.mul_f64(LONGEST_SHARE));
     longest.mul_f64((1.0 + jitter.clamp(0.0, 1.0)) / 2.0)
 }
