--- a/tests/workspaces.rs
+++ b/tests/workspaces.rs
@@ -166,3 +166,22 @@
     drop(site);
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// A request that was refused on arrival has caused no attempt, so that it counts as sent for the first time
+/// when it comes back.
+#[test]
+fn a_request_that_was_refused_on_arrival_does_not_count_as_sent() {
+    let again = "[[rule]]\nname = \"again\"\nwhen.service = \"quoting\"\nwhen.attempt-at-least = 1\n\
+                 then.service = \"accounts\"\n";
+    let rules = rules(&["norte-key"]).replacen("[[rule]]", &format!("{again}[[rule]]"), 1);
+    let site = start_site(rules);
+    let node = &site.nodes[0];
+    let request = "indigospur-request-id: order-1\r\n";
+    let refused = send(node, "quoting", "/quote", request);
+    assert!(refused.starts_with("HTTP/1.1 401 "), "{refused}");
+    let with_key = format!("{request}{NORTE}");
+    let first = send(node, "quoting", "/quote", &with_key);
+    assert!(first.contains("quoting/quote("), "{first}");
+    let second = send(node, "quoting", "/quote", &with_key);
+    assert!(second.contains("accounts/quote("), "{second}");
+}
