Send calls that must not run twice only on connections that are said to be kept

How long a backend server keeps a connection is known only where it says so; elsewhere it may close it at any moment, and a call that must not run twice is then lost with an outcome that nobody knows. Such calls take a kept connection only where its idle time is stated, and open a new one otherwise. Backend servers that state it see no more connections than before.

--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -261,7 +261,7 @@
     };
     let reuse = match message.context.idempotent {
         true => Reuse::Latest,
-        false => Reuse::LongestIdle,
+        false => Reuse::Stated,
     };
     let answered = async {
         match backend.pool.call(&request, check, reuse).await {
--- a/crates/indigospur-relay/src/backend.rs
+++ b/crates/indigospur-relay/src/backend.rs
@@ -86,9 +86,10 @@
 pub enum Reuse {
     /// The one that was used last, so that connections that are not needed become idle and close.
     Latest,
-    /// The one that has been idle longest. If the backend server is closing it, that has most probably
-    /// arrived. For calls that can't be sent again when they are lost with their connection.
-    LongestIdle,
+    /// The one that has been idle longest, of those that the backend server has said to keep. Others may be
+    /// closed at any moment, with a request on its way. For calls that can't be sent again when they are
+    /// lost with their connection.
+    Stated,
 }
 
 /// How a response arrived.
@@ -132,6 +133,15 @@
     kept: KeptConnection,
     /// When it is no longer used.
     expires_at: Instant,
+    /// Whether the backend server has said how long it keeps the connection.
+    is_stated: bool,
+}
+
+impl IdleConnection {
+    fn may_take(&self, call: CallHash, reuse: Reuse) -> bool {
+        let is_kept = reuse == Reuse::Latest || self.is_stated;
+        is_kept && !self.kept.failed.contains(&call)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -305,13 +315,13 @@
         while passed < state.idle.len() {
             let index = match reuse {
                 Reuse::Latest => state.idle.len() - 1 - passed,
-                Reuse::LongestIdle => passed,
+                Reuse::Stated => passed,
             };
             let idle = &mut state.idle[index];
             if idle.expires_at <= now || !idle.kept.connection.is_idle() {
                 state.idle.remove(index);
                 state.open -= 1;
-            } else if !idle.kept.failed.contains(&call) {
+            } else if idle.may_take(call, reuse) {
                 return Some(state.idle.remove(index).kept);
             } else {
                 passed += 1;
@@ -412,10 +422,11 @@
             stated.min(MAX_IDLE_TIME).saturating_sub(IDLE_MARGIN)
         });
         let expires_at = Instant::now() + idle;
-        self.pool
-            .lock()
-            .idle
-            .push(IdleConnection { kept, expires_at });
+        self.pool.lock().idle.push(IdleConnection {
+            kept,
+            expires_at,
+            is_stated: stated.is_some(),
+        });
     }
 }
 
--- a/crates/indigospur-relay/tests/resends.rs
+++ b/crates/indigospur-relay/tests/resends.rs
@@ -80,7 +80,7 @@
     let (_server, pool) = start(REFUSAL, 8);
     let call_longest_idle = |call_id: &str| {
         let owner = &|_: &Answer| ResponseOwner::Current;
-        let response = call_reusing(&pool, "POST", call_id, owner, Reuse::LongestIdle);
+        let response = call_reusing(&pool, "POST", call_id, owner, Reuse::Stated);
         response.expect("there is a response").exchange.connection
     };
     for connection in 1..=3 {
@@ -95,6 +95,19 @@
     assert_eq!(call_longest_idle("2"), 1);
 }
 
+/// A backend server that does not say how long it keeps a connection may close it at any moment.
+#[test]
+fn a_call_that_must_not_run_twice_uses_no_connection_of_unknown_idle_time() {
+    let (_server, pool) = start(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone", 8);
+    let owner = &|_: &Answer| ResponseOwner::Current;
+    for connection in [1, 2, 3] {
+        let response = call_reusing(&pool, "POST", "order", owner, Reuse::Stated);
+        let response = response.expect("there is a response");
+        assert_eq!(response.exchange.connection, connection);
+    }
+    assert_eq!(call(&pool, "lookup"), 3);
+}
+
 #[test]
 fn a_call_that_succeeded_may_use_its_connection_again() {
     let (server, pool) = start(SUCCESS, 8);
