Wait until a backend server that is gone has ended before it is started again

Cause: the test's loop. The stand-in closes its connections and its port as it exits, so the daemon answers backend-gone before the process can be reaped. has_ended was asked once; if it said no, nothing started the backend server again, and the wait for a ready site could not end. The daemon was right.

The tests now wait for the end of a process if the response says that a backend server is gone. Checks and bounds are unchanged.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,8 +1,9 @@
 //! Requests that crash backend servers, and connections between daemons that stop delivering bytes.
 
 use indigospur_test_support::{
-    Call, Direction, HostProxies, Node, ServicePlan, Site, SitePlan, request, wait_until,
+    Call, Direction, HostProxies, Node, Response, ServicePlan, Site, SitePlan, request, wait_until,
 };
+use std::cell::RefCell;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -47,6 +48,27 @@
     (site, proxies)
 }
 
+/// Starts backend servers again that have ended; returns their number. A response that says that one is
+/// gone may come before its process has ended.
+fn restart_lost_backends(site: &mut Site, response: &Response) -> usize {
+    let nodes = RefCell::new(&mut site.nodes);
+    let is_any_lost = || {
+        let mut nodes = nodes.borrow_mut();
+        nodes.iter_mut().any(|node| node.backend.has_ended())
+    };
+    if response.kind == "backend-gone" {
+        wait_until("a backend server has ended", is_any_lost);
+    }
+    let mut restarted = 0;
+    for node in &mut site.nodes {
+        if node.backend.has_ended() {
+            restarted += 1;
+            node.restart_backend().expect("the backend server starts");
+        }
+    }
+    restarted
+}
+
 #[test]
 fn a_request_that_crashes_backend_servers_is_blocked_and_others_are_served() {
     let mut site = start_site(3);
@@ -65,12 +87,7 @@
         let entry = site.nodes[0].caller_address();
         let response = request(&entry, &poison_call);
         assert_ne!(response.status, 200);
-        for node in &mut site.nodes {
-            if node.backend.has_ended() {
-                crashes += 1;
-                node.restart_backend().expect("the backend server starts");
-            }
-        }
+        crashes += restart_lost_backends(&mut site, &response);
         site.wait_until_ready();
         assert_eq!(request(&entry, &harmless_call).status, 200);
         if response.kind == "poisonous" {
@@ -112,12 +129,7 @@
         if response.kind == "poisonous" {
             break;
         }
-        for node in &mut site.nodes {
-            if node.backend.has_ended() {
-                crashes += 1;
-                node.restart_backend().expect("the backend server starts");
-            }
-        }
+        crashes += restart_lost_backends(&mut site, &response);
         site.wait_until_ready();
     }
     assert!(crashes <= 4, "{crashes} crashes");
