--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod backend_refusal;
 mod backend_status;
+mod build_info;
 mod builtin_dialect;
 mod caller;
 mod configuration;
@@ -39,6 +40,7 @@
 mod timing;
 
 pub use authentication::{AuthenticationError, CallerIdentity, Credential};
+pub use build_info::VERSION;
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Contact, PublishedConfiguration, SourceError,
 };
--- a/crates/indigospur-daemon/src/lifecycle.rs
+++ b/crates/indigospur-daemon/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! The life cycle of the daemon. [`DaemonBuilder`] collects what it is built from;
 //! [`RunningDaemon`] is the daemon until it stops.
 
+use crate::build_info;
 use crate::builtin_dialect::BuiltinDialect;
 use crate::configuration::ConfigurationSource;
 use crate::daemon::Daemon;
@@ -116,7 +117,15 @@
         let admin = HttpService::new(bounds, admin_handler(&daemon), refusal_encoder(&daemon));
         runtime::spawn(serve_http(admin_port.0, admin));
         control::start(&daemon);
-        log::info!(calls = &*addresses.calls, peers = &*addresses.peers, admin = &*addresses.admin; "serving");
+        log::info!(
+            calls = &*addresses.calls,
+            peers = &*addresses.peers,
+            admin = &*addresses.admin,
+            commit = build_info::COMMIT,
+            sources = build_info::SOURCES,
+            profile = build_info::PROFILE;
+            "serving"
+        );
         Ok(RunningDaemon { daemon, addresses })
     }
 }
--- a/crates/indigospur-daemon/src/run.rs
+++ b/crates/indigospur-daemon/src/run.rs
@@ -1,5 +1,6 @@
 //! The `indigospurd` program: command line, settings, logging and signals.
 
+use crate::build_info::VERSION;
 use crate::error::StartError;
 use crate::lifecycle::{DaemonBuilder, RunningDaemon};
 use crate::settings::Settings;
@@ -21,7 +22,7 @@
 /// The indigospur daemon. Runs beside a backend server; stops gracefully on SIGTERM or SIGINT and
 /// reloads its settings on SIGHUP.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version(VERSION))]
 struct Options {
     /// Path of the settings file, in TOML
     #[bpaf(argument("FILE"))]
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -55,7 +55,11 @@
     drop(child.stdout.take());
     let log = child.stderr.take().expect("standard error is piped");
     let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-    assert!(lines.any(|line| line.contains("serving")));
+    let start_line = lines.find(|line| line.contains("serving"));
+    let start_line = start_line.expect("the daemon starts");
+    for field in ["commit=", "sources=", "profile="] {
+        assert!(start_line.contains(field), "{start_line}");
+    }
     let id = child.id().to_string();
     let _ = Command::new("kill").args(["-s", "TERM", &id]).status();
     lines.for_each(drop);
