Tell backend servers that go down by themselves from requests that crash them

Callers saw: with one upstream that goes down and up by turns, a popular lookup got 502 poisonous until its crashes were ten minutes old: 0 of 178 requests served on the added route after 6, 8 and 12 flaps and after three spells, and before a first answer refused for 4 to 10 s (3 to 7 flaps).

Cause: the verdict counted crashes. A backend server that goes down by its own clock does so whatever runs there; the later flaps came while the request was refused, and nothing counted them for it. The next trial then came after 640 s, later than a crash counts.

Now each crash carries how long the backend server had been up and how long the request had been running there, and evidence against the request's part clears it, as an answer does: - the backend server goes down in a comparable time without the request, - it goes down at one age, however long the request had been running, - several go down at once, although the request began at different times there. An answer clears all crashes before it, also ones that are learnt later. A crash beside a request that ran for most of the uptime shows nothing: after two such the request is held (503, Retry-After) until the backend server had the time to go down without it, and then runs on trial, one at a time, on one host. Other hosts send it there. Three crashes refuse a request as before, answered lately or not, with trials after 10, 40 and 160 s.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -2,6 +2,7 @@
 //! execution for its service.
 
 use crate::backend_status;
+use crate::crashes;
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
 use indigospur_admission::{Admission, Options};
@@ -150,6 +151,7 @@
     let draining = leaving || daemon.is_draining();
     if leaving {
         daemon.leave_slots();
+        lock(&daemon.fleet).suspects.record_departure();
     } else if !daemon.accepts_callers() {
         daemon.drain_slots();
     }
@@ -204,10 +206,13 @@
         return false;
     }
     daemon.leave_slots();
-    let state_changed = lock(&daemon.fleet).members.announce(now, |me| {
+    let mut fleet = lock(&daemon.fleet);
+    fleet.suspects.record_departure();
+    let state_changed = fleet.members.announce(now, |me| {
         me.state = State::Draining;
         me.leaving = true;
     });
+    drop(fleet);
     if state_changed {
         log::info!(
             instance = &*instance.name,
@@ -235,11 +240,14 @@
                 backend.slots.resume();
                 backend.pool.resume_sending();
             }
+            let now = Instant::now();
+            lock(&daemon.fleet).suspects.record_announcement(now);
         }
         None => {
             let crashed = daemon.backend_lost.swap(false, Ordering::Relaxed);
             let cold = crashed || announcement.cold_ms > 0;
             *lock(&daemon.backend) = Some(Backend::new(daemon, announcement, cold));
+            crashes::record_start(daemon);
         }
     }
     start_at_most_once(daemon, &announcement.service);
--- a/crates/indigospur-daemon/src/inbound.rs
+++ b/crates/indigospur-daemon/src/inbound.rs
@@ -3,7 +3,7 @@
 use crate::backend::{self, Backend};
 use crate::backend_refusal::BackendRefusal;
 use crate::backend_status;
-use crate::crashes::{SuspectGuard, crashes_for_sender};
+use crate::crashes::{self, SuspectGuard, crashes_for_sender};
 use crate::daemon::{Daemon, lock};
 use crate::deadline::{Deadline, Moment};
 use crate::dialect::{AnswerMeaning, OutgoingCall};
@@ -61,7 +61,7 @@
     if let Err(refusal) = check_end(daemon, backend, &message.context, deadline, None) {
         return Reply::refused(refusal, retries);
     }
-    let suspect = match SuspectGuard::start(daemon, message.context.digest) {
+    let suspect = match SuspectGuard::start(daemon, &message.call.service, message.context.digest) {
         Ok(suspect) => suspect,
         Err(refusal) => return Reply::refused(refusal, retries),
     };
@@ -411,10 +411,7 @@
         runtime::sleep(pause).await;
     }
     if backend.mark_down() {
-        let crash = daemon.new_crash_id();
-        lock(&daemon.fleet)
-            .suspects
-            .record_crash(Instant::now(), daemon.host(), crash, unsent);
+        crashes::record_crash(daemon, unsent);
         log::warn!(
             service = &*backend.service;
             "backend server is down; no calls are sent to it until it announces itself again"
--- a/crates/indigospur-daemon/src/outbound.rs
+++ b/crates/indigospur-daemon/src/outbound.rs
@@ -5,7 +5,7 @@
 use crate::placement::{self, PlacementSummary};
 use crate::retry_budget::{count_in_ratio, fleet_status, is_shed, record_in_ratio};
 use crate::stopping::call_kind;
-use crate::{inbound, peers};
+use crate::{crashes, inbound, peers};
 use indigospur_budget::{
     Credit, FailedAttempt, RetryClaim, RetryOptions, add_work, decide_retry, is_passed_over,
     is_upstream_unavailable,
@@ -41,6 +41,8 @@
     /// Whether any attempt so far has run the call.
     ran: Ran,
     retried: bool,
+    /// Whether the call was sent on to the host where it may run on trial.
+    redirected: bool,
     attempts: u32,
     free_failovers: u32,
     free_sheds: u32,
@@ -76,6 +78,7 @@
         runs_left: limits.max_runs,
         ran: Ran::No,
         retried: false,
+        redirected: false,
         attempts: 0,
         free_failovers: MAX_FREE_FAILOVERS,
         free_sheds: if has_window {
@@ -105,6 +108,17 @@
             }
             Outcome::Refused(refusal) => refusal,
         };
+        if matches!(refusal.kind, Kind::PoisonRequest | Kind::Overloaded) && !progress.redirected {
+            // The host that refused it told its crashes, with which it goes to the host of the trial.
+            let trial_host =
+                crashes::trial_host(daemon, &message.call.service, message.context.digest);
+            if trial_host.is_some_and(|host| host != placement.member.host) {
+                progress.redirected = true;
+                progress.excluded.push(placement.member.host);
+                last_refusal = Some(refusal);
+                continue;
+            }
+        }
         let failed_attempt = FailedAttempt {
             refusal: &refusal,
             retried: reply.retried,
@@ -182,13 +196,21 @@
     message: &RelayMessage,
     progress: &CallProgress,
 ) -> Option<Placement> {
+    let service = &message.call.service;
+    let trial_host = crashes::trial_host(daemon, service, message.context.digest);
     let mut router = lock(&daemon.router);
+    if let Some(host) = trial_host.filter(|host| !progress.excluded.contains(host)) {
+        let placement = router.place_at(Instant::now(), service, &host);
+        if placement.is_some() {
+            return placement;
+        }
+    }
     let mut rng = lock(&daemon.rng);
     router.place(
         Instant::now(),
         &mut *rng,
         Criteria {
-            service: &message.call.service,
+            service,
             avoid: &progress.excluded,
             remaining: Some(progress.deadline.remaining(Moment::now())),
         },
--- a/crates/indigospur-members/tests/crash_model.rs
+++ b/crates/indigospur-members/tests/crash_model/site.rs
@@ -1,26 +1,31 @@
-//! Popular requests and requests that crash backend servers on a site of many hosts, in virtual time.
+//! A site of hosts whose backend servers go down by themselves and by requests, in virtual time.
 
 use indigospur_members::{Suspects, Verdict};
 use indigospur_protocol::{Crash, HostId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(10);
 /// Time from a crash until gossip has told another host of it, one host in each interval.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
 const HOP: Duration = Duration::from_millis(5);
+/// Time for which a backend server that has just started takes twice as long.
+const COLD: Duration = Duration::from_millis(3_000);
+/// Hosts that a request is sent to at most.
+const MAX_ATTEMPTS: usize = 2;
 /// Time for which a backend server that was crashed by a request is down.
 const DOWN: Duration = Duration::from_millis(2_500);
 /// Time after the last fault from which on requests should be served again.
-const STABILITY_WINDOW: Duration = Duration::from_millis(3_000);
+pub(crate) const STABILITY_WINDOW: Duration = Duration::from_millis(3_000);
 
-const POPULAR: u64 = 1;
-const CRASHER: u64 = 2;
+pub(crate) const POPULAR: u64 = 1;
+pub(crate) const CRASHER: u64 = 2;
 /// Fingerprints from here on are sent once.
 const FIRST_UNIQUE: u64 = 1_000;
 
-fn ms(millis: u64) -> Duration {
+pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -38,6 +43,8 @@
     suspects: Suspects,
     up: bool,
     up_at: Duration,
+    /// Calls take twice as long until then.
+    cold_until: Duration,
     crashes: u64,
     running: Vec<Running>,
 }
@@ -54,61 +61,74 @@
 /// Backend servers of some hosts that are down for a time.
 #[derive(Clone, Debug)]
 struct Outage {
-    hosts: std::ops::Range<usize>,
+    hosts: Range<usize>,
     at: Duration,
     length: Duration,
 }
 
 /// What one fingerprint met.
 #[derive(Clone, Copy, Debug, Default)]
-struct Outcome {
-    sent: usize,
-    served: usize,
+pub(crate) struct Outcome {
+    pub(crate) sent: usize,
+    pub(crate) served: usize,
 }
 
-struct Site {
+pub(crate) struct Site {
     start: Instant,
     now: Duration,
     hosts: Vec<Host>,
     rng: SmallRng,
     callers: Vec<Callers>,
     outages: Vec<Outage>,
+    sound_after: Option<Duration>,
     /// Until when requests with [`CRASHER`] run well.
-    crashes_from: Duration,
+    pub(crate) crashes_from: Duration,
     /// Popular requests sent after `steady_from`, and how many were served.
-    steady: Outcome,
-    steady_from: Duration,
+    pub(crate) steady: Outcome,
+    pub(crate) steady_from: Duration,
     unique: u64,
     /// When requests with [`CRASHER`] reached a backend server that they crashed.
-    arrivals: Vec<Duration>,
+    pub(crate) arrivals: Vec<Duration>,
+    /// Time from the start of such a request to the crash.
+    pub(crate) crash_delay: Duration,
+    /// When such requests crashed a backend server.
+    pub(crate) crashes: Vec<Duration>,
+    /// When popular requests that were served had been sent.
+    pub(crate) served_at: Vec<Duration>,
 }
 
 impl Site {
-    fn new(size: usize, seed: u64) -> Site {
+    pub(crate) fn new(size: usize, seed: u64) -> Site {
+        let start = Instant::now();
         let host = |index: usize| Host {
             name: format!("host-{index:03}").into(),
             suspects: Suspects::default(),
-            up: true,
+            up: false,
             up_at: Duration::ZERO,
+            cold_until: Duration::ZERO,
             crashes: 0,
             running: Vec::new(),
         };
         Site {
-            start: Instant::now(),
+            start,
             now: Duration::ZERO,
             hosts: (0..size).map(host).collect(),
             rng: SmallRng::seed_from_u64(seed),
             callers: Vec::new(),
             outages: Vec::new(),
+            sound_after: None,
             crashes_from: Duration::ZERO,
             steady: Outcome::default(),
             steady_from: Duration::ZERO,
             unique: FIRST_UNIQUE,
             arrivals: Vec::new(),
+            crash_delay: Duration::ZERO,
+            crashes: Vec::new(),
+            served_at: Vec::new(),
         }
     }
 
-    fn popular(mut self, pause: u64, work: u64, from: u64) -> Site {
+    pub(crate) fn popular(mut self, pause: u64, work: u64, from: u64) -> Site {
         self.callers.push(Callers {
             fingerprint: POPULAR,
             pause: ms(pause),
@@ -118,7 +138,7 @@
         self
     }
 
-    fn unique(mut self, pause: u64, work: u64) -> Site {
+    pub(crate) fn unique(mut self, pause: u64, work: u64) -> Site {
         self.callers.push(Callers {
             fingerprint: FIRST_UNIQUE,
             pause: ms(pause),
@@ -128,29 +148,46 @@
         self
     }
 
-    fn crasher(mut self, pause: u64, from: u64) -> Site {
+    pub(crate) fn crasher(mut self, pause: u64, from: u64) -> Site {
         self.callers.push(Callers {
             fingerprint: CRASHER,
             pause: ms(pause),
-            work: ms(20),
+            work: ms(20) + self.crash_delay,
             from: ms(from),
         });
         self
     }
 
     /// Hosts whose backend servers go down and up by turns.
-    fn flapping(mut self, hosts: std::ops::Range<usize>, from: u64, times: u64) -> Site {
+    pub(crate) fn flapping(self, hosts: Range<usize>, from: u64, times: u64) -> Site {
+        self.flapping_every(1_400, hosts, from, times)
+    }
+
+    /// The same with a period, of which they are down for the first half.
+    pub(crate) fn flapping_every(
+        mut self,
+        period: u64,
+        hosts: Range<usize>,
+        from: u64,
+        times: u64,
+    ) -> Site {
         for number in 0..times {
-            self.outages.push(Outage {
-                hosts: hosts.clone(),
-                at: ms(from + 1_400 * number),
-                length: ms(700),
-            });
+            self = self.outage(hosts.clone(), from + period * number, period / 2);
+        }
+        self
+    }
+
+    /// Backend servers that are up for random times of 0.2 to 2.2 s.
+    pub(crate) fn flapping_at_random(mut self, hosts: Range<usize>, from: u64, times: u64) -> Site {
+        let mut at = from;
+        for _ in 0..times {
+            self = self.outage(hosts.clone(), at, 700);
+            at += 700 + self.rng.random_range(200..2_200);
         }
         self
     }
 
-    fn outage(mut self, hosts: std::ops::Range<usize>, at: u64, length: u64) -> Site {
+    pub(crate) fn outage(mut self, hosts: Range<usize>, at: u64, length: u64) -> Site {
         self.outages.push(Outage {
             hosts,
             at: ms(at),
@@ -163,12 +200,12 @@
         self.start + self.now
     }
 
-    fn play(&mut self, length: u64) {
-        let last_end = self.outages.iter().map(|outage| outage.at + outage.length);
-        self.steady_from = last_end.max().unwrap_or_default() + STABILITY_WINDOW;
+    pub(crate) fn play(&mut self, length: u64) {
+        self.steady_from = self.sound_at() + STABILITY_WINDOW;
         while self.now < ms(length) {
             self.now += TICK;
             self.begin_outages();
+            self.crash_backends();
             self.finish_calls();
             for callers in self.callers.clone() {
                 let is_due = self.now.as_millis() % callers.pause.as_millis() < TICK.as_millis();
@@ -186,6 +223,20 @@
         }
     }
 
+    /// Sets when the site counts as sound, although some backend servers stay away.
+    pub(crate) fn sound_after(&mut self, at: Duration) {
+        self.sound_after = Some(at);
+    }
+
+    /// When the last outage ends.
+    pub(crate) fn sound_at(&self) -> Duration {
+        if let Some(at) = self.sound_after {
+            return at;
+        }
+        let ends = self.outages.iter().map(|outage| outage.at + outage.length);
+        ends.max().unwrap_or_default()
+    }
+
     fn begin_outages(&mut self) {
         for outage in self.outages.clone() {
             let is_due = outage.at <= self.now && self.now < outage.at + TICK;
@@ -194,8 +245,13 @@
                 outage.hosts.for_each(|host| self.lose(host, until));
             }
         }
+        let now = self.instant();
         for host in &mut self.hosts {
-            host.up |= host.up_at <= self.now;
+            if !host.up && host.up_at <= self.now {
+                host.up = true;
+                host.cold_until = self.now + COLD;
+                host.suspects.record_start(now, &host.name);
+            }
         }
     }
 
@@ -222,6 +278,22 @@
         }
     }
 
+    /// Backend servers go down by the requests that crash them, if these are still running.
+    fn crash_backends(&mut self) {
+        let crashes_now = |call: &Running| {
+            call.fingerprint == CRASHER
+                && call.sent_at >= self.crashes_from
+                && call.sent_at + self.crash_delay <= self.now
+        };
+        let crashed: Vec<usize> = (0..self.hosts.len())
+            .filter(|index| self.hosts[*index].running.iter().any(crashes_now))
+            .collect();
+        for host in crashed {
+            self.crashes.push(self.now);
+            self.lose(host, self.now + DOWN);
+        }
+    }
+
     fn finish_calls(&mut self) {
         let now = self.instant();
         for index in 0..self.hosts.len() {
@@ -236,8 +308,9 @@
                 host.suspects.clear(now, call.fingerprint);
                 host.suspects.finish(call.fingerprint);
                 self.hosts[call.entry].suspects.clear(now, call.fingerprint);
-                if call.fingerprint == POPULAR && call.sent_at >= self.steady_from {
-                    self.steady.served += 1;
+                if call.fingerprint == POPULAR {
+                    self.served_at.push(call.sent_at);
+                    self.steady.served += usize::from(call.sent_at >= self.steady_from);
                 }
             }
         }
@@ -262,28 +335,82 @@
         if up.is_empty() {
             return;
         }
-        let [first, second] = [0, 1].map(|_| up[self.rng.random_range(0..up.len())]);
+        let mut tried = None;
+        for _ in 0..MAX_ATTEMPTS {
+            let Some(target) = self.choose(entry, fingerprint, &up, tried) else {
+                return;
+            };
+            if self.offer(callers, fingerprint, entry, target) {
+                return;
+            }
+            tried = Some(target);
+        }
+    }
+
+    /// Chooses the host on which the request may run on trial if it is refused elsewhere, or else the one
+    /// with fewer calls of two random ones, like the router.
+    fn choose(
+        &mut self,
+        entry: usize,
+        fingerprint: u64,
+        up: &[usize],
+        tried: Option<usize>,
+    ) -> Option<usize> {
+        let now = self.instant();
+        let hosts = self.names_for(entry, fingerprint, up);
+        let suspects = &self.hosts[entry].suspects;
+        if let Some(trial) = suspects.trial_host(now, fingerprint, &hosts) {
+            let index = hosts.iter().position(|name| name == trial)?;
+            return Some(up[index]).filter(|index| Some(*index) != tried);
+        }
+        let left: Vec<usize> = up.iter().copied().filter(|i| Some(*i) != tried).collect();
+        if left.is_empty() {
+            return None;
+        }
+        let [first, second] = [0, 1].map(|_| left[self.rng.random_range(0..left.len())]);
         let is_better = self.hosts[second].running.len() < self.hosts[first].running.len();
-        let target = if is_better { second } else { first };
+        Some(if is_better { second } else { first })
+    }
+
+    /// Sends a request to a host; returns whether it runs there.
+    fn offer(&mut self, callers: Callers, fingerprint: u64, entry: usize, target: usize) -> bool {
         let now = self.instant();
+        let up: Vec<usize> = (0..self.hosts.len())
+            .filter(|i| self.hosts[*i].up)
+            .collect();
         let known = self.hosts[entry].suspects.crashes_of(now, fingerprint);
+        self.hosts[target].suspects.merge(now, &known);
+        let names = self.names_for(target, fingerprint, &up);
         let host = &mut self.hosts[target];
-        host.suspects.merge(now, &known);
-        if host.suspects.try_start(now, &host.name, fingerprint) != Verdict::Run {
+        let verdict = host
+            .suspects
+            .try_start(now, &host.name, fingerprint, &names);
+        if !matches!(verdict, Verdict::Run | Verdict::Trial) {
             let crashes = host.suspects.crashes_of(now, fingerprint);
             self.hosts[entry].suspects.merge(now, &crashes);
-            return;
+            return false;
         }
+        let is_cold = self.now < host.cold_until;
+        let work = callers.work * if is_cold { 2 } else { 1 };
         host.running.push(Running {
             fingerprint,
             entry,
-            ends_at: self.now + callers.work + HOP,
+            ends_at: self.now + work + HOP,
             sent_at: self.now,
         });
         if fingerprint == CRASHER && self.now >= self.crashes_from {
             self.arrivals.push(self.now);
-            self.lose(target, self.now + DOWN);
         }
+        true
+    }
+
+    /// Names of the hosts that are up, for a request that needs a trial by what `host` knows.
+    fn names_for(&self, host: usize, fingerprint: u64, up: &[usize]) -> Vec<HostId> {
+        let suspects = &self.hosts[host].suspects;
+        if !suspects.needs_trial(self.instant(), fingerprint) {
+            return Vec::new();
+        }
+        up.iter().map(|i| self.hosts[*i].name.clone()).collect()
     }
 
     fn gossip(&mut self) {
@@ -298,157 +425,35 @@
     }
 
     /// Forgets all that the daemons of some hosts know.
-    fn restart_daemons(&mut self, hosts: std::ops::Range<usize>) {
+    pub(crate) fn restart_daemons(&mut self, hosts: Range<usize>) {
+        let now = self.instant();
         for host in &mut self.hosts[hosts] {
             host.suspects = Suspects::default();
             host.running.clear();
+            if host.up {
+                host.suspects.record_start(now, &host.name);
+            }
         }
     }
 
-    fn served_share(&self) -> f64 {
+    /// Popular requests of the steady state that were refused or lost.
+    pub(crate) fn unserved(&self) -> usize {
+        let running = self.hosts.iter().flat_map(|host| &host.running);
+        let is_steady =
+            |call: &&Running| call.fingerprint == POPULAR && call.sent_at >= self.steady_from;
+        self.steady.sent - self.steady.served - running.filter(is_steady).count()
+    }
+
+    pub(crate) fn served_share(&self) -> f64 {
         self.steady.served as f64 / self.steady.sent.max(1) as f64
     }
 
-    /// Arrivals of the crasher later than the stability window after its third.
-    fn late_arrivals(&self) -> usize {
-        let Some(third) = self.arrivals.get(2) else {
+    /// Arrivals of the crasher later than the stability window after its third crash.
+    pub(crate) fn late_arrivals(&self) -> usize {
+        let Some(third) = self.crashes.get(2) else {
             return 0;
         };
         let is_late = |at: &&Duration| **at > *third + STABILITY_WINDOW;
         self.arrivals.iter().filter(is_late).count()
     }
 }
-
-const SIZES: [usize; 6] = [1, 2, 5, 16, 83, 195];
-const SEEDS: std::ops::Range<u64> = 1..6;
-
-/// Plays `scenario` for all sizes and seeds; collects what `check` finds.
-fn assert_all_hold(scenario: fn(usize, u64) -> Site, check: fn(&Site) -> Option<String>) {
-    let mut problems = Vec::new();
-    for size in SIZES {
-        for seed in SEEDS {
-            let site = scenario(size, seed);
-            let problem = check(&site);
-            problems.extend(problem.map(|problem| format!("{size} hosts, seed {seed}: {problem}")));
-        }
-    }
-    assert!(problems.is_empty(), "{}", problems.join("\n"));
-}
-
-/// At least nine in ten of the popular requests are served in steady state.
-fn popular_is_served(site: &Site) -> Option<String> {
-    let Outcome { sent, served } = site.steady;
-    assert!(sent >= 20, "{sent} requests in steady state");
-    (site.served_share() < 0.9).then(|| format!("{served} of {sent} popular requests served"))
-}
-
-/// The bound of the platform: three retries in all later than the stability window after the third crash.
-fn crasher_is_bounded(site: &Site) -> Option<String> {
-    let (late, all) = (site.late_arrivals(), site.arrivals.len());
-    (late > 3).then(|| format!("{late} late arrivals of the crasher of {all}"))
-}
-
-fn both_hold(site: &Site) -> Option<String> {
-    popular_is_served(site).or_else(|| crasher_is_bounded(site))
-}
-
-/// Guards against popular requests that are refused for good after backend servers went down by
-/// themselves while they ran only these.
-#[test]
-fn a_popular_request_is_served_after_backend_servers_went_down_and_up_by_turns() {
-    assert_all_hold(
-        |size, seed| {
-            let flapping = 0..size.div_ceil(10);
-            let mut site = Site::new(size, seed).popular(20, 400, 0);
-            site = site.flapping(flapping, 3_000, 5);
-            site.play(30_000);
-            site
-        },
-        popular_is_served,
-    );
-}
-
-#[test]
-fn a_popular_request_with_long_work_and_few_others_is_served_after_flaps() {
-    assert_all_hold(
-        |size, seed| {
-            let flapping = 0..size.div_ceil(10);
-            let mut site = Site::new(size, seed).popular(250, 800, 0).unique(500, 100);
-            site = site.flapping(flapping, 3_000, 5);
-            site.play(40_000);
-            site
-        },
-        popular_is_served,
-    );
-}
-
-#[test]
-fn a_popular_request_is_served_after_all_backend_servers_lost_power_at_once() {
-    assert_all_hold(
-        |size, seed| {
-            let mut site = Site::new(size, seed).popular(20, 400, 0);
-            site = site.outage(0..size, 5_000, 2_000);
-            site = site.outage(0..size, 9_000, 2_000);
-            site.play(30_000);
-            site
-        },
-        popular_is_served,
-    );
-}
-
-#[test]
-fn a_popular_request_is_served_after_flaps_and_restarts_of_the_other_daemons() {
-    assert_all_hold(
-        |size, seed| {
-            let mut site = Site::new(size, seed).popular(50, 400, 0);
-            site = site.flapping(0..size.div_ceil(10), 3_000, 5);
-            site.play(10_500);
-            site.restart_daemons(size.div_ceil(10)..size);
-            site.steady = Outcome::default();
-            site.play(40_000);
-            site
-        },
-        popular_is_served,
-    );
-}
-
-#[test]
-fn a_request_that_crashes_backend_servers_is_bounded() {
-    assert_all_hold(
-        |size, seed| {
-            let mut site = Site::new(size, seed).unique(50, 100).crasher(1_000, 2_000);
-            site.play(100_000);
-            site
-        },
-        crasher_is_bounded,
-    );
-}
-
-#[test]
-fn a_request_that_crashes_backend_servers_does_not_take_a_popular_one_with_it() {
-    assert_all_hold(
-        |size, seed| {
-            let mut site = Site::new(size, seed)
-                .popular(20, 400, 0)
-                .unique(50, 100)
-                .crasher(1_000, 5_000);
-            site = site.flapping(0..size.div_ceil(10), 6_000, 5);
-            site.play(100_000);
-            site
-        },
-        both_hold,
-    );
-}
-
-#[test]
-fn a_request_that_begins_to_crash_backend_servers_is_bounded() {
-    assert_all_hold(
-        |size, seed| {
-            let mut site = Site::new(size, seed).unique(50, 100).crasher(1_000, 0);
-            site.crashes_from = ms(10_000);
-            site.play(100_000);
-            site
-        },
-        crasher_is_bounded,
-    );
-}
--- a/crates/indigospur-members/tests/members/gossip.rs
+++ b/crates/indigospur-members/tests/members/gossip.rs
@@ -222,12 +222,13 @@
             let started: Vec<u64> = concurrent
                 .into_iter()
                 .filter(|f| {
-                    hosts[at].try_start(Instant::now(), &format!("host-{at}").into(), *f)
+                    hosts[at].try_start(Instant::now(), &format!("host-{at}").into(), *f, &[])
                         == Verdict::Run
                 })
                 .collect();
-            let runs = hosts[at].try_start(Instant::now(), &format!("host-{at}").into(), culprit)
-                == Verdict::Run;
+            let runs =
+                hosts[at].try_start(Instant::now(), &format!("host-{at}").into(), culprit, &[])
+                    == Verdict::Run;
             if runs {
                 crashes += 1;
                 hosts[at].record_crash(Instant::now(), &format!("host-{at}").into(), crashes, None);
@@ -261,12 +262,15 @@
     let mut suspects = Suspects::default();
     let host = "host-1".into();
     for crash in 0..5 {
-        assert_eq!(suspects.try_start(Instant::now(), &host, 7), Verdict::Run);
+        assert_eq!(
+            suspects.try_start(Instant::now(), &host, 7, &[]),
+            Verdict::Run
+        );
         suspects.record_crash(Instant::now(), &host, crash, Some(7));
         suspects.finish(7);
     }
     assert!(suspects.crashes_of(Instant::now(), 7).is_empty());
-    suspects.try_start(Instant::now(), &host, 7);
+    suspects.try_start(Instant::now(), &host, 7, &[]);
     suspects.record_crash(Instant::now(), &host, 9, None);
     assert_eq!(suspects.crashes_of(Instant::now(), 7).len(), 1);
 }
--- a/crates/indigospur-members/tests/suspects.rs
+++ b/crates/indigospur-members/tests/suspects.rs
@@ -16,7 +16,7 @@
 fn lose_backend(suspects: &mut Suspects, number: u64, running: &[u64]) {
     for fingerprint in running {
         assert_eq!(
-            suspects.try_start(Instant::now(), &host("a"), *fingerprint),
+            suspects.try_start(Instant::now(), &host("a"), *fingerprint, &[host("a")]),
             Verdict::Run
         );
     }
@@ -31,18 +31,18 @@
     let mut suspects = Suspects::default();
     lose_backend(&mut suspects, 1, &[POPULAR, OTHER]);
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POPULAR),
+        suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
         Verdict::Run
     );
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POPULAR),
+        suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
         Verdict::OtherHost
     );
     suspects.clear(Instant::now(), POPULAR);
     suspects.finish(POPULAR);
     for _ in 0..5 {
         assert_eq!(
-            suspects.try_start(Instant::now(), &host("a"), POPULAR),
+            suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
             Verdict::Run
         );
     }
@@ -55,7 +55,7 @@
     for number in 1..10 {
         lose_backend(&mut suspects, number, &[POPULAR]);
         assert_eq!(
-            suspects.try_start(Instant::now(), &host("a"), POPULAR),
+            suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
             Verdict::Run,
             "loss {number}"
         );
@@ -70,7 +70,7 @@
     lose_backend(&mut suspects, 1, &[POPULAR]);
     let crashes = suspects.crashes_of(Instant::now(), POPULAR);
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POPULAR),
+        suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
         Verdict::Run
     );
     suspects.clear(Instant::now(), POPULAR);
@@ -79,11 +79,11 @@
     let known = suspects.crashes_of(Instant::now(), POPULAR);
     assert!(known.iter().all(|crash| crash.cleared), "{known:?}");
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POPULAR),
+        suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
         Verdict::Run
     );
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POPULAR),
+        suspects.try_start(Instant::now(), &host("a"), POPULAR, &[host("a")]),
         Verdict::Run
     );
 }
@@ -96,7 +96,7 @@
     }
     assert!(suspects.is_poisonous(Instant::now(), POISON));
     assert_eq!(
-        suspects.try_start(Instant::now(), &host("a"), POISON),
+        suspects.try_start(Instant::now(), &host("a"), POISON, &[host("a")]),
         Verdict::Poisonous
     );
     suspects.clear(Instant::now(), OTHER);
--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -101,6 +101,15 @@
     pub ends_within: Option<Duration>,
 }
 
+/// How long a backend server and a request there had run when the backend server went down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CrashTiming {
+    /// Time since the start of the backend server.
+    pub uptime: Duration,
+    /// Time for which the request had been running without a pause.
+    pub exposure: Duration,
+}
+
 /// A crash of a backend server, attributed to a request that it was running.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Crash {
@@ -113,10 +122,16 @@
     /// Whether no other suspect was running on the backend server, so that only this request can
     /// have caused the crash.
     pub sole_suspect: bool,
-    /// Whether the request was answered since.
+    /// Whether the request was answered since, or the backend server is known to go down by itself.
     pub cleared: bool,
+    /// How long the backend server and the request had run, if that is known.
+    pub timing: Option<CrashTiming>,
+    /// Whether the request was running on trial, as it might not run otherwise.
+    pub on_trial: bool,
     /// Time since the crash.
     pub age: Duration,
+    /// Time since the last known answer to the request, if it was answered lately.
+    pub answered: Option<Duration>,
 }
 
 impl Crash {
@@ -128,15 +143,19 @@
             number,
             sole_suspect,
             cleared: false,
+            timing: None,
+            on_trial: false,
             age: Duration::ZERO,
+            answered: None,
         }
     }
 
-    /// Whether `other` says the same of the same crash; the ages may differ.
+    /// Whether `other` says the same of the same crash; the times may differ.
     pub fn says_same(&self, other: &Crash) -> bool {
         *self
             == Crash {
                 age: self.age,
+                answered: self.answered,
                 ..other.clone()
             }
     }
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,7 +1,7 @@
 //! Conversions between the wire messages and the types of this crate.
 
 use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Shedding, Work};
-use crate::call::{Call, Context, Crash, Header};
+use crate::call::{Call, Context, Crash, CrashTiming, Header};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
 use crate::rate::Rate;
@@ -115,7 +115,11 @@
             host: crash.host.to_string(),
             alone: crash.sole_suspect,
             crash: crash.number,
-            age_millis: u64::try_from(crash.age.as_millis()).unwrap_or(u64::MAX),
+            on_trial: crash.on_trial,
+            age_millis: millis(crash.age),
+            answered_millis: crash.answered.map(millis),
+            uptime_millis: crash.timing.map_or(0, |timing| millis(timing.uptime)),
+            exposure_millis: crash.timing.map_or(0, |timing| millis(timing.exposure)),
         }
     }
 }
@@ -128,7 +132,13 @@
             sole_suspect: wire.alone,
             number: wire.crash,
             cleared: false,
+            on_trial: wire.on_trial,
+            timing: (wire.uptime_millis > 0).then_some(CrashTiming {
+                uptime: Duration::from_millis(wire.uptime_millis),
+                exposure: Duration::from_millis(wire.exposure_millis),
+            }),
             age: Duration::from_millis(wire.age_millis),
+            answered: wire.answered_millis.map(Duration::from_millis),
         }
     }
 }
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -23,7 +23,7 @@
 pub use announcement::Announcement;
 pub use answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Shedding, Work};
 pub use call::{
-    Call, Class, Context, Crash, Header, Rank, RetryOrder, find_header, fingerprint,
+    Call, Class, Context, Crash, CrashTiming, Header, Rank, RetryOrder, find_header, fingerprint,
     is_idempotent_method,
 };
 pub use convert::{RelayMessage, WireError, crashes_from_wire, crashes_to_wire};
--- a/crates/indigospur-protocol/src/wire/peer.rs
+++ b/crates/indigospur-protocol/src/wire/peer.rs
@@ -246,6 +246,18 @@
     /// Time since the crash; zero from earlier versions.
     #[prost(uint64, tag = "5")]
     pub age_millis: u64,
+    /// Time since the last answer to the request, if it was answered lately.
+    #[prost(uint64, optional, tag = "6")]
+    pub answered_millis: ::core::option::Option<u64>,
+    /// Time for which the backend server was up; zero if it is unknown, as from earlier versions.
+    #[prost(uint64, tag = "7")]
+    pub uptime_millis: u64,
+    /// Time for which the request had been running without a pause, if the uptime is known.
+    #[prost(uint64, tag = "8")]
+    pub exposure_millis: u64,
+    /// Whether the request was running on trial.
+    #[prost(bool, tag = "9")]
+    pub on_trial: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct GossipMessage {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -2,8 +2,8 @@
 
 use indigospur_protocol::wire::peer;
 use indigospur_protocol::{
-    Call, Context, Crash, KINDS, Kind, Load, Outcome, Pace, Pressure, Ran, Refusal, RelayMessage,
-    Reply, Shedding, WireError, Work,
+    Call, Context, Crash, CrashTiming, KINDS, Kind, Load, Outcome, Pace, Pressure, Ran, Refusal,
+    RelayMessage, Reply, Shedding, WireError, Work,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -13,7 +13,13 @@
 fn crash(number: u64, sole_suspect: bool) -> Crash {
     Crash {
         cleared: number.is_multiple_of(2),
+        on_trial: number.is_multiple_of(7),
+        timing: number.is_multiple_of(3).then_some(CrashTiming {
+            uptime: Duration::from_millis(900),
+            exposure: Duration::from_millis(20),
+        }),
         age: Duration::from_millis(number),
+        answered: number.is_multiple_of(5).then_some(Duration::from_millis(7)),
         ..Crash::new(9, &"accounts-1".into(), number, sole_suspect)
     }
 }
--- a/crates/indigospur-routing/src/router.rs
+++ b/crates/indigospur-routing/src/router.rs
@@ -124,8 +124,18 @@
         criteria: Criteria<'_>,
     ) -> Option<Placement> {
         let (index, reason) = self.pick(now, rng, criteria)?;
+        self.start(now, criteria.service, index, reason)
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        service: &str,
+        index: usize,
+        reason: Option<PlacementReason>,
+    ) -> Option<Placement> {
         let hosts = self.services.values().map(Vec::len).sum();
-        let upstream = self.services.get_mut(criteria.service)?.get_mut(index)?;
+        let upstream = self.services.get_mut(service)?.get_mut(index)?;
         upstream.start(now, hosts);
         let member = upstream.member.clone();
         let report_age = upstream.report_age(now);
@@ -137,6 +147,20 @@
         })
     }
 
+    /// Hosts of a service that take calls now.
+    pub fn ready_hosts(&self, service: &str) -> Vec<HostId> {
+        let upstreams = self.upstreams(service).iter();
+        let ready = upstreams.filter(|upstream| upstream.is_ready());
+        ready.map(|upstream| upstream.member.host.clone()).collect()
+    }
+
+    /// Places a call on `host`, if that takes calls, and counts it as in flight there.
+    pub fn place_at(&mut self, now: Instant, service: &str, host: &HostId) -> Option<Placement> {
+        let is_chosen = |upstream: &Upstream| upstream.is_ready() && upstream.member.host == *host;
+        let index = self.upstreams(service).iter().position(is_chosen)?;
+        self.start(now, service, index, None)
+    }
+
     /// Records how long the reply to a call took, from which the time of the link is found: the reply
     /// time less the residence time in `load`, if it tells that.
     pub fn record_reply_time(
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -174,6 +174,43 @@
     });
 }
 
+/// Guards against a popular request that is refused for ten minutes once its only backend server went down
+/// by itself six times or more.
+#[test]
+fn a_popular_request_is_served_after_its_only_backend_server_went_down_and_up_by_turns() {
+    let mut site = start_site(1);
+    let popular = Call {
+        service: "accounts",
+        path: "/rates?work=400",
+        ..Call::default()
+    };
+    let entry = site.nodes[0].caller_address();
+    assert_eq!(request(&entry, &popular).status, 200);
+    let is_flapping = AtomicBool::new(true);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                while is_flapping.load(Ordering::Relaxed) {
+                    request(&entry, &popular);
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        for _ in 0..10 {
+            std::thread::sleep(Duration::from_millis(300));
+            let node = &mut site.nodes[0];
+            node.backend.kill();
+            std::thread::sleep(Duration::from_millis(1_000));
+            node.restart_backend().expect("the backend server starts");
+        }
+        is_flapping.store(false, Ordering::Relaxed);
+    });
+    site.wait_until_ready();
+    wait_until("the daemon serves the popular request", || {
+        (0..4).all(|_| request(&entry, &popular).status == 200)
+    });
+}
+
 #[test]
 fn a_silent_connection_is_replaced_and_its_host_stays_in_use() {
     let (site, proxies) = site_with_proxied_accounts();
