Count a trial only if it was sent

Cause: a trial that finds the backend server down is not blamed, and its end was forgotten, as all its crashes had just been cleared. The next crash then counted as that of a trial, and the one after two further crashes waited 10 s.

Evidence: the daemon's log has the trial and the backend server's end in the same millisecond, and the next trial 10 s after the last crash. a_trial_that_was_not_sent_does_not_count fails without the change. Further unit tests: a request is held and then tried, an own end clears, an answer clears crashes that are learnt later.

--- a/crates/indigospur-members/src/suspects.rs
+++ b/crates/indigospur-members/src/suspects.rs
@@ -207,10 +207,11 @@
         if running.count == 0 {
             self.running.remove(&fingerprint);
         }
-        let history = self.histories.get_mut(&fingerprint);
-        if let Some(history) = history.filter(|history| history.has_attributed()) {
+        if let Some(history) = self.histories.get_mut(&fingerprint) {
             history.end_trial();
-            self.unanswered.insert(fingerprint);
+            if history.has_attributed() {
+                self.unanswered.insert(fingerprint);
+            }
         }
     }
 
