--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -56,7 +56,8 @@
     };
     let verdict = match name.as_str() {
         "leaving" => leaving::play(&scene),
-        "quota" => quota::play(&scene),
+        "quota" => quota::play_added(&scene),
+        "split" => quota::play_split(&scene),
         _ => Verdict::NotRun,
     };
     if std::env::var("KEEP").is_err() {
--- a/review/stand-ins-2/src/quota.rs
+++ b/review/stand-ins-2/src/quota.rs
@@ -1,11 +1,14 @@
-//! Machines are added while the partition of the store in which daemons register is down, and the rest of the
-//! store is up. Clients of one tenant send more than its quota.
+//! Clients of one tenant send more than its quota. In one scenario machines are added while the partition of
+//! the store in which daemons register is down, and the rest of the store is up. In the other all daemons are
+//! killed and started again, and the store holds the registrations of many machines that were removed before.
 
 use crate::clients::{Clients, Load};
 use crate::daemon::Daemon;
 use crate::store::Store;
 use crate::upstream::Upstream;
 use crate::{Scene, Verdict};
+use std::net::TcpListener;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 /// Machines at the start, and those that are added: three in ten.
@@ -22,6 +25,16 @@
 const DOWN: Duration = Duration::from_secs(8);
 /// Time until a machine that is added gets traffic, once it is ready.
 const READY_TO_TRAFFIC: Duration = Duration::from_secs(1);
+/// Machines of the site whose daemons are all killed, and registered ones that were removed before.
+const LARGE_SITE: usize = 16;
+const GONE: usize = 200;
+/// How often all daemons are killed.
+const KILLS: usize = 2;
+/// Time from a restart from which on windows are judged, and for how long.
+const RECOVERY: Duration = Duration::from_secs(15);
+const JUDGED: Duration = Duration::from_secs(10);
+/// Time in which the platform starts killed daemons again.
+const RESTART: Duration = Duration::from_millis(500);
 
 const CONFIG: &str = r#"{"version":"r7","routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency","priority","backends","max_attempts","service","public"],"rows":[["r-sign","jepu9.example","/sign/","unsafe","2000ms","1500ms",0,null,2,"contracts",false]]},"services":{"columns":["name","health_path","max_connections","protocol","tls"],"rows":[["contracts","/health",570,"h1",false]]},"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[["t-one",["k-5e1d0c7a"],0,20,10]]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}"#;
 
@@ -45,90 +58,174 @@
     Some(Machine { daemon, upstream })
 }
 
-pub fn play(scene: &Scene) -> Verdict {
-    let record = &scene.record;
-    let store = Store::start();
-    store.write("keyed.op", "config", CONFIG.as_bytes());
-    let mut machines = Vec::new();
-    for number in 1..=MACHINES {
-        let Some(machine) = start_machine(scene, &store, number) else {
-            return Verdict::NotRun;
+/// A site of seven machines with its clients.
+struct Site<'a> {
+    scene: &'a Scene,
+    store: Store,
+    machines: Vec<Machine>,
+    clients: Clients,
+    load: Load,
+}
+
+impl Site<'_> {
+    /// Starts the machines, and the clients some seconds later; `None` if a daemon does not get ready.
+    fn start(scene: &Scene, store: Store, machines: usize) -> Option<Site<'_>> {
+        store.write("keyed.op", "config", CONFIG.as_bytes());
+        let mut site = Site {
+            scene,
+            store,
+            machines: Vec::new(),
+            clients: Clients::new(&scene.record),
+            load: Load {
+                method: "POST",
+                host: "jepu9.example",
+                path: "/sign/2f",
+                key: Some("Token k-5e1d0c7a"),
+                clients: 8,
+                pause: Duration::from_millis(200),
+            },
         };
-        machines.push(machine);
+        for number in 1..=machines {
+            site.add_machine(number)?;
+        }
+        Some(site)
     }
-    std::thread::sleep(LEAD);
-    let clients = Clients::new(record);
-    let load = Load {
-        method: "POST",
-        host: "jepu9.example",
-        path: "/sign/2f",
-        key: Some("Token k-5e1d0c7a"),
-        clients: 8,
-        pause: Duration::from_millis(200),
-    };
-    for machine in &machines {
-        clients.start(&machine.daemon.name, &machine.daemon.outbound, &load);
+
+    fn add_machine(&mut self, number: usize) -> Option<()> {
+        let machine = start_machine(self.scene, &self.store, number)?;
+        self.machines.push(machine);
+        Some(())
+    }
+
+    fn start_clients(&self, from: usize) {
+        for machine in &self.machines[from..] {
+            let daemon = &machine.daemon;
+            self.clients
+                .start(&daemon.name, &daemon.outbound, &self.load);
+            let text = format!("{} gets traffic", daemon.name);
+            self.scene.record.say(&text);
+        }
     }
+
+    /// Stops the clients and counts what ran in windows that begin within `judged`.
+    fn judge(&self, judged: &[Range<Instant>]) -> Verdict {
+        let record = &self.scene.record;
+        self.clients.stop();
+        std::thread::sleep(Duration::from_secs(3));
+        let mut runs: Vec<Instant> = Vec::new();
+        for machine in &self.machines {
+            let ran = machine.upstream.runs.lock().expect("no thread panics");
+            runs.extend(ran.iter().map(|run| run.at));
+        }
+        runs.sort();
+        let quota = RATE * QUOTA_WINDOW.as_secs_f64() + BURST;
+        let bound = quota * (1.0 + QUOTA_OVERAGE) + QUOTA_SLACK;
+        let windows = runs.iter().enumerate().map(|(index, start)| {
+            let end = runs.partition_point(|at| *at < *start + QUOTA_WINDOW);
+            (end - index, *start)
+        });
+        let windows = windows.filter(|(_, start)| judged.iter().any(|span| span.contains(start)));
+        let (most, start) = windows.max().unwrap_or((0, Instant::now()));
+        let sent = self.clients.sent.lock().expect("no thread panics").clone();
+        let served = sent.iter().filter(|request| request.status == 200).count();
+        record.say(&format!("{} requests sent, {served} served", sent.len()));
+        for second in 0..record.seconds(Instant::now()) as usize {
+            let at = |run: &&Instant| record.seconds(**run) as usize == second;
+            let count = runs.iter().filter(at).count();
+            record.line(&format!("second {second}: {count} runs"));
+        }
+        record.say(&format!(
+            "at most {most} requests of the tenant ran within {QUOTA_WINDOW:?}, from {:.1} s on; the rule \
+             allows {bound:.0}",
+            record.seconds(start)
+        ));
+        if served == 0 {
+            return Verdict::NotRun;
+        }
+        if most as f64 > bound {
+            Verdict::Broken
+        } else {
+            Verdict::Held
+        }
+    }
+}
+
+/// Machines are added while the partition of the daemons' topic is down.
+pub fn play_added(scene: &Scene) -> Verdict {
+    let record = &scene.record;
+    let Some(mut site) = Site::start(scene, Store::start(), MACHINES) else {
+        return Verdict::NotRun;
+    };
+    std::thread::sleep(LEAD);
+    let began = Instant::now();
+    site.start_clients(0);
     std::thread::sleep(Duration::from_secs(10));
     if scene.trouble {
-        store.set_down("keyed.indigospur", true);
+        site.store.set_down("keyed.indigospur", true);
         record.say("the partition of the topic keyed.indigospur is down");
     }
     let up = Instant::now() + DOWN;
     for number in MACHINES + 1..=MACHINES + ADDED {
-        let Some(machine) = start_machine(scene, &store, number) else {
+        if site.add_machine(number).is_none() {
             return Verdict::NotRun;
-        };
-        machines.push(machine);
+        }
     }
     std::thread::sleep(READY_TO_TRAFFIC);
-    for machine in &machines[MACHINES..] {
-        clients.start(&machine.daemon.name, &machine.daemon.outbound, &load);
-        record.say(&format!("{} gets traffic", machine.daemon.name));
-    }
+    site.start_clients(MACHINES);
     std::thread::sleep(up.saturating_duration_since(Instant::now()));
     if scene.trouble {
-        store.set_down("keyed.indigospur", false);
+        site.store.set_down("keyed.indigospur", false);
         record.say("the partition is up");
     }
     std::thread::sleep(Duration::from_secs(8));
-    clients.stop();
-    std::thread::sleep(Duration::from_secs(3));
+    site.judge(&[began..Instant::now()])
+}
 
-    let mut runs: Vec<Instant> = Vec::new();
-    for machine in &machines {
-        let ran = machine.upstream.runs.lock().expect("no thread panics");
-        runs.extend(ran.iter().map(|run| run.at));
-    }
-    runs.sort();
-    let bound = (RATE * QUOTA_WINDOW.as_secs_f64() + BURST) * (1.0 + QUOTA_OVERAGE) + QUOTA_SLACK;
-    let windows = runs.iter().enumerate().map(|(index, start)| {
-        let end = runs.partition_point(|at| *at < *start + QUOTA_WINDOW);
-        (end - index, *start)
-    });
-    let (most, start) = windows.max().unwrap_or((0, Instant::now()));
-    let sent = clients.sent.lock().expect("no thread panics").clone();
-    let served = sent.iter().filter(|request| request.status == 200).count();
-    record.say(&format!("{} requests sent, {served} served", sent.len()));
-    let seconds = record.seconds(Instant::now()) as usize;
-    for second in 0..seconds {
-        let at = |run: &&Instant| record.seconds(**run) as usize == second;
-        record.line(&format!(
-            "second {second}: {} runs",
-            runs.iter().filter(at).count()
-        ));
+/// All daemons are killed where many registered machines are gone and their addresses don't answer.
+pub fn play_split(scene: &Scene) -> Verdict {
+    let record = &scene.record;
+    let Some(mut site) = Site::start(scene, Store::start(), LARGE_SITE) else {
+        return Verdict::NotRun;
+    };
+    std::thread::sleep(LEAD);
+    let gone = std::env::var("GONE")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let mut silent = Vec::new();
+    for number in 0..gone.unwrap_or(GONE) {
+        let port = 10_000 + std::process::id() % 6_000;
+        let address = format!("127.7.{}.{}:{port}", number / 250, 1 + number % 250);
+        let Ok(listener) = TcpListener::bind(&address) else {
+            return Verdict::NotRun;
+        };
+        // The system accepts connections; nothing is ever answered.
+        silent.push(listener);
+        let name = format!("sidecar-lisboa-b-{number}");
+        let store = &site.store;
+        store.write("keyed.indigospur", &name, address.as_bytes());
     }
     record.say(&format!(
-        "at most {most} requests of the tenant ran within {QUOTA_WINDOW:?}, from {:.1} s on; the rule \
-         allows {bound:.0}",
-        record.seconds(start)
+        "{} machines that are gone are registered",
+        silent.len()
     ));
-    if served == 0 {
-        return Verdict::NotRun;
-    }
-    if most as f64 > bound {
-        Verdict::Broken
-    } else {
-        Verdict::Held
+    site.start_clients(0);
+    std::thread::sleep(Duration::from_secs(8));
+    let mut judged = Vec::new();
+    for _ in 0..KILLS {
+        if scene.trouble {
+            for machine in &mut site.machines {
+                machine.daemon.kill();
+            }
+            std::thread::sleep(RESTART);
+            for machine in &mut site.machines {
+                machine.daemon.start();
+            }
+        }
+        std::thread::sleep(RECOVERY);
+        let from = Instant::now();
+        record.say("windows are judged that begin from here on");
+        std::thread::sleep(JUDGED);
+        judged.push(from..Instant::now() - QUOTA_WINDOW);
     }
+    site.judge(&judged)
 }
