A failed write no longer makes the end of a response without a length look clean

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still written. The part, or an empty body, reached the caller as a whole 200.

Cause: the system reports the error of a connection once. The write of the upload got it, and the next read returned 0 bytes, which ends a body without a length. A write that times out on a silent connection acted alike.

Fix: Stream keeps the error that a write got, and a read that would report the end of the stream reports that error. It holds for all that read from a Stream: backend servers, the log, the store, other daemons. BrokenPipe is not kept: Linux reports it where the peer had closed its side before the reset, so that early answers that end with a close stay whole.

--- a/crates/indigospur-relay/src/stream.rs
+++ b/crates/indigospur-relay/src/stream.rs
@@ -12,13 +12,16 @@
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 
 /// A TCP connection. Clones share the socket; only one of them may read.
 #[derive(Clone, Debug)]
 pub(crate) struct Stream {
     socket: Arc<Async<TcpStream>>,
+    /// Error with which the connection failed, if a write got it. The operating system reports an error
+    /// once: later reads get an end of the stream, as if the peer had closed its side.
+    write_failure: Arc<OnceLock<io::ErrorKind>>,
     /// Whether the last read took all data that had arrived, so that the next one waits for the
     /// operating system to report more.
     is_drained: bool,
@@ -28,6 +31,7 @@
     fn new(socket: Async<TcpStream>) -> Stream {
         Stream {
             socket: Arc::new(socket),
+            write_failure: Arc::default(),
             is_drained: false,
         }
     }
@@ -59,12 +63,24 @@
             && sockets[0].revents().intersects(closed)
     }
 
-    /// Reads what has arrived, without waiting.
+    /// Records why the connection failed. `BrokenPipe` is no failure of it: the peer had closed its side
+    /// before it reset the connection, so that all it has sent can be read.
+    fn record_write_failure(&self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.write_failure.get_or_init(|| error.kind());
+        }
+    }
+
+    /// Reads what has arrived, without waiting. Zero bytes are read only if the peer has closed its side.
     ///
     /// # Errors
     /// `WouldBlock` if nothing has arrived; else the connection failed.
     pub(crate) fn try_read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let read = self.socket.get_ref().read(buffer);
+        let read = match self.write_failure.get() {
+            Some(failure) if matches!(read, Ok(0)) => Err((*failure).into()),
+            _ => read,
+        };
         self.is_drained = match &read {
             Ok(count) => *count > 0 && *count < buffer.len(),
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
@@ -110,6 +126,10 @@
                     ready!(self.socket.poll_writable(context))?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    self.record_write_failure(&error);
+                    return Poll::Ready(Err(error));
+                }
                 written => return Poll::Ready(written),
             }
         }
