A response with a status above 599 is invalid

What callers saw: 600 and 999 of an upstream were passed on as answers, while 000 and 099 were answered 502.

Decision: RFC 9110, section 15: statuses outside 100 to 599 are invalid, and a client should treat such a response as a server error. As a gateway we answer 502 and pass nothing of it on.

Test: a_status_outside_100_to_599_is_invalid failed at 600 before.

--- a/crates/indigospur-protocol/src/answer.rs
+++ b/crates/indigospur-protocol/src/answer.rs
@@ -10,7 +10,7 @@
 /// The complete HTTP response of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
-    /// HTTP status code.
+    /// HTTP status code, one of [`Answer::STATUSES`].
     pub status: u16,
     /// Headers that are returned to the caller.
     pub headers: Vec<Header>,
@@ -19,6 +19,9 @@
 }
 
 impl Answer {
+    /// Status codes of final responses (RFC 9110, 15).
+    pub const STATUSES: RangeInclusive<u16> = 200..=599;
+
     /// Value of the first header with this name, in lower case; `None` if there is none or it is not
     /// UTF-8.
     pub fn header(&self, name: &str) -> Option<&str> {
--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -1,15 +1,16 @@
 //! Heads of HTTP/1.1 messages, parsed by `httparse`, and the framing of the bodies that follow them.
 
 use httparse::{Error, Status};
-use indigospur_protocol::Header;
+use indigospur_protocol::{Answer, Header};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 /// Field lines of a head up to which it is parsed without a heap allocation for them.
 const STACK_FIELDS: usize = 100;
 /// Start of a status line; `#` stands for a digit.
 const STATUS_LINE: &[u8] = b"HTTP/1.# ###";
-/// Lowest valid status code.
-const MIN_STATUS: u16 = 100;
+/// Status codes of interim responses.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
 /// Fields that are not forwarded: those that apply to one connection, and those that control the
 /// framing or transfer of one message.
 const NOT_FORWARDED: [&str; 9] = [
@@ -228,10 +229,16 @@
     })
 }
 
+/// Whether a response may have this status. Others count as a server error (RFC 9110, 15), of which nothing
+/// is passed on.
+fn is_valid_status(status: u16) -> bool {
+    INTERIM_STATUSES.contains(&status) || Answer::STATUSES.contains(&status)
+}
+
 /// The head of a response: status line and fields.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
-    /// Status code, 100 or higher.
+    /// Status code, from 100 to 599.
     pub(crate) status: u16,
     /// Field lines.
     pub(crate) fields: Fields,
@@ -249,7 +256,7 @@
         let Status::Complete(length) = parsed.parse(bytes)? else {
             return Ok(None);
         };
-        let status = parsed.code.filter(|status| *status >= MIN_STATUS);
+        let status = parsed.code.filter(|status| is_valid_status(*status));
         let status = status.ok_or(HeadError::Malformed)?;
         let reason = parsed.reason.unwrap_or_default().as_bytes();
         let mut values = parsed.headers.iter().map(|header| header.value);
@@ -269,7 +276,7 @@
     /// Returns true for an interim response (1xx), which is followed by another response to the
     /// same request.
     pub(crate) fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status)
+        INTERIM_STATUSES.contains(&self.status)
     }
 
     /// Returns the framing of the body in a response to `method`.
--- a/crates/indigospur-relay/tests/invalid_responses.rs
+++ b/crates/indigospur-relay/tests/invalid_responses.rs
@@ -80,8 +80,8 @@
 }
 
 #[test]
-fn a_status_below_100_or_without_three_digits_is_invalid() {
-    let out_of_range = ["000", "001", "020", "099"];
+fn a_status_outside_100_to_599_is_invalid() {
+    let out_of_range = ["000", "001", "020", "099", "600", "999"];
     let malformed = ["0", "20", "2000", "-20", "2x0", " 200", "+20"];
     for status in out_of_range.into_iter().chain(malformed) {
         assert_invalid(&with_status(status));
