An unasked 101 is no interim response

What callers saw: a 101 of an upstream was skipped like 102 or 103, and the bytes behind it were taken for the final response.

Decision: RFC 9110, sections 7.8 and 15.2.2: a server must not switch to a protocol that was not asked for, and what follows 101 is in the other protocol. Requests are sent without Upgrade, so that 101 makes the response invalid: 502.

Test: interim_responses_are_skipped_except_an_unasked_switch_of_protocols failed at 101 before; the others are skipped.

--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -11,6 +11,7 @@
 const STATUS_LINE: &[u8] = b"HTTP/1.# ###";
 /// Status codes of interim responses.
 const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Fields that are not forwarded: those that apply to one connection, and those that control the
 /// framing or transfer of one message.
 const NOT_FORWARDED: [&str; 9] = [
@@ -230,15 +231,17 @@
 }
 
 /// Whether a response may have this status. Others count as a server error (RFC 9110, 15), of which nothing
-/// is passed on.
+/// is passed on. No request asks for another protocol, and what follows a switch would not be HTTP/1.1
+/// (RFC 9110, 15.2.2).
 fn is_valid_status(status: u16) -> bool {
-    INTERIM_STATUSES.contains(&status) || Answer::STATUSES.contains(&status)
+    let is_interim = INTERIM_STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS;
+    is_interim || Answer::STATUSES.contains(&status)
 }
 
 /// The head of a response: status line and fields.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
-    /// Status code, from 100 to 599.
+    /// Status code, from 100 to 599, not 101.
     pub(crate) status: u16,
     /// Field lines.
     pub(crate) fields: Fields,
--- a/crates/indigospur-relay/tests/invalid_responses.rs
+++ b/crates/indigospur-relay/tests/invalid_responses.rs
@@ -116,3 +116,16 @@
         200,
     );
 }
+
+#[test]
+fn interim_responses_are_skipped_except_an_unasked_switch_of_protocols() {
+    for status in [100, 102, 103, 150, 199] {
+        let interim = format!("HTTP/1.1 {status} Early\r\nlink: <x>\r\n\r\n");
+        assert_whole(&format!("{interim}{WHOLE}"), 200);
+    }
+    for fields in ["", "connection: upgrade\r\nupgrade: websocket\r\n"] {
+        let switch = format!("HTTP/1.1 101 Switching Protocols\r\n{fields}\r\n");
+        assert_invalid(&format!("{switch}{WHOLE}"));
+        assert_invalid(&format!("HTTP/1.1 103 Early Hints\r\n\r\n{switch}{WHOLE}"));
+    }
+}
