A transfer coding in HTTP/1.0 makes the framing invalid

What callers saw: a response of HTTP/1.0 in chunks was decoded and passed on as whole; a request of HTTP/1.0 in chunks was run.

Decision: RFC 9112, section 6.1: a message of HTTP/1.0 with Transfer-Encoding has faulty framing, even beside a length; a sender of HTTP/1.0 may have passed on a field that it does not know. Responses: 502. Requests: 400, and the connection is closed. One function, Fields::framing, decides for both.

Tests: a_transfer_coding_in_http_1_0_is_invalid and a_request_of_http_1_0_with_a_transfer_coding_is_refused, which failed before.

--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -139,6 +139,16 @@
         }
     }
 
+    /// Returns the framing that the fields of a message of HTTP/1.`minor_version` state, if any. A transfer
+    /// coding is malformed beside a content length, and in HTTP/1.0 (RFC 9112, 6.1).
+    fn framing(&self, minor_version: u8) -> Result<Option<Framing>, HeadError> {
+        match (self.is_chunked()?, self.content_length()?) {
+            (true, None) if minor_version > 0 => Ok(Some(Framing::Chunked)),
+            (true, _) => Err(HeadError::Malformed),
+            (false, length) => Ok(length.map(Framing::ContentLength)),
+        }
+    }
+
     /// Returns the fields to forward, without `NOT_FORWARDED` and the fields that `Connection`
     /// names. `Host` is forwarded even if `Connection` names it, as it is meant for the final
     /// recipient.
@@ -200,18 +210,15 @@
             return Ok(None);
         };
         let fields = Fields::new(parsed.headers);
-        let framing = match (fields.is_chunked()?, fields.content_length()?) {
-            (true, Some(_)) => return Err(HeadError::Malformed),
-            (true, None) => Framing::Chunked,
-            (false, length) => Framing::ContentLength(length.unwrap_or(0)),
-        };
-        let closes = parsed.version != Some(1) || fields.has_token("connection", "close");
+        let minor_version = parsed.version.unwrap_or(0);
+        let framing = fields.framing(minor_version)?;
+        let closes = minor_version == 0 || fields.has_token("connection", "close");
         let head = RequestHead {
             method: parsed.method.unwrap_or_default().into(),
             target: parsed.path.unwrap_or_default().into(),
-            minor_version: parsed.version.unwrap_or(0),
+            minor_version,
             fields,
-            framing,
+            framing: framing.unwrap_or(Framing::ContentLength(0)),
             closes,
         };
         Ok(Some((head, length)))
@@ -245,6 +252,8 @@
     pub(crate) status: u16,
     /// Field lines.
     pub(crate) fields: Fields,
+    /// Minor version of HTTP/1: 0 or 1.
+    minor_version: u8,
     /// Whether the connection is closed after the response: the head has `connection: close`, or the
     /// version is HTTP/1.0.
     pub(crate) closes: bool,
@@ -267,10 +276,12 @@
             return Err(HeadError::Malformed);
         }
         let fields = Fields::new(parsed.headers);
-        let closes = parsed.version != Some(1) || fields.has_token("connection", "close");
+        let minor_version = parsed.version.unwrap_or(0);
+        let closes = minor_version == 0 || fields.has_token("connection", "close");
         let head = ResponseHead {
             status,
             fields,
+            minor_version,
             closes,
         };
         Ok(Some((head, length)))
@@ -287,11 +298,7 @@
         if method == "HEAD" || self.status == 204 || self.status == 304 {
             return Ok(Framing::ContentLength(0));
         }
-        match (self.fields.is_chunked()?, self.fields.content_length()?) {
-            (true, Some(_)) => Err(HeadError::Malformed),
-            (true, None) => Ok(Framing::Chunked),
-            (false, Some(length)) => Ok(Framing::ContentLength(length)),
-            (false, None) => Ok(Framing::UntilClose),
-        }
+        let framing = self.fields.framing(self.minor_version)?;
+        Ok(framing.unwrap_or(Framing::UntilClose))
     }
 }
--- a/crates/indigospur-relay/tests/http_server.rs
+++ b/crates/indigospur-relay/tests/http_server.rs
@@ -465,6 +465,18 @@
     assert!(refused.starts_with("HTTP/1.1 408 "), "{refused}");
 }
 
+#[test]
+fn a_request_of_http_1_0_with_a_transfer_coding_is_refused() {
+    let (_service, address) = serve(Bounds::default());
+    for field in ["", "content-length: 5\r\n"] {
+        let request = format!(
+            "POST /x HTTP/1.0\r\n{field}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+        );
+        let response = exchange(&address, request.as_bytes());
+        assert!(response.starts_with("HTTP/1.1 400 "), "{response}");
+    }
+}
+
 #[test]
 fn connect_and_a_request_without_a_host_are_refused() {
     let (_service, address) = serve(Bounds::default());
--- a/crates/indigospur-relay/tests/invalid_responses.rs
+++ b/crates/indigospur-relay/tests/invalid_responses.rs
@@ -129,3 +129,16 @@
         assert_invalid(&format!("HTTP/1.1 103 Early Hints\r\n\r\n{switch}{WHOLE}"));
     }
 }
+
+#[test]
+fn a_transfer_coding_in_http_1_0_is_invalid() {
+    let chunked = "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    assert_whole(&format!("HTTP/1.1 200 OK\r\n{chunked}"), 200);
+    for status in ["200 OK", "503 Busy"] {
+        assert_invalid(&format!("HTTP/1.0 {status}\r\n{chunked}"));
+        assert_invalid(&format!(
+            "HTTP/1.0 {status}\r\ncontent-length: 5\r\n{chunked}"
+        ));
+    }
+    assert_whole("HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nwhole", 200);
+}
