Replies of other daemons: an invalid status or header name is rejected

What callers saw: a reply with status 0 or 600, or with a header name that is no token, was written to the caller as an answer.

Change: the conversion takes final statuses (Answer::STATUSES, which the HTTP/1.1 side uses too) and tokens as names.

Test: a_reply_with_an_invalid_status_or_header_name_is_rejected failed at status 0 before.

--- a/crates/indigospur-protocol/src/call.rs
+++ b/crates/indigospur-protocol/src/call.rs
@@ -34,6 +34,13 @@
     }
 }
 
+/// Whether `text` may be the name of a header (RFC 9110, 5.6.2).
+pub(crate) fn is_token(text: &str) -> bool {
+    let is_token_byte =
+        |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !text.is_empty() && text.bytes().all(is_token_byte)
+}
+
 /// Value of the first header with this name, in lower case; `None` if there is none or it is not UTF-8.
 pub fn find_header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
     let found = headers.iter().find(|header| &*header.name == name)?;
--- a/crates/indigospur-protocol/src/convert.rs
+++ b/crates/indigospur-protocol/src/convert.rs
@@ -1,7 +1,7 @@
 //! Conversions between the wire messages and the types of this crate.
 
 use crate::answer::{Answer, Load, Outcome, Pace, Pressure, Refusal, Reply, Shedding, Work};
-use crate::call::{Call, Context, Crash, CrashTiming, Header};
+use crate::call::{Call, Context, Crash, CrashTiming, Header, is_token};
 use crate::kind::{Kind, Ran};
 use crate::member::{Member, State};
 use crate::rate::Rate;
@@ -32,6 +32,23 @@
     pub context: Context,
 }
 
+/// Decodes the status of a final response.
+fn final_status(status: u32) -> Result<u16, WireError> {
+    let status = u16::try_from(status).ok();
+    let status = status.filter(|status| Answer::STATUSES.contains(status));
+    status.ok_or(WireError::OutOfRange("status"))
+}
+
+/// Decodes the headers of a response. A name that is no token would break the head that they are written to.
+fn response_headers(headers: Vec<peer::Header>) -> Result<Vec<Header>, WireError> {
+    let headers = headers.into_iter().map(Header::from);
+    let valid = headers.map(|header| match is_token(&header.name) {
+        true => Ok(header),
+        false => Err(WireError::OutOfRange("headers")),
+    });
+    valid.collect()
+}
+
 impl From<&Header> for peer::Header {
     fn from(header: &Header) -> Self {
         peer::Header {
@@ -323,8 +340,8 @@
         let load = self.load.map(Into::into);
         let outcome = if self.kind == 0 {
             Outcome::Answered(Answer {
-                status: u16::try_from(self.status).map_err(|_| WireError::OutOfRange("status"))?,
-                headers: self.headers.into_iter().map(Into::into).collect(),
+                status: final_status(self.status)?,
+                headers: response_headers(self.headers)?,
                 body: self.body.into(),
             })
         } else {
--- a/crates/indigospur-protocol/tests/wire.rs
+++ b/crates/indigospur-protocol/tests/wire.rs
@@ -208,6 +208,38 @@
     );
 }
 
+#[test]
+fn a_reply_with_an_invalid_status_or_header_name_is_rejected() {
+    let decode = |status: u32, name: &str| {
+        let header = peer::Header {
+            name: name.to_owned(),
+            value: b"z".to_vec(),
+        };
+        let reply = peer::RelayReply {
+            request_id: "r".to_owned(),
+            status,
+            headers: vec![header],
+            ..Default::default()
+        };
+        reply.into_reply("r").map(|reply| reply.outcome)
+    };
+    for status in [0, 99, 100, 101, 199, 600, 999, 65_736] {
+        let rejected = Err(WireError::OutOfRange("status"));
+        assert_eq!(decode(status, "x"), rejected, "{status}");
+    }
+    for name in ["", "x y", "x\ty", "x:", "x\r\ny", "x\u{1}", "x\0", "\u{e9}"] {
+        let rejected = Err(WireError::OutOfRange("headers"));
+        assert_eq!(decode(200, name), rejected, "{name:?}");
+    }
+    for status in [200, 304, 404, 503, 599] {
+        let decoded = decode(status, "x!#$%&'*+-.^_`|~9");
+        let Ok(Outcome::Answered(answer)) = decoded else {
+            panic!("status {status} is rejected: {decoded:?}");
+        };
+        assert_eq!(u32::from(answer.status), status);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
 
