Tests: bytes without end behind a whole response, beside uploads, unasked, and from another daemon

Handled already; nothing else changed. Calls to others are answered, failed ones get 502, 503 or 504.

--- a/crates/indigospur-relay/tests/endless.rs
+++ b/crates/indigospur-relay/tests/endless.rs
@@ -7,6 +7,9 @@
     runtime,
 };
 use indigospur_test_support::{Script, ScriptedBackend};
+use std::io::Write;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
@@ -189,6 +192,52 @@
     wait_until_ended(&server, 3, "a connection with further bytes");
 }
 
+/// A backend server that sends bytes without end on each connection, whether or not a request arrives.
+/// Returns its address and the number of connections that have ended.
+fn start_unasked() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let ended: Arc<AtomicUsize> = Arc::default();
+    let counter = ended.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let counter = counter.clone();
+            std::thread::spawn(move || {
+                while stream.write_all(&[b'x'; 4 * KIB]).is_ok() {}
+                counter.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+    });
+    (address.to_string(), ended)
+}
+
+#[test]
+fn unasked_bytes_without_end_are_not_read_by_checks_and_fail_calls() {
+    const CHECKS: usize = 100;
+    let (address, ended) = start_unasked();
+    let memory: Arc<BodyMemory> = Arc::default();
+    let pool = Arc::new(BackendPool::new(&address, 256, memory.clone()));
+    let calls: Vec<_> = (0..8).map(|_| start_call(&pool)).collect();
+    for _ in 0..CHECKS {
+        let (sender, outcome) = channel();
+        let pool = pool.clone();
+        runtime::spawn(async move {
+            let _ = sender.send(pool.accepts_connections().await);
+        });
+        assert_eq!(outcome.recv_timeout(TIMEOUT), Ok(true));
+    }
+    for call in &calls {
+        let failed = outcome(call, "unasked bytes");
+        assert_eq!(failed.err(), Some(BackendError::InvalidResponse));
+    }
+    let give_up = Instant::now() + TIMEOUT;
+    while ended.load(Ordering::Relaxed) < CHECKS + calls.len() {
+        assert!(give_up > Instant::now(), "a connection is still open");
+        std::thread::yield_now();
+    }
+    assert_eq!(memory.used(), 0);
+}
+
 #[test]
 fn responses_that_stall_within_the_bounds_use_no_more_memory_than_all_bodies_may() {
     const LIMIT: usize = 2 * KIB * KIB;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -2,7 +2,7 @@
 //! other calls on the same daemons are answered, and no daemon uses more memory than it has.
 
 use indigospur_test_support::{
-    Call, Process, Response, Script, ServicePlan, Site, SitePlan, request, wait_until,
+    Call, HostProxies, Process, Response, Script, ServicePlan, Site, SitePlan, request, wait_until,
 };
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -45,6 +45,26 @@
     request(address, &call)
 }
 
+/// Sends a request to `service` with a body of `length` bytes and returns the status of the response; zero
+/// if the connection ends without one.
+fn upload(address: &str, service: &str, length: usize) -> u16 {
+    let head = format!(
+        "POST /x HTTP/1.1\r\nhost: {service}\r\nindigospur-service: {service}\r\nconnection: close\r\n\
+         indigospur-deadline-ms: 20000\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    // A refused request is not read to its end.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(&vec![b'x'; length]);
+    let mut response = Vec::new();
+    let _ = stream.read_to_end(&mut response);
+    let response = String::from_utf8_lossy(&response);
+    let status = response
+        .strip_prefix("HTTP/1.1 ")
+        .and_then(|rest| rest.get(..3));
+    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
 /// Largest resident memory of a process so far, in MiB.
 fn peak_mib(process: &Process) -> u64 {
     let path = format!("/proc/{}/status", process.id());
@@ -130,24 +150,134 @@
     assert_contained("crawl", crawling);
 }
 
-/// Sends a request with a body of `length` bytes and returns the status of the response; zero if the
-/// connection ends without one.
-fn upload(address: &str, length: usize) -> u16 {
-    let head = format!(
-        "POST /x HTTP/1.1\r\nhost: accounts\r\nindigospur-service: accounts\r\nconnection: close\r\n\
-         indigospur-deadline-ms: 20000\r\ncontent-length: {length}\r\n\r\n"
+/// The bytes belong to no call. They may arrive once the next call on the connection has been sent, which
+/// then fails.
+#[test]
+fn bytes_without_end_behind_whole_responses_stay_within_the_memory() {
+    const ROUNDS: usize = 3;
+    let whole = "HTTP/1.1 200 OK\r\nkeep-alive: timeout=60\r\ncontent-length: 5\r\n\r\nwhole";
+    let mut site = start_site("");
+    let scripted = site.script_backend("accounts-0", SLOTS, Script::endless(whole, "x"));
+    let [near, far] = ["accounts-0", "boards-0"].map(|host| site.node(host).caller_address());
+    wait_until("the other daemon knows the backend server", || {
+        call(&far, "accounts").status == 200
+    });
+    for _ in 0..ROUNDS {
+        std::thread::scope(|scope| {
+            let calls: Vec<_> = (0..SLOTS)
+                .map(|_| scope.spawn(|| call(&far, "accounts")))
+                .collect();
+            for _ in 0..OTHER_CALLS {
+                let other = call(&near, "boards");
+                assert_eq!(other.status, 200, "{other:?}");
+            }
+            for call in calls {
+                let response = call.join().expect("the call returns");
+                let is_whole = response.status == 200 && response.body == "whole";
+                let is_failed = [502, 503, 504].contains(&response.status);
+                assert!(is_whole || is_failed, "{response:?}");
+            }
+        });
+    }
+    assert!(scripted.connections() > 1);
+    assert_within_memory("behind whole responses", &mut site);
+}
+
+/// Sends uploads to a backend server that follows `script` as soon as it has read the head of one.
+fn assert_contained_beside_uploads(name: &str, script: Script) {
+    const LARGE: usize = 4_000_000;
+    const SMALL: usize = 10_000;
+    const UPLOADS: usize = 100;
+    let mut site = start_site("body = 4194304\n");
+    let scripted = site.script_backend("accounts-0", SLOTS, script);
+    let [near, far] = ["accounts-0", "boards-0"].map(|host| site.node(host).caller_address());
+    wait_until("the other daemon knows the backend server", || {
+        call(&far, "accounts").kind != "no-upstream"
+    });
+    let before = scripted.requests();
+    let statuses = std::thread::scope(|scope| {
+        let uploads: Vec<_> = (0..UPLOADS)
+            .map(|_| scope.spawn(|| upload(&far, "accounts", LARGE)))
+            .collect();
+        for _ in 0..OTHER_CALLS {
+            assert_eq!(upload(&near, "boards", SMALL), 200, "{name}: another call");
+        }
+        let statuses = uploads.into_iter().map(|upload| upload.join());
+        let statuses = statuses.map(|status| status.expect("the upload returns"));
+        statuses.collect::<Vec<u16>>()
+    });
+    let count = |status: u16| statuses.iter().filter(|other| **other == status).count();
+    println!(
+        "{name}: {} arrived, {} answered 502, {} refused",
+        scripted.requests() - before,
+        count(502),
+        count(503)
     );
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    // A refused request is not read to its end.
-    let _ = stream.write_all(head.as_bytes());
-    let _ = stream.write_all(&vec![b'x'; length]);
-    let mut response = Vec::new();
-    let _ = stream.read_to_end(&mut response);
-    let response = String::from_utf8_lossy(&response);
-    let status = response
-        .strip_prefix("HTTP/1.1 ")
-        .and_then(|rest| rest.get(..3));
-    status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    assert!(scripted.requests() > before, "{name}: no upload arrived");
+    // A caller that is still sending may miss the response.
+    let unexpected = |status: &&u16| ![0, 502, 503, 504].contains(*status);
+    let unexpected: Vec<_> = statuses.iter().filter(unexpected).collect();
+    assert!(unexpected.is_empty(), "{name}: {unexpected:?}");
+    assert_within_memory(name, &mut site);
+}
+
+#[test]
+fn an_endless_head_beside_uploads_holds_up_no_other_call() {
+    let script = Script::endless("HTTP/1.1 200 OK\r\n", "x: y\r\n");
+    assert_contained_beside_uploads("head beside uploads", script);
+}
+
+#[test]
+fn an_endless_body_beside_uploads_stays_within_the_memory() {
+    let script = Script::endless("HTTP/1.1 200 OK\r\n\r\n", "content");
+    assert_contained_beside_uploads("body beside uploads", script);
+}
+
+#[test]
+fn endless_chunks_beside_uploads_stay_within_the_memory() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let script = Script::endless(head, "8\r\ncontents\r\n");
+    assert_contained_beside_uploads("chunks beside uploads", script);
+}
+
+#[test]
+fn bytes_that_are_no_response_beside_uploads_hold_up_no_other_call() {
+    let script = Script::endless("", "\u{1}junk\r\n");
+    assert_contained_beside_uploads("junk beside uploads", script);
+}
+
+#[test]
+fn frames_without_end_of_another_daemon_hold_up_no_other_call() {
+    const CALLS: usize = 8;
+    /// An HTTP/2 frame of a kind that is to be ignored.
+    const IGNORED: [u8; 9] = [0, 0, 0, 0x55, 0, 0, 0, 0, 0];
+    let mut site = start_site("");
+    let proxies = HostProxies::start();
+    site.add_proxied_host(&proxies, "carts-0", &ServicePlan::new("carts", 1, &[]))
+        .expect("the host starts");
+    let far = site.node("boards-0").caller_address();
+    wait_until("the other daemon reaches the backend server", || {
+        call(&far, "carts").status == 200
+    });
+    proxies.peers.flood_responses(IGNORED.repeat(4_000).leak());
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..CALLS)
+            .map(|_| scope.spawn(|| call(&far, "carts")))
+            .collect();
+        for service in ["boards", "accounts"].repeat(OTHER_CALLS / 2) {
+            let other = call(&far, service);
+            assert_eq!(other.status, 200, "{service}: {other:?}");
+        }
+        for call in calls {
+            let failed = call.join().expect("the call returns");
+            assert!([502, 503, 504].contains(&failed.status), "{failed:?}");
+        }
+    });
+    proxies.peers.heal();
+    wait_until("calls are answered again", || {
+        call(&far, "carts").status == 200
+    });
+    assert_within_memory("frames", &mut site);
 }
 
 #[test]
@@ -155,8 +285,8 @@
     const LARGEST: usize = 12 * 1_024 * 1_024;
     let mut site = start_site(&format!("body = {LARGEST}\n"));
     let far = site.node("boards-0").caller_address();
-    assert_eq!(upload(&far, LARGEST), 200);
-    assert_eq!(upload(&far, LARGEST + 1), 413);
+    assert_eq!(upload(&far, "accounts", LARGEST), 200);
+    assert_eq!(upload(&far, "accounts", LARGEST + 1), 413);
     assert_within_memory("largest body", &mut site);
 }
 
@@ -168,10 +298,14 @@
     let far = site.node("boards-0").caller_address();
     let statuses = std::thread::scope(|scope| {
         let uploads: Vec<_> = (0..100)
-            .map(|_| scope.spawn(|| upload(&far, LARGE)))
+            .map(|_| scope.spawn(|| upload(&far, "accounts", LARGE)))
             .collect();
         for _ in 0..OTHER_CALLS {
-            assert_eq!(upload(&far, SMALL), 200, "small bodies get through");
+            assert_eq!(
+                upload(&far, "accounts", SMALL),
+                200,
+                "small bodies get through"
+            );
         }
         let statuses = uploads
             .into_iter()
