--- a/crates/indigospur-relay/src/head.rs
+++ b/crates/indigospur-relay/src/head.rs
@@ -237,9 +237,8 @@
     })
 }
 
-/// Whether a response may have this status. Others count as a server error (RFC 9110, 15), of which nothing
-/// is passed on. No request asks for another protocol, and what follows a switch would not be HTTP/1.1
-/// (RFC 9110, 15.2.2).
+/// Whether a response may have this status. One outside 100 to 599 counts as a server error (RFC 9110, 15).
+/// 101 is invalid as no request asks for another protocol, and what follows is not HTTP/1.1 (RFC 9110, 15.2.2).
 fn is_valid_status(status: u16) -> bool {
     let is_interim = INTERIM_STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS;
     is_interim || Answer::STATUSES.contains(&status)
