--- a/crates/indigospur-relay/tests/endless_peers.rs
+++ b/crates/indigospur-relay/tests/endless_peers.rs
@@ -1,16 +1,17 @@
 //! Daemons that send frames without end: each call to one fails within its time, and calls to others are
 //! answered meanwhile, on one executor thread.
 
-use async_std::net::TcpListener as AsyncListener;
+mod gated_peer;
+
+use gated_peer::GatedPeer;
 use indigospur_protocol::wire::peer;
-use indigospur_relay::{BodyMemory, Channel, LinkPool, runtime, serve_peers};
+use indigospur_relay::{BodyMemory, Channel, LinkPool, runtime};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex, MutexGuard, Once, PoisonError};
 use std::time::{Duration, Instant};
-use tonic::{Request, Response, Status};
 
 type PeerClient = peer::peer_client::PeerClient<Channel>;
 
@@ -234,68 +235,10 @@
     }
 }
 
-/// A daemon that replies to every fetch.
-struct Replying;
-
-#[tonic::async_trait]
-impl peer::peer_server::Peer for Replying {
-    async fn relay(
-        &self,
-        _: Request<peer::RelayRequest>,
-    ) -> Result<Response<peer::RelayReply>, Status> {
-        Err(Status::unimplemented(""))
-    }
-
-    async fn revoke(
-        &self,
-        _: Request<peer::RevokeRequest>,
-    ) -> Result<Response<peer::RevokeReply>, Status> {
-        Err(Status::unimplemented(""))
-    }
-
-    async fn claim(
-        &self,
-        _: Request<peer::RelayRequest>,
-    ) -> Result<Response<peer::RelayReply>, Status> {
-        Err(Status::unimplemented(""))
-    }
-
-    async fn gossip(
-        &self,
-        _: Request<peer::GossipMessage>,
-    ) -> Result<Response<peer::GossipMessage>, Status> {
-        Err(Status::unimplemented(""))
-    }
-
-    async fn fetch(
-        &self,
-        _: Request<peer::FetchRequest>,
-    ) -> Result<Response<peer::FetchReply>, Status> {
-        Ok(Response::new(peer::FetchReply::default()))
-    }
-
-    async fn hand_over(
-        &self,
-        _: Request<peer::HandOverRequest>,
-    ) -> Result<Response<peer::HandOverReply>, Status> {
-        Err(Status::unimplemented(""))
-    }
-
-    async fn quota(
-        &self,
-        _: Request<peer::QuotaReport>,
-    ) -> Result<Response<peer::QuotaGrant>, Status> {
-        Err(Status::unimplemented(""))
-    }
-}
-
+/// Starts a daemon that replies to every call. Returns its address.
 fn start_replying() -> Arc<str> {
-    runtime::block_on(async {
-        let listener = AsyncListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("it listens").to_string();
-        runtime::spawn(serve_peers(listener, Arc::new(Replying), Arc::default()));
-        address.as_str().into()
-    })
+    let (_peer, address, _gate) = runtime::block_on(GatedPeer::start());
+    address.as_str().into()
 }
 
 /// Starts a call on the executor; whether it got a reply arrives on the channel.
