--- a/crates/indigospur-relay/tests/invalid_responses.rs
+++ b/crates/indigospur-relay/tests/invalid_responses.rs
@@ -97,7 +97,7 @@
 fn a_field_name_that_is_no_token_is_invalid() {
     for field in INVALID_NAMES {
         for status in ["200 OK", "503 Busy", "421 Misdirected"] {
-            let refusal = format!("HTTP/1.1 {status}\r\nnot-executed: 1\r\n{field}\r\n");
+            let refusal = format!("HTTP/1.1 {status}\r\nretry-after: 1\r\n{field}\r\n");
             assert_invalid(&format!("{refusal}content-length: 5\r\n\r\nwhole"));
             // The framing is not to be taken from the lines before it.
             assert_invalid(&format!(
