An acknowledged departure outlives all daemons

What callers saw: after all daemons were killed, a late heartbeat of a backend server that had left was taken for that of a new one.

Cause: which instances have left was known in the memory of daemons only. The acknowledgement was given after gossip, and the knowledge ended with the last daemon that had it.

Change: the daemon beside the backend server stops using it at once, as before, and acknowledges the departure only when the configuration source holds it: a record a host with the last eight departures, in a topic that keeps the newest record of each key. A daemon reads all records once when it starts, in the time in which it waits for the fleet already (at most 300 ms), and passes on to others what was recorded for their hosts. Departures that come by gossip or in an answer are recorded too, those lost by a restore of the store are recorded again.

While the records can't be read, an instance is used from its first announcement during the first 3 s, as before. After that it needs a second one, unless it says that it has just started, and is set aside if its announcements cease: a running one sends them, one that left does not. This ends 30 s after the start of the daemon, or with the first successful read.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -19,8 +19,10 @@
 /// Time without an announcement after which the backend server is probed by opening a connection.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time for which a starting daemon holds back announcements until another daemon has
-/// answered its gossip.
+/// answered its gossip and the recorded departures have been read.
 const FLEET_WAIT: Duration = Duration::from_millis(300);
+/// Age of a daemon at which a backend server that runs has announced itself twice.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Largest number of slots or connections accepted in an announcement.
 const MAX_SLOTS: u32 = 65_536;
 
@@ -113,10 +115,29 @@
     Ok(())
 }
 
-/// Ends the wait for the fleet: another daemon has answered, or [`FLEET_WAIT`] has passed. Handles
-/// the announcement that was held back meanwhile.
+/// Whether announcements that would bring new work are held back, as the daemon has just started.
+fn holds_back_announcements(daemon: &Daemon) -> bool {
+    let knows_history = daemon.source.is_none() || daemon.departures.is_read();
+    let knows_all = knows_history && daemon.fleet_wait_over.load(Ordering::Relaxed);
+    !knows_all && !daemon.start_wait_over.load(Ordering::Relaxed)
+}
+
+/// Ends the wait for the fleet: another daemon has answered, or [`FLEET_WAIT`] has passed.
 pub(crate) fn end_fleet_wait(daemon: &Daemon) {
-    if daemon.fleet_wait_over.swap(true, Ordering::Relaxed) {
+    if !daemon.fleet_wait_over.swap(true, Ordering::Relaxed) {
+        handle_pending_announcement(daemon);
+    }
+}
+
+/// Ends the wait for the departures that were recorded before this daemon started.
+pub(crate) fn end_history_wait(daemon: &Daemon) {
+    lock(&daemon.instances).complete_history();
+    handle_pending_announcement(daemon);
+}
+
+/// Handles the announcement that was held back, unless it has to wait longer.
+fn handle_pending_announcement(daemon: &Daemon) {
+    if holds_back_announcements(daemon) {
         return;
     }
     let pending = lock(&daemon.pending_announcement).take();
@@ -129,18 +150,21 @@
 /// leaves and this was not known yet.
 ///
 /// A daemon that has just started does not know which processes of its backend server have left;
-/// other daemons do. Until one of them has answered, announcements that would bring new work are
-/// held back.
+/// other daemons and the configuration source do. Until one of them and the source have answered,
+/// announcements that would bring new work are held back.
 pub(crate) fn handle_announcement(daemon: &Daemon, announcement: &Announcement) -> bool {
-    let held_back = !announcement.instance.is_empty() && announcement.state != State::Draining;
-    if held_back && !daemon.fleet_wait_over.load(Ordering::Relaxed) {
+    let brings_work = !announcement.instance.is_empty() && announcement.state != State::Draining;
+    if brings_work && holds_back_announcements(daemon) {
         *lock(&daemon.pending_announcement) = Some(announcement.clone());
         return false;
     }
     let now = Instant::now();
     let outcome = lock(&daemon.instances).record_announcement(now, announcement);
     log_announcement(announcement, outcome);
-    if outcome == AnnouncementOutcome::Stale {
+    if matches!(
+        outcome,
+        AnnouncementOutcome::Stale | AnnouncementOutcome::Unconfirmed
+    ) {
         return false;
     }
     *lock(&daemon.last_announced) = Some(now);
@@ -182,7 +206,7 @@
     let level = match outcome {
         AnnouncementOutcome::Known => log::Level::Trace,
         AnnouncementOutcome::New | AnnouncementOutcome::Leaving => log::Level::Info,
-        AnnouncementOutcome::Stale => log::Level::Warn,
+        AnnouncementOutcome::Stale | AnnouncementOutcome::Unconfirmed => log::Level::Warn,
     };
     log::log!(
         level,
@@ -202,7 +226,9 @@
 /// Returns whether it is the current process and was not yet known to leave.
 pub(crate) fn handle_departure(daemon: &Daemon, instance: &Instance) -> bool {
     let now = Instant::now();
-    if !lock(&daemon.instances).mark_left(now, instance) {
+    let is_news = lock(&daemon.instances).mark_left(now, instance);
+    daemon.departures.update();
+    if !is_news {
         return false;
     }
     daemon.leave_slots();
@@ -224,6 +250,13 @@
     state_changed
 }
 
+/// Applies the departures on this host that were recorded before this daemon started.
+pub(crate) fn restore_departures(daemon: &Daemon, instances: &[Instance]) {
+    for instance in instances {
+        handle_departure(daemon, instance);
+    }
+}
+
 /// Puts an announced backend server in place, or updates the one that is there already.
 fn update_backend(daemon: &Daemon, announcement: &Announcement) {
     let current = daemon.backend();
@@ -305,6 +338,20 @@
         daemon.backend_lost.store(true, Ordering::Relaxed);
     }
     drop(current);
+    announce_absence(daemon);
+}
+
+/// Sets the backend server aside until it announces itself again, since it may have left.
+fn set_aside(daemon: &Daemon) {
+    lock(&daemon.instances).set_aside();
+    *lock(&daemon.backend) = None;
+    announce_absence(daemon);
+    log::info!(
+        "the backend server has not announced itself again and may have left; it gets no new calls until it does"
+    );
+}
+
+fn announce_absence(daemon: &Daemon) {
     let now = Instant::now();
     if lock(&daemon.fleet)
         .members
@@ -314,14 +361,23 @@
     }
 }
 
-/// Ends the wait for the fleet after [`FLEET_WAIT`], for a daemon that reaches no other.
-pub(crate) async fn limit_fleet_wait(daemon: Arc<Daemon>) {
+/// Ends the waits of a starting daemon after [`FLEET_WAIT`], for one that does not reach the others or
+/// the source. Sets a backend server aside that has announced itself once only by
+/// [`CONFIRMATION_TIME`], unless it is known by then which ones have left.
+pub(crate) async fn limit_start_waits(daemon: Arc<Daemon>) {
     runtime::sleep(FLEET_WAIT).await;
+    daemon.start_wait_over.store(true, Ordering::Relaxed);
     end_fleet_wait(&daemon);
+    handle_pending_announcement(&daemon);
+    runtime::sleep(CONFIRMATION_TIME - FLEET_WAIT).await;
+    let is_unconfirmed = lock(&daemon.instances).is_unconfirmed(Instant::now());
+    if is_unconfirmed && daemon.backend().is_some() {
+        set_aside(&daemon);
+    }
 }
 
 /// Probes a backend server whose announcements have ceased, and removes it if it accepts no
-/// connection.
+/// connection. One that may have left is set aside without a probe.
 pub(crate) async fn watch(daemon: Arc<Daemon>) {
     loop {
         runtime::sleep(ANNOUNCEMENT_TIMEOUT / 3).await;
@@ -330,6 +386,10 @@
         let Some(backend) = daemon.backend().filter(|_| is_silent) else {
             continue;
         };
+        if lock(&daemon.instances).may_have_left(Instant::now()) {
+            set_aside(&daemon);
+            continue;
+        }
         if !backend.pool.accepts_connections().await {
             remove(&daemon, &backend);
         }
--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -2,6 +2,7 @@
 //! place that the daemon reads rule sets from.
 
 use displaydoc::Display;
+use indigospur_members::Instance;
 use indigospur_protocol::Version;
 use indigospur_publish::{Era, Position};
 use indigospur_relay::LogError;
@@ -38,7 +39,25 @@
     pub address: Arc<str>,
 }
 
-/// Why a read of a source or a registration failed.
+/// Instances of the backend server on a host that have left.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostDepartures {
+    /// Host name, unique in the fleet.
+    pub host: Arc<str>,
+    /// The instances, the oldest departure first.
+    pub instances: Vec<Instance>,
+}
+
+/// Departures recorded at a source.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Departures {
+    /// Departures by host; each host occurs at most once.
+    pub hosts: Vec<HostDepartures>,
+    /// Era in which the source answered.
+    pub era: Era,
+}
+
+/// Why a call of a source failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum SourceError {
     /// the request to the source failed: {0:?}
@@ -99,6 +118,19 @@
     /// # Errors
     /// The source did not confirm the registration.
     fn register(&self, contact: Contact) -> BoxFuture<Result<Era, SourceError>>;
+
+    /// Reads the departures recorded for all hosts.
+    ///
+    /// # Errors
+    /// The source can't be read.
+    fn departures(&self) -> BoxFuture<Result<Departures, SourceError>>;
+
+    /// Records the departures of a host in place of those recorded for it before. Returns the era in
+    /// which the source confirmed it; a later one may have lost it.
+    ///
+    /// # Errors
+    /// The source did not confirm the record.
+    fn record_departures(&self, departures: HostDepartures) -> BoxFuture<Result<Era, SourceError>>;
 }
 
 /// The newest accepted configuration of a source.
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -18,7 +18,7 @@
 const CONTACTS_AT_ONCE: usize = 4;
 /// Time after which the next ones are asked, if some of them have neither answered nor failed.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Registrations a second that the whole fleet sends after the source was restored.
+/// Records of a kind that the whole fleet writes a second after the source was restored.
 const RENEWALS_PER_SECOND: u32 = 200;
 
 #[derive(Debug, Default)]
@@ -40,6 +40,13 @@
     }
 }
 
+/// A random part of the time in which the whole fleet may renew its records at the source.
+pub(crate) fn renewal_delay(daemon: &Daemon) -> Duration {
+    let members = u32::try_from(lock(&daemon.fleet).members.len()).unwrap_or(u32::MAX);
+    let whole = Duration::from_secs(1) * members / RENEWALS_PER_SECOND;
+    whole.mul_f64(lock(&daemon.rng).random())
+}
+
 /// Registration of this daemon at a source.
 #[derive(Debug)]
 pub(crate) struct Registration {
@@ -73,7 +80,7 @@
             log::info!(
                 "this daemon is no longer registered at the configuration source; it registers again"
             );
-            runtime::sleep(self.renewal_delay()).await;
+            runtime::sleep(renewal_delay(&self.daemon)).await;
         }
     }
 
@@ -96,13 +103,6 @@
         let _ = self.lost.0.try_send(());
     }
 
-    /// A random part of the time in which the whole fleet may renew its registrations.
-    fn renewal_delay(&self) -> Duration {
-        let members = u32::try_from(lock(&self.daemon.fleet).members.len()).unwrap_or(u32::MAX);
-        let whole = Duration::from_secs(1) * members / RENEWALS_PER_SECOND;
-        whole.mul_f64(lock(&self.daemon.rng).random())
-    }
-
     /// Registers this daemon and joins the fleet by way of registered daemons, until it is
     /// registered and either knows another member or is the only one registered.
     ///
--- a/crates/indigospur-daemon/src/control/source_reader.rs
+++ b/crates/indigospur-daemon/src/control/source_reader.rs
@@ -78,6 +78,7 @@
             Event::AddressChanged => {
                 reader.restart();
                 reader.registration.restart();
+                daemon.departures.restart();
             }
             Event::BecameWatcher | Event::ReadEnded(Ok(())) => backoff = Backoff::default(),
             Event::ReadEnded(Err(SourceError::PositionExpired)) => {
@@ -153,6 +154,7 @@
             && progress.cursor.advance(read.from, batch.next);
         // Under the lock, so that a change of the address does not come between the two.
         self.registration.observe_era(progress.cursor.era());
+        self.daemon.departures.observe_era(progress.cursor.era());
         let was_available = std::mem::replace(&mut progress.available, true);
         drop(progress);
         log_read(read.from, &batch, is_restored);
--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -1,6 +1,6 @@
 //! Starts the background tasks.
 
-use crate::control::{epochs, gossip, log_reader, quota, source_reader};
+use crate::control::{departures, epochs, gossip, log_reader, quota, source_reader};
 use crate::daemon::Daemon;
 use indigospur_relay::runtime;
 use std::sync::Arc;
@@ -9,9 +9,15 @@
 pub(crate) fn start(daemon: &Arc<Daemon>) {
     supervise(daemon, "gossip", gossip::run);
     match daemon.source.clone() {
-        Some(source) => supervise(daemon, "configuration", move |daemon| {
-            source_reader::run(daemon, source.clone())
-        }),
+        Some(source) => {
+            let recorder = source.clone();
+            supervise(daemon, "departures", move |daemon| {
+                departures::run(daemon, recorder.clone())
+            });
+            supervise(daemon, "configuration", move |daemon| {
+                source_reader::run(daemon, source.clone())
+            });
+        }
         None => supervise(daemon, "log", log_reader::run),
     }
     if daemon.settings().at_most_once {
@@ -19,7 +25,7 @@
     }
     supervise(daemon, "quota", quota::run);
     supervise(daemon, "backend server", crate::backend::watch);
-    runtime::spawn(crate::backend::limit_fleet_wait(daemon.clone()));
+    runtime::spawn(crate::backend::limit_start_waits(daemon.clone()));
 }
 
 fn supervise<F>(
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::backend::Backend;
 use crate::configuration::{ConfigurationSource, NewestConfiguration};
 use crate::contact::LastContact;
+use crate::control::DepartureRecord;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::placement;
@@ -75,7 +76,11 @@
     pub(crate) named_limit: Mutex<Option<NamedLimit>>,
     /// Set once another daemon has answered gossip or the time for that has passed.
     pub(crate) fleet_wait_over: AtomicBool,
-    /// Last announcement that is held back until `fleet_wait_over` is set.
+    /// Set once the time has passed for which a starting daemon holds announcements back.
+    pub(crate) start_wait_over: AtomicBool,
+    /// Departures of the backend server at the source; not used without one.
+    pub(crate) departures: DepartureRecord,
+    /// Last announcement that is held back while the daemon starts.
     pub(crate) pending_announcement: Mutex<Option<Announcement>>,
     /// The backend server was found down and has not announced itself since.
     pub(crate) backend_lost: AtomicBool,
@@ -176,6 +181,10 @@
         let mut router = Router::new(settings.data_centre.clone(), settings.region.clone());
         router.set_policy(settings.placement);
         let body_memory = Arc::new(BodyMemory::new(settings.body_memory()));
+        let instances = match source {
+            Some(_) => InstanceTracker::with_unread_history(Instant::now()),
+            None => InstanceTracker::default(),
+        };
         Arc::new(Daemon {
             dialect,
             source,
@@ -187,9 +196,11 @@
             log: LogClient::new(settings.log_address.clone()),
             callers: OnceLock::new(),
             backend: Mutex::default(),
-            instances: Mutex::default(),
+            instances: Mutex::new(instances),
             named_limit: Mutex::default(),
             fleet_wait_over: AtomicBool::new(false),
+            start_wait_over: AtomicBool::new(false),
+            departures: DepartureRecord::default(),
             pending_announcement: Mutex::default(),
             backend_lost: AtomicBool::new(false),
             last_announced: Mutex::default(),
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -18,6 +18,11 @@
 /// Time for which an instance that left with an unknown start time matches all instances of its
 /// name; longer than the delay of any announcement.
 const NAME_RETENTION: Duration = Duration::from_secs(30);
+/// Age of a tracker up to which one announcement shows that an instance is running although earlier
+/// departures are unknown. A running instance has announced itself twice by then.
+const SINGLE_ANNOUNCEMENT_AGE: Duration = Duration::from_secs(3);
+/// Age of a tracker from which on no announcement can be from before its start.
+const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(30);
 
 /// One run of a backend server process, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,6 +84,18 @@
     Leaving,
     /// The announcement is outdated, a repetition, or from an instance that has left; ignore it.
     Stale,
+    /// The announcement may be a late one of an instance that has left; ignore it until the next one
+    /// shows that the instance is running.
+    Unconfirmed,
+}
+
+/// What a tracker knows of the instances that left before it was created.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum History {
+    #[default]
+    Known,
+    /// Not read yet, by a tracker created at `since`.
+    Unread { since: Instant },
 }
 
 #[derive(Debug)]
@@ -87,6 +104,8 @@
     /// Sequence number of the last announcement.
     sequence: u64,
     last_announced: Instant,
+    /// Whether it is known to be running: by a second announcement, or because it has just started.
+    confirmed: bool,
 }
 
 impl Current {
@@ -103,9 +122,80 @@
     replaced: VecDeque<Instance>,
     /// Instances that are leaving or have left, the oldest first.
     departed: Vec<Departed>,
+    history: History,
+    /// Last unconfirmed instance and the sequence number of its announcement.
+    unconfirmed: Option<(Instance, u64)>,
 }
 
 impl InstanceTracker {
+    /// Creates a tracker at `now` that does not know which instances left before.
+    pub fn with_unread_history(now: Instant) -> InstanceTracker {
+        InstanceTracker {
+            history: History::Unread { since: now },
+            ..InstanceTracker::default()
+        }
+    }
+
+    /// Records that all instances that left before the tracker was created have been passed to
+    /// [`InstanceTracker::mark_left`].
+    pub fn complete_history(&mut self) {
+        self.history = History::Known;
+        self.unconfirmed = None;
+    }
+
+    /// Instances that are leaving or have left, the oldest first.
+    pub fn departed(&self) -> impl DoubleEndedIterator<Item = &Instance> {
+        self.departed.iter().map(|departed| &departed.instance)
+    }
+
+    /// Whether the current instance may be one that left before the tracker was created, so that it is
+    /// used only for as long as it announces itself.
+    pub fn may_have_left(&self, now: Instant) -> bool {
+        let is_leaving = |current: &Current| self.has_departed(now, &current.instance);
+        let in_use = self
+            .current
+            .as_ref()
+            .is_some_and(|current| !is_leaving(current));
+        in_use && self.unread_age(now).is_some()
+    }
+
+    /// Whether the current instance may have left and only one announcement of it has arrived by the
+    /// time at which a running instance has sent two.
+    pub fn is_unconfirmed(&self, now: Instant) -> bool {
+        let confirmed = self
+            .current
+            .as_ref()
+            .is_none_or(|current| current.confirmed);
+        !confirmed && self.may_have_left(now) && self.needs_confirmation(now)
+    }
+
+    /// Sets the current instance aside until its next announcement.
+    pub fn set_aside(&mut self) {
+        let current = self.current.take();
+        self.unconfirmed = current.map(|current| (current.instance, current.sequence));
+    }
+
+    /// Age of the tracker, while an instance that left before may still announce itself.
+    fn unread_age(&self, now: Instant) -> Option<Duration> {
+        let History::Unread { since } = self.history else {
+            return None;
+        };
+        let age = now.saturating_duration_since(since);
+        (age < MAX_ANNOUNCEMENT_DELAY).then_some(age)
+    }
+
+    /// Whether one announcement does not show that an unknown instance is running.
+    fn needs_confirmation(&self, now: Instant) -> bool {
+        self.unread_age(now)
+            .is_some_and(|age| age >= SINGLE_ANNOUNCEMENT_AGE)
+    }
+
+    /// Whether an earlier, unconfirmed announcement of the same instance has arrived.
+    fn is_announced_again(&self, instance: &Instance, sequence: u64) -> bool {
+        let unconfirmed = self.unconfirmed.as_ref();
+        unconfirmed.is_some_and(|(earlier, at)| earlier == instance && sequence > *at)
+    }
+
     /// Processes an announcement.
     pub fn record_announcement(
         &mut self,
@@ -122,6 +212,9 @@
         if self.has_departed(now, &instance) {
             return AnnouncementOutcome::Stale;
         }
+        let again = self.is_announced_again(&instance, announced.sequence);
+        // An instance that has just started can't have left long ago.
+        let confirmed = again || announced.cold_ms > 0 || instance.name.is_empty();
         let outcome = match &self.current {
             Some(current) if current.instance == instance => {
                 let is_newer = announced.sequence > current.sequence || announced.sequence == 0;
@@ -134,9 +227,14 @@
             Some(current) if self.seems_older(&instance, current) && !current.is_overdue(now) => {
                 return AnnouncementOutcome::Stale;
             }
+            _ if !confirmed && self.needs_confirmation(now) => {
+                self.unconfirmed = Some((instance, announced.sequence));
+                return AnnouncementOutcome::Unconfirmed;
+            }
             _ => AnnouncementOutcome::New,
         };
-        self.set_current(now, instance, announced.sequence);
+        let confirmed = confirmed || outcome == AnnouncementOutcome::Known;
+        self.set_current(now, instance, announced.sequence, confirmed);
         outcome
     }
 
@@ -157,7 +255,7 @@
         if other {
             return AnnouncementOutcome::Stale;
         }
-        self.set_current(now, instance, sequence);
+        self.set_current(now, instance, sequence, true);
         AnnouncementOutcome::Leaving
     }
 
@@ -169,12 +267,13 @@
         self.replaced.contains(instance)
     }
 
-    fn set_current(&mut self, now: Instant, instance: Instance, sequence: u64) {
+    fn set_current(&mut self, now: Instant, instance: Instance, sequence: u64, confirmed: bool) {
         self.replaced.retain(|replaced| *replaced != instance);
         let current = Current {
             instance: instance.clone(),
             sequence,
             last_announced: now,
+            confirmed,
         };
         let previous = self
             .current
--- a/crates/indigospur-members/src/members.rs
+++ b/crates/indigospur-members/src/members.rs
@@ -114,6 +114,12 @@
         self.departed.get(host)
     }
 
+    /// Records an instance that left a host according to the source of configurations, unless one
+    /// that left it is known already.
+    pub fn recall_departed(&mut self, host: HostId, instance: Instance) {
+        self.departed.entry(host).or_insert(instance);
+    }
+
     /// Rate limit in force at the backend server on a host; `None` if none is known.
     pub fn named_limit(&self, host: &str) -> Option<&NamedLimit> {
         self.limits.get(host)
--- a/crates/indigospur-members/tests/members/restarts.rs
+++ b/crates/indigospur-members/tests/members/restarts.rs
@@ -355,3 +355,68 @@
         AnnouncementOutcome::Known
     );
 }
+
+/// Guards against a late announcement of an instance that left before all daemons restarted.
+#[test]
+fn a_single_late_announcement_is_not_believed_while_earlier_departures_are_unknown() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut tracker = InstanceTracker::with_unread_history(start);
+    let late = ready("i-1", 0, 40);
+    let outcome = tracker.record_announcement(at(4_000), &late);
+    assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+    let repeated = tracker.record_announcement(at(4_100), &late);
+    assert_eq!(repeated, AnnouncementOutcome::Unconfirmed);
+    let next = tracker.record_announcement(at(5_500), &ready("i-1", 0, 41));
+    assert_eq!(next, AnnouncementOutcome::New);
+    assert!(tracker.may_have_left(at(8_000)));
+    assert!(!tracker.is_unconfirmed(at(8_000)));
+    tracker.complete_history();
+    assert!(!tracker.may_have_left(at(8_000)));
+}
+
+#[test]
+fn an_instance_is_used_from_its_first_announcement_when_the_daemon_starts() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut tracker = InstanceTracker::with_unread_history(start);
+    let outcome = tracker.record_announcement(at(1_400), &ready("i-1", 0, 40));
+    assert_eq!(outcome, AnnouncementOutcome::New);
+    assert!(!tracker.is_unconfirmed(at(2_999)));
+    assert!(tracker.is_unconfirmed(at(3_000)));
+    tracker.set_aside();
+    assert!(!tracker.is_unconfirmed(at(3_000)));
+    let next = tracker.record_announcement(at(3_100), &ready("i-1", 0, 41));
+    assert_eq!(next, AnnouncementOutcome::New);
+    assert!(!tracker.is_unconfirmed(at(3_200)));
+}
+
+/// An instance in its place, a new one, and one that is announced long after the start of the daemon.
+#[test]
+fn an_instance_that_cannot_have_left_before_is_used_from_its_first_announcement() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut tracker = InstanceTracker::with_unread_history(start);
+    let starting = Announcement {
+        cold_ms: 900,
+        ..ready("i-2", 0, 1)
+    };
+    let outcome = tracker.record_announcement(at(4_000), &starting);
+    assert_eq!(outcome, AnnouncementOutcome::New);
+    assert!(!tracker.is_unconfirmed(at(4_100)));
+    let outcome = tracker.record_announcement(at(30_000), &ready("i-3", 0, 1));
+    assert_eq!(outcome, AnnouncementOutcome::New);
+    assert!(!tracker.may_have_left(at(30_000)));
+}
+
+#[test]
+fn an_instance_that_is_leaving_is_not_set_aside() {
+    let start = Instant::now();
+    let mut tracker = InstanceTracker::with_unread_history(start);
+    tracker.record_announcement(start, &ready("i-1", 0, 40));
+    assert!(tracker.may_have_left(start));
+    assert!(tracker.mark_left(start, &Instance::new("i-1", 0)));
+    assert!(!tracker.may_have_left(start));
+    assert!(!tracker.is_unconfirmed(start + Duration::from_secs(3)));
+    assert!(tracker.departed().eq([&Instance::new("i-1", 0)]));
+}
