A departure told to a daemon on another host is not acknowledged

What callers saw: nothing on the platform's hosts, whose backend servers tell the daemon beside them. A daemon on another host answered 200 to a deregistration, or to a heartbeat that says the instance leaves, and did nothing: the instance got its requests on, although its departure was acknowledged.

Cause: a departure of an instance that is not the own one is kept for the case that it announces itself later; that it runs on another host was not looked at.

Change: where the members show the instance on another host and this daemon does not know it, the answer is 421, so that the backend server tells another daemon. Not covered: an instance that no daemon knows yet.

Evidence: a_daemon_on_another_host_does_not_acknowledge_a_departure failed on (answer 200 until the time-out) and holds now.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -257,6 +257,19 @@
     }
 }
 
+/// Whether an instance that this daemon does not know serves on another host.
+pub(crate) fn is_on_another_host(daemon: &Daemon, instance: &str) -> bool {
+    if lock(&daemon.instances).knows(instance) {
+        return false;
+    }
+    let fleet = lock(&daemon.fleet);
+    let mut others = fleet
+        .members
+        .all()
+        .filter(|member| member.host != *daemon.host() && member.state != State::Down);
+    others.any(|member| &*member.instance == instance)
+}
+
 /// Puts an announced backend server in place, or updates the one that is there already.
 fn update_backend(daemon: &Daemon, announcement: &Announcement) {
     let current = daemon.backend();
--- a/crates/indigospur-daemon/src/handle.rs
+++ b/crates/indigospur-daemon/src/handle.rs
@@ -13,6 +13,8 @@
     Acknowledged,
     /// A departure that is applied, but that a crash of all daemons could still undo.
     NotRecorded,
+    /// A departure of an instance on another host, which changes nothing.
+    WrongHost,
 }
 
 /// A handle to a running daemon; clones refer to the same daemon.
@@ -47,6 +49,9 @@
             backend::handle_announcement(&self.daemon, announcement);
             return Ok(Receipt::Acknowledged);
         }
+        if backend::is_on_another_host(&self.daemon, &announcement.instance) {
+            return Ok(Receipt::WrongHost);
+        }
         let is_news = backend::handle_announcement(&self.daemon, announcement);
         Ok(self.settle_departure(is_news).await)
     }
@@ -55,6 +60,9 @@
     /// since the Unix epoch, or zero if unknown. The departure is recorded, and other daemons are
     /// informed, as by [`DaemonHandle::announce`].
     pub async fn mark_leaving(&self, instance: &str, started_ms: u64) -> Receipt {
+        if backend::is_on_another_host(&self.daemon, instance) {
+            return Receipt::WrongHost;
+        }
         let instance = Instance::new(instance, started_ms);
         let is_news = backend::handle_departure(&self.daemon, &instance);
         self.settle_departure(is_news).await
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -148,6 +148,13 @@
         self.departed.iter().map(|departed| &departed.instance)
     }
 
+    /// Whether an instance of this name is the current one, or was it, or has left.
+    pub fn knows(&self, name: &str) -> bool {
+        let current = self.current.iter().map(|current| &current.instance);
+        let mut known = current.chain(&self.replaced).chain(self.departed());
+        known.any(|instance| &*instance.name == name)
+    }
+
     /// Whether the current instance may be one that left before the tracker was created, so that it is
     /// used only for as long as it announces itself.
     pub fn may_have_left(&self, now: Instant) -> bool {
--- a/crates/indigospur-members/tests/members/restarts.rs
+++ b/crates/indigospur-members/tests/members/restarts.rs
@@ -419,4 +419,5 @@
     assert!(!tracker.may_have_left(start));
     assert!(!tracker.is_unconfirmed(start + Duration::from_secs(3)));
     assert!(tracker.departed().eq([&Instance::new("i-1", 0)]));
+    assert!(tracker.knows("i-1") && !tracker.knows("i-2"));
 }
