A failed read of the departures ends the wait for them at once

What callers saw: nothing yet; found when the start of all daemons was measured.

Change: a read that fails ends the wait, as the first attempt of an instance to be used must not wait for the store.

Also: waiters that have given up are dropped, the gossip of a known departure wakes nothing, and a departure that comes while records are written again after a restore does not wait for its turn.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -19,7 +19,7 @@
 /// Time without an announcement after which the backend server is probed by opening a connection.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time for which a starting daemon holds back announcements until another daemon has
-/// answered its gossip and the recorded departures have been read.
+/// answered its gossip and the source has answered the read of the recorded departures.
 const FLEET_WAIT: Duration = Duration::from_millis(300);
 /// Age of a daemon at which a backend server that runs has announced itself twice.
 const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
@@ -117,9 +117,9 @@
 
 /// Whether announcements that would bring new work are held back, as the daemon has just started.
 fn holds_back_announcements(daemon: &Daemon) -> bool {
-    let knows_history = daemon.source.is_none() || daemon.departures.is_read();
-    let knows_all = knows_history && daemon.fleet_wait_over.load(Ordering::Relaxed);
-    !knows_all && !daemon.start_wait_over.load(Ordering::Relaxed)
+    let source_answered = daemon.source.is_none() || daemon.departures.is_read_or_failed();
+    let all_answered = source_answered && daemon.fleet_wait_over.load(Ordering::Relaxed);
+    !all_answered && !daemon.start_wait_over.load(Ordering::Relaxed)
 }
 
 /// Ends the wait for the fleet: another daemon has answered, or [`FLEET_WAIT`] has passed.
@@ -129,14 +129,8 @@
     }
 }
 
-/// Ends the wait for the departures that were recorded before this daemon started.
-pub(crate) fn end_history_wait(daemon: &Daemon) {
-    lock(&daemon.instances).complete_history();
-    handle_pending_announcement(daemon);
-}
-
 /// Handles the announcement that was held back, unless it has to wait longer.
-fn handle_pending_announcement(daemon: &Daemon) {
+pub(crate) fn handle_pending_announcement(daemon: &Daemon) {
     if holds_back_announcements(daemon) {
         return;
     }
@@ -226,9 +220,14 @@
 /// Returns whether it is the current process and was not yet known to leave.
 pub(crate) fn handle_departure(daemon: &Daemon, instance: &Instance) -> bool {
     let now = Instant::now();
-    let is_news = lock(&daemon.instances).mark_left(now, instance);
-    daemon.departures.update();
-    if !is_news {
+    let mut instances = lock(&daemon.instances);
+    let is_known = instances.departed().any(|departed| departed == instance);
+    let has_left = instances.mark_left(now, instance);
+    drop(instances);
+    if !is_known {
+        daemon.departures.update();
+    }
+    if !has_left {
         return false;
     }
     daemon.leave_slots();
--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -32,6 +32,8 @@
     latest: Era,
     /// `None` until the source has been read.
     confirmed: Option<Confirmed>,
+    /// Whether a read has failed.
+    failed: bool,
     /// Number of changes of the source's address; answers from an earlier address count for nothing.
     address_changes: u64,
     /// Signalled when the source has confirmed a record.
@@ -69,10 +71,16 @@
 
 impl DepartureRecord {
     /// Whether the departures that were recorded before have been read.
-    pub(crate) fn is_read(&self) -> bool {
+    fn is_read(&self) -> bool {
         lock(&self.state).confirmed.is_some()
     }
 
+    /// Whether the departures that were recorded before have been read, or a read has failed.
+    pub(crate) fn is_read_or_failed(&self) -> bool {
+        let state = lock(&self.state);
+        state.confirmed.is_some() || state.failed
+    }
+
     /// Signals that an instance of the backend server may have left.
     pub(crate) fn update(&self) {
         let _ = self.changed.0.try_send(());
@@ -133,6 +141,7 @@
                 if state.holds(&instances) {
                     return;
                 }
+                state.waiters.retain(|waiter| !waiter.is_closed());
                 state.waiters.push(sender);
             }
             daemon.departures.update();
@@ -173,10 +182,15 @@
 async fn read(daemon: &Arc<Daemon>, source: &dyn ConfigurationSource) -> Result<(), SourceError> {
     let address_changes = lock(&daemon.departures.state).address_changes;
     let reader = daemon.clone();
-    with_timeout(Duration::ZERO, source.departures(), move |departures| {
+    let outcome = with_timeout(Duration::ZERO, source.departures(), move |departures| {
         restore(&reader, address_changes, departures);
     })
-    .await
+    .await;
+    if outcome.is_err() {
+        lock(&daemon.departures.state).failed = true;
+        backend::handle_pending_announcement(daemon);
+    }
+    outcome
 }
 
 /// Applies departures that were recorded before.
@@ -203,7 +217,8 @@
     });
     if is_current {
         log::info!(count; "departures of this host's backend server read from the configuration source");
-        backend::end_history_wait(daemon);
+        lock(&daemon.instances).complete_history();
+        backend::handle_pending_announcement(daemon);
     }
 }
 
@@ -215,7 +230,8 @@
         (state.address_changes, is_lost, !state.waiters.is_empty())
     };
     if is_lost && !is_awaited {
-        runtime::sleep(renewal_delay(daemon)).await;
+        let changed = daemon.departures.changed.1.recv();
+        runtime::timeout(renewal_delay(daemon), changed).await;
     }
     let departures = HostDepartures {
         host: daemon.host().clone(),
