A read of the recorded departures wakes what waits for them

A departure that is told again to a daemon that has just restarted was answered with 503 after 0.8 s if it arrived before the read of the record that holds it: only a write woke the handler. Found by reading, not seen. The age from which on one announcement is not enough is one constant now.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -6,7 +6,7 @@
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
 use indigospur_admission::{Admission, Options};
-use indigospur_members::{AnnouncementOutcome, Instance};
+use indigospur_members::{AnnouncementOutcome, Instance, InstanceTracker};
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{Announcement, Rate, ServiceName, State};
 use indigospur_publish::{Body, Record};
@@ -21,8 +21,6 @@
 /// Longest time for which a starting daemon holds back announcements until another daemon has
 /// answered its gossip and the source has answered the read of the recorded departures.
 const FLEET_WAIT: Duration = Duration::from_millis(300);
-/// Age of a daemon at which a backend server that runs has announced itself twice.
-const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Largest number of slots or connections accepted in an announcement.
 const MAX_SLOTS: u32 = 65_536;
 
@@ -374,14 +372,14 @@
 }
 
 /// Ends the waits of a starting daemon after [`FLEET_WAIT`], for one that does not reach the others or
-/// the source. Sets a backend server aside that has announced itself once only by
-/// [`CONFIRMATION_TIME`], unless it is known by then which ones have left.
+/// the source. Sets a backend server aside that has announced itself once only by the time at which a
+/// running one has sent two announcements, unless it is known by then which ones have left.
 pub(crate) async fn limit_start_waits(daemon: Arc<Daemon>) {
     runtime::sleep(FLEET_WAIT).await;
     daemon.start_wait_over.store(true, Ordering::Relaxed);
     end_fleet_wait(&daemon);
     handle_pending_announcement(&daemon);
-    runtime::sleep(CONFIRMATION_TIME - FLEET_WAIT).await;
+    runtime::sleep(InstanceTracker::CONFIRMATION_AGE - FLEET_WAIT).await;
     let is_unconfirmed = lock(&daemon.instances).is_unconfirmed(Instant::now());
     if is_unconfirmed && daemon.backend().is_some() {
         set_aside(&daemon);
--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -41,6 +41,15 @@
 }
 
 impl State {
+    /// Takes note of a record that the source holds, and wakes all waiters.
+    fn confirm(&mut self, era: Era, instances: Vec<Instance>) {
+        self.confirmed = Some(Confirmed { era, instances });
+        self.latest = self.latest.max(era);
+        for waiter in self.waiters.drain(..) {
+            let _ = waiter.try_send(());
+        }
+    }
+
     /// Whether the source holds the departures of `instances`.
     fn holds(&self, instances: &[Instance]) -> bool {
         let Some(confirmed) = &self.confirmed else {
@@ -117,7 +126,7 @@
     }
 }
 
-/// Instances whose departures belong into the record of this host.
+/// Instances whose departures the record of this host should hold, the oldest first.
 fn departed_instances(daemon: &Daemon) -> Vec<Instance> {
     let instances = lock(&daemon.instances);
     let newest = instances.departed().rev().take(MAX_RECORDED);
@@ -161,9 +170,10 @@
 pub(crate) async fn run(daemon: Arc<Daemon>, source: Arc<dyn ConfigurationSource>) {
     let mut backoff = Backoff::default();
     loop {
+        let instances = departed_instances(&daemon);
         let outcome = if !daemon.departures.is_read() {
             read(&daemon, source.as_ref()).await
-        } else if lock(&daemon.departures.state).holds(&departed_instances(&daemon)) {
+        } else if lock(&daemon.departures.state).holds(&instances) {
             let _ = daemon.departures.changed.1.recv().await;
             continue;
         } else {
@@ -209,11 +219,9 @@
     let count = own.len();
     let is_current = daemon.departures.apply(address_changes, |state| {
         // A late answer does not replace what was confirmed meanwhile.
-        state.confirmed.get_or_insert(Confirmed {
-            era: departures.era,
-            instances: own,
-        });
-        state.latest = state.latest.max(departures.era);
+        if state.confirmed.is_none() {
+            state.confirm(departures.era, own);
+        }
     });
     if is_current {
         log::info!(count; "departures of this host's backend server read from the configuration source");
@@ -242,11 +250,7 @@
     let call = source.record_departures(departures);
     with_timeout(Duration::ZERO, call, move |era| {
         writer.departures.apply(address_changes, |state| {
-            state.confirmed = Some(Confirmed { era, instances });
-            state.latest = state.latest.max(era);
-            for waiter in state.waiters.drain(..) {
-                let _ = waiter.try_send(());
-            }
+            state.confirm(era, instances);
         });
     })
     .await
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -18,9 +18,6 @@
 /// Time for which an instance that left with an unknown start time matches all instances of its
 /// name; longer than the delay of any announcement.
 const NAME_RETENTION: Duration = Duration::from_secs(30);
-/// Age of a tracker up to which one announcement shows that an instance is running although earlier
-/// departures are unknown. A running instance has announced itself twice by then.
-const SINGLE_ANNOUNCEMENT_AGE: Duration = Duration::from_secs(3);
 /// Age of a tracker from which on no announcement can be from before its start.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(30);
 
@@ -128,6 +125,10 @@
 }
 
 impl InstanceTracker {
+    /// Age of a tracker up to which one announcement shows that an instance is running although earlier
+    /// departures are unknown. A running instance has announced itself twice by then.
+    pub const CONFIRMATION_AGE: Duration = Duration::from_secs(3);
+
     /// Creates a tracker at `now` that does not know which instances left before.
     pub fn with_unread_history(now: Instant) -> InstanceTracker {
         InstanceTracker {
@@ -194,7 +195,7 @@
     /// Whether one announcement does not show that an unknown instance is running.
     fn needs_confirmation(&self, now: Instant) -> bool {
         self.unread_age(now)
-            .is_some_and(|age| age >= SINGLE_ANNOUNCEMENT_AGE)
+            .is_some_and(|age| age >= Self::CONFIRMATION_AGE)
     }
 
     /// Whether an earlier, unconfirmed announcement of the same instance has arrived.
