Test support: keep the ports of ended processes

The backend server had been killed.

Cause: the tests of a file run side by side and bind ports that the system picks. Here it picks from 7,058 ports for listeners (200,000 binds), those of killed processes among them. A daemon probes a silent backend server by opening a connection; where another test's server has taken the port, the probe succeeds for as long as that server runs.

Evidence: in one run of tests/endless.rs, which passed, two of the 129 ports that were given up were bound again, one after 0.07 s, by a look at the system's listeners every 10 ms. A listener put on the port of the killed backend server (a trial) gives the same message. The daemon's code was not changed.

Ruled out by reading: late announcements (the process is killed, none is in flight for 30 s), a hold of the probe (a loopback connection is refused at once).

Now Process::kill and Process::wait keep a bound socket that does not listen on each address of the process until the value is dropped. The system picks such a port for no other socket, connections to it are refused, and a process that is told to listen there still can.

--- a/crates/indigospur-test-support/src/process.rs
+++ b/crates/indigospur-test-support/src/process.rs
@@ -1,8 +1,10 @@
 //! Child processes that print their addresses as a first line of JSON.
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use std::fs::{File, OpenOptions};
 use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -16,6 +18,8 @@
 pub struct Process {
     child: Child,
     addresses: Value,
+    /// Keep the system from giving the ports of the process to others after its end.
+    reserved: Vec<Socket>,
 }
 
 /// A process that has not reported its addresses yet; killed on drop.
@@ -73,7 +77,11 @@
         })?;
         let child = self.child.take();
         let child = child.ok_or_else(|| io::Error::other("child process already taken"))?;
-        Ok(Process { child, addresses })
+        Ok(Process {
+            child,
+            addresses,
+            reserved: Vec::new(),
+        })
     }
 }
 
@@ -151,15 +159,23 @@
         signal(self.child.id(), name);
     }
 
-    /// Kills the process with SIGKILL and waits for its exit.
+    /// Kills the process with SIGKILL and waits for its exit. Until this value is dropped, its addresses
+    /// refuse connections, unless another process is told to listen there.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.wait();
     }
 
-    /// Waits for the process to exit and returns its exit code; `None` if a signal ended it.
+    /// Waits for the process to exit and returns its exit code; `None` if a signal ended it. The addresses
+    /// of the process are reserved as in [`Process::kill`].
     pub fn wait(&mut self) -> Option<i32> {
-        self.child.wait().ok().and_then(|status| status.code())
+        let status = self.child.wait();
+        let addresses = self.addresses.as_object().into_iter().flatten();
+        let addresses = addresses.filter_map(|(_, address)| address.as_str()?.parse().ok());
+        self.reserved = addresses
+            .filter_map(|address| reserve(address).ok())
+            .collect();
+        status.ok().and_then(|status| status.code())
     }
 
     /// Whether the process has exited.
@@ -253,6 +269,14 @@
     true
 }
 
+/// Binds a socket that does not listen. The system picks the port of a bound socket for no other one.
+fn reserve(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 fn open_append(path: &Path) -> io::Result<File> {
     OpenOptions::new().create(true).append(true).open(path)
 }
