Start waits: a module of their own

backend.rs had the waits of a starting daemon among the handling of announcements, and their three fields stood in Daemon. They are in start_waits.rs now, with one struct. `restore_departures` had one caller and is inlined; that a record is lost was worked out in two places of departures.rs and is one method. No behaviour changes.

--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -5,8 +5,9 @@
 use crate::crashes;
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
+use crate::start_waits;
 use indigospur_admission::{Admission, Options};
-use indigospur_members::{AnnouncementOutcome, Instance, InstanceTracker};
+use indigospur_members::{AnnouncementOutcome, Instance};
 use indigospur_once::{Once, OnceOptions};
 use indigospur_protocol::{Announcement, Rate, ServiceName, State};
 use indigospur_publish::{Body, Record};
@@ -18,9 +19,6 @@
 
 /// Time without an announcement after which the backend server is probed by opening a connection.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest time for which a starting daemon holds back announcements until another daemon has
-/// answered its gossip and the source has answered the read of the recorded departures.
-const FLEET_WAIT: Duration = Duration::from_millis(300);
 /// Largest number of slots or connections accepted in an announcement.
 const MAX_SLOTS: u32 = 65_536;
 
@@ -113,41 +111,12 @@
     Ok(())
 }
 
-/// Whether announcements that would bring new work are held back, as the daemon has just started.
-fn holds_back_announcements(daemon: &Daemon) -> bool {
-    let source_answered = daemon.source.is_none() || daemon.departures.is_read_or_failed();
-    let all_answered = source_answered && daemon.fleet_wait_over.load(Ordering::Relaxed);
-    !all_answered && !daemon.start_wait_over.load(Ordering::Relaxed)
-}
-
-/// Ends the wait for the fleet: another daemon has answered, or [`FLEET_WAIT`] has passed.
-pub(crate) fn end_fleet_wait(daemon: &Daemon) {
-    if !daemon.fleet_wait_over.swap(true, Ordering::Relaxed) {
-        handle_pending_announcement(daemon);
-    }
-}
-
-/// Handles the announcement that was held back, unless it has to wait longer.
-pub(crate) fn handle_pending_announcement(daemon: &Daemon) {
-    if holds_back_announcements(daemon) {
-        return;
-    }
-    let pending = lock(&daemon.pending_announcement).take();
-    if let Some(announcement) = pending {
-        handle_announcement(daemon, &announcement);
-    }
-}
-
 /// Handles an announcement of the backend server. Returns whether it says that the backend server
-/// leaves and this was not known yet.
-///
-/// A daemon that has just started does not know which processes of its backend server have left;
-/// other daemons and the configuration source do. Until one of them and the source have answered,
-/// announcements that would bring new work are held back.
+/// leaves and this was not known yet. One that would bring new work may be held back while the daemon
+/// starts.
 pub(crate) fn handle_announcement(daemon: &Daemon, announcement: &Announcement) -> bool {
     let brings_work = !announcement.instance.is_empty() && announcement.state != State::Draining;
-    if brings_work && holds_back_announcements(daemon) {
-        *lock(&daemon.pending_announcement) = Some(announcement.clone());
+    if brings_work && start_waits::hold_back(daemon, announcement) {
         return false;
     }
     let now = Instant::now();
@@ -247,13 +216,6 @@
     state_changed
 }
 
-/// Applies the departures on this host that were recorded before this daemon started.
-pub(crate) fn restore_departures(daemon: &Daemon, instances: &[Instance]) {
-    for instance in instances {
-        handle_departure(daemon, instance);
-    }
-}
-
 /// Whether an instance that this daemon does not know serves on another host.
 pub(crate) fn is_on_another_host(daemon: &Daemon, instance: &str) -> bool {
     if lock(&daemon.instances).knows(instance) {
@@ -352,7 +314,7 @@
 }
 
 /// Sets the backend server aside until it announces itself again, since it may have left.
-fn set_aside(daemon: &Daemon) {
+pub(crate) fn set_aside(daemon: &Daemon) {
     lock(&daemon.instances).set_aside();
     *lock(&daemon.backend) = None;
     announce_absence(daemon);
@@ -371,21 +333,6 @@
     }
 }
 
-/// Ends the waits of a starting daemon after [`FLEET_WAIT`], for one that does not reach the others or
-/// the source. Sets a backend server aside that has announced itself once only by the time at which a
-/// running one has sent two announcements, unless it is known by then which ones have left.
-pub(crate) async fn limit_start_waits(daemon: Arc<Daemon>) {
-    runtime::sleep(FLEET_WAIT).await;
-    daemon.start_wait_over.store(true, Ordering::Relaxed);
-    end_fleet_wait(&daemon);
-    handle_pending_announcement(&daemon);
-    runtime::sleep(InstanceTracker::CONFIRMATION_AGE - FLEET_WAIT).await;
-    let is_unconfirmed = lock(&daemon.instances).is_unconfirmed(Instant::now());
-    if is_unconfirmed && daemon.backend().is_some() {
-        set_aside(&daemon);
-    }
-}
-
 /// Probes a backend server whose announcements have ceased, and removes it if it accepts no
 /// connection. One that may have left is set aside without a probe.
 pub(crate) async fn watch(daemon: Arc<Daemon>) {
--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -6,6 +6,7 @@
 use crate::control::registration::renewal_delay;
 use crate::control::source_reader::{Backoff, with_timeout};
 use crate::daemon::{Daemon, lock};
+use crate::start_waits;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_members::Instance;
 use indigospur_publish::Era;
@@ -55,9 +56,14 @@
         let Some(confirmed) = &self.confirmed else {
             return false;
         };
-        let is_lost = confirmed.era < self.latest;
         let mut instances = instances.iter();
-        instances.all(|instance| !is_lost && confirmed.instances.contains(instance))
+        instances.all(|instance| !self.is_lost() && confirmed.instances.contains(instance))
+    }
+
+    /// Whether the source may have lost the record: it is in a later era than at the confirmation.
+    fn is_lost(&self) -> bool {
+        let confirmed = self.confirmed.as_ref();
+        confirmed.is_some_and(|confirmed| confirmed.era < self.latest)
     }
 }
 
@@ -198,7 +204,7 @@
     .await;
     if outcome.is_err() {
         lock(&daemon.departures.state).failed = true;
-        backend::handle_pending_announcement(daemon);
+        start_waits::handle_pending(daemon);
     }
     outcome
 }
@@ -215,7 +221,9 @@
             fleet.members.recall_departed(departures.host, newest);
         }
     }
-    backend::restore_departures(daemon, &own);
+    for instance in &own {
+        backend::handle_departure(daemon, instance);
+    }
     let count = own.len();
     let is_current = daemon.departures.apply(address_changes, |state| {
         // A late answer does not replace what was confirmed meanwhile.
@@ -226,18 +234,17 @@
     if is_current {
         log::info!(count; "departures of this host's backend server read from the configuration source");
         lock(&daemon.instances).complete_history();
-        backend::handle_pending_announcement(daemon);
+        start_waits::handle_pending(daemon);
     }
 }
 
 async fn write(daemon: &Arc<Daemon>, source: &dyn ConfigurationSource) -> Result<(), SourceError> {
-    let (address_changes, is_lost, is_awaited) = {
+    let (address_changes, can_wait) = {
         let state = lock(&daemon.departures.state);
-        let is_lost = |confirmed: &Confirmed| confirmed.era < state.latest;
-        let is_lost = state.confirmed.as_ref().is_some_and(is_lost);
-        (state.address_changes, is_lost, !state.waiters.is_empty())
+        let can_wait = state.is_lost() && state.waiters.is_empty();
+        (state.address_changes, can_wait)
     };
-    if is_lost && !is_awaited {
+    if can_wait {
         let changed = daemon.departures.changed.1.recv();
         runtime::timeout(renewal_delay(daemon), changed).await;
     }
--- a/crates/indigospur-daemon/src/control/gossip.rs
+++ b/crates/indigospur-daemon/src/control/gossip.rs
@@ -3,13 +3,12 @@
 use crate::control::{log_reader, source_reader};
 use crate::daemon::{Daemon, Fleet, lock};
 use crate::deadline::Moment;
-use crate::{backend, backend_status, peers};
+use crate::{backend, backend_status, peers, start_waits};
 use indigospur_members::Message;
 use indigospur_protocol::{HostId, Member};
 use indigospur_relay::runtime;
 use rand::Rng;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Mean time between two rounds.
@@ -124,7 +123,7 @@
         return;
     };
     merge(daemon, &answer, address);
-    backend::end_fleet_wait(daemon);
+    start_waits::end_fleet_wait(daemon);
     let needs_full_list = lock(&daemon.fleet).needs_full_list(&answer);
     if needs_full_list || answer.whole {
         let mut message = lock(&daemon.fleet).open(accepted);
@@ -235,7 +234,7 @@
         .or_else(|| daemon.address_of(&request.from))
         .unwrap_or_default();
     merge(daemon, &request, &address);
-    if !daemon.fleet_wait_over.load(Ordering::Relaxed) {
+    if !daemon.start_waits.is_fleet_wait_over() {
         // A request does not carry what its sender knows of this host, but an answer does: open an
         // exchange with another daemon to get one.
         daemon.wake_gossip();
--- a/crates/indigospur-daemon/src/control/quota.rs
+++ b/crates/indigospur-daemon/src/control/quota.rs
@@ -6,7 +6,6 @@
 use indigospur_quota::{QuotaReport, report_interval};
 use indigospur_relay::{LinkError, runtime};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Interval at which a rule set without quotas is looked at again.
@@ -23,7 +22,7 @@
             runtime::sleep(IDLE_INTERVAL).await;
             continue;
         }
-        if !daemon.fleet_wait_over.load(Ordering::Relaxed) {
+        if !daemon.start_waits.is_fleet_wait_over() {
             runtime::sleep(FLEET_CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -1,11 +1,11 @@
 //! Keeps this daemon registered at the configuration source and joins the fleet by way of the daemons
 //! that are registered there.
 
-use crate::backend;
 use crate::configuration::{ConfigurationSource, Contact};
 use crate::control::gossip;
 use crate::control::source_reader::{Backoff, with_timeout};
 use crate::daemon::{Daemon, lock};
+use crate::start_waits;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_publish::Era;
 use indigospur_relay::runtime;
@@ -183,7 +183,7 @@
             .filter(|contact| contact.host != *daemon.host())
             .collect();
         if others.is_empty() {
-            backend::end_fleet_wait(daemon);
+            start_waits::end_fleet_wait(daemon);
             return true;
         }
         let is_unknown = |contact: &Contact| {
--- a/crates/indigospur-daemon/src/control/start.rs
+++ b/crates/indigospur-daemon/src/control/start.rs
@@ -25,7 +25,7 @@
     }
     supervise(daemon, "quota", quota::run);
     supervise(daemon, "backend server", crate::backend::watch);
-    runtime::spawn(crate::backend::limit_start_waits(daemon.clone()));
+    runtime::spawn(crate::start_waits::limit(daemon.clone()));
 }
 
 fn supervise<F>(
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -10,14 +10,15 @@
 use crate::quotas::Quotas;
 use crate::retry_budget::record_shedding;
 use crate::settings::Settings;
+use crate::start_waits::StartWaits;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_admission::{IngressAdmission, Pressures, ResponseTimes, retry_after};
 use indigospur_budget::{Ledger, RequestCounts, RetryRatio, SenderId, Transmissions};
 use indigospur_members::{Exchange, InstanceTracker, Members, NamedLimit, Suspects};
 use indigospur_once::Once;
 use indigospur_protocol::{
-    Announcement, EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice,
-    ServiceName, State,
+    EpochRecord, HostId, Incarnation, Key, Kind, Member, Refusal, Reply, RetryAdvice, ServiceName,
+    State,
 };
 use indigospur_publish::Follower;
 use indigospur_relay::{BodyMemory, HttpService, LinkPool, LogClient};
@@ -74,14 +75,9 @@
     /// Rate limit that the backend server named last, to this daemon or to the one before it on this
     /// host.
     pub(crate) named_limit: Mutex<Option<NamedLimit>>,
-    /// Set once another daemon has answered gossip or the time for that has passed.
-    pub(crate) fleet_wait_over: AtomicBool,
-    /// Set once the time has passed for which a starting daemon holds announcements back.
-    pub(crate) start_wait_over: AtomicBool,
+    pub(crate) start_waits: StartWaits,
     /// Departures of the backend server at the source; not used without one.
     pub(crate) departures: DepartureRecord,
-    /// Last announcement that is held back while the daemon starts.
-    pub(crate) pending_announcement: Mutex<Option<Announcement>>,
     /// The backend server was found down and has not announced itself since.
     pub(crate) backend_lost: AtomicBool,
     /// When the last announcement of the backend server was accepted.
@@ -198,10 +194,8 @@
             backend: Mutex::default(),
             instances: Mutex::new(instances),
             named_limit: Mutex::default(),
-            fleet_wait_over: AtomicBool::new(false),
-            start_wait_over: AtomicBool::new(false),
+            start_waits: StartWaits::default(),
             departures: DepartureRecord::default(),
-            pending_announcement: Mutex::default(),
             backend_lost: AtomicBool::new(false),
             last_announced: Mutex::default(),
             once: Mutex::default(),
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings_file;
 mod signals;
 mod slots;
+mod start_waits;
 mod stopping;
 mod timing;
 
