Members: which contacts a daemon asks to join is a deciding type of its own

Registration::join_via_contacts chose the registered daemons to ask, asked them and decided when to stop, so that a model in virtual time could not play it. The choice and the end are `Joining` in indigospur-members now, with the contact type that it needs; the daemon asks and waits as before. No behaviour changes.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -2,7 +2,7 @@
 //! place that the daemon reads rule sets from.
 
 use displaydoc::Display;
-use indigospur_members::Instance;
+use indigospur_members::{Contact, Instance};
 use indigospur_protocol::Version;
 use indigospur_publish::{Era, Position};
 use indigospur_relay::LogError;
@@ -30,15 +30,6 @@
     pub next: Position,
 }
 
-/// A daemon registered at a source; new daemons ask it for the member list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Contact {
-    /// Host name, unique in the fleet.
-    pub host: Arc<str>,
-    /// Address for other daemons, an IP address and a port.
-    pub address: Arc<str>,
-}
-
 /// Instances of the backend server on a host that have left.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostDepartures {
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -1,23 +1,19 @@
 //! Keeps this daemon registered at the configuration source and joins the fleet by way of the daemons
 //! that are registered there.
 
-use crate::configuration::{ConfigurationSource, Contact};
+use crate::configuration::ConfigurationSource;
 use crate::control::gossip;
 use crate::control::source_reader::{Backoff, with_timeout};
 use crate::daemon::{Daemon, lock};
 use crate::start_waits;
 use async_std::channel::{Receiver, Sender, bounded};
+use indigospur_members::{Contact, Joining};
 use indigospur_publish::Era;
 use indigospur_relay::runtime;
 use rand::Rng;
-use rand::seq::SliceRandom;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Registered daemons that are asked for the member list at a time.
-const CONTACTS_AT_ONCE: usize = 4;
-/// Time after which the next ones are asked, if some of them have neither answered nor failed.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Records of a kind that the whole fleet writes a second after the source was restored.
 const RENEWALS_PER_SECOND: u32 = 200;
 
@@ -179,37 +175,32 @@
     async fn join_via_contacts(&self, contacts: Vec<Contact>) -> bool {
         let daemon = &self.daemon;
         let others = contacts.into_iter();
-        let mut others: Vec<Contact> = others
+        let others: Vec<Contact> = others
             .filter(|contact| contact.host != *daemon.host())
             .collect();
         if others.is_empty() {
             start_waits::end_fleet_wait(daemon);
             return true;
         }
-        let is_unknown = |contact: &Contact| {
+        let mut joining = {
             let fleet = lock(&daemon.fleet);
-            let member = fleet.members.get(&contact.host);
-            member.is_none_or(|member| member.address != contact.address)
+            Joining::new(others, &fleet.members, &mut *lock(&daemon.rng))
         };
-        others.retain(is_unknown);
-        others.sort_by(|one, other| one.address.cmp(&other.address));
-        others.dedup_by(|one, other| one.address == other.address);
-        others.shuffle(&mut *lock(&daemon.rng));
-        for contacts in others.chunks(CONTACTS_AT_ONCE) {
-            let addresses = contacts.iter().map(|contact| contact.address.clone());
-            let attempts: Vec<_> = addresses
-                .filter_map(|address| gossip::join_via(daemon, address))
+        loop {
+            let batch = joining.next_batch(&lock(&daemon.fleet).members);
+            let Some(batch) = batch else {
+                return !lock(&daemon.fleet).members.is_empty();
+            };
+            let attempts: Vec<_> = batch
+                .into_iter()
+                .filter_map(|contact| gossip::join_via(daemon, contact.address))
                 .collect();
             let finished = async {
                 for attempt in attempts {
                     attempt.await;
                 }
             };
-            runtime::timeout(CONTACT_TIMEOUT, finished).await;
-            if !lock(&daemon.fleet).members.is_empty() {
-                return true;
-            }
+            runtime::timeout(Joining::BATCH_TIMEOUT, finished).await;
         }
-        !lock(&daemon.fleet).members.is_empty()
     }
 }
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -43,8 +43,8 @@
 pub use authentication::{AuthenticationError, CallerIdentity, Credential};
 pub use build_info::VERSION;
 pub use configuration::{
-    ConfigurationBatch, ConfigurationSource, Contact, Departures, HostDepartures,
-    PublishedConfiguration, SourceError,
+    ConfigurationBatch, ConfigurationSource, Departures, HostDepartures, PublishedConfiguration,
+    SourceError,
 };
 pub use contact::LastContact;
 pub use deadline::{Deadline, Moment};
@@ -54,7 +54,7 @@
 };
 pub use error::StartError;
 pub use handle::{DaemonHandle, Receipt};
-pub use indigospur_members::Instance;
+pub use indigospur_members::{Contact, Instance};
 pub use lifecycle::{Addresses, DaemonBuilder, RunningDaemon, listen};
 pub use logging::start_logging;
 pub use run::{EXIT_START_FAILED, run, serve_until_stopped};
