--- a/crates/indigospur-members/tests/members/fleet.rs
+++ b/crates/indigospur-members/tests/members/fleet.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    fn can_reach(&self, from: usize, to: usize) -> bool {
+    pub(crate) fn can_reach(&self, from: usize, to: usize) -> bool {
         let side = |index| self.partition.is_some_and(|partition| index < partition);
         self.nodes[to].up && side(from) == side(to)
     }
@@ -108,6 +108,10 @@
         let Some(peer) = self.nodes[from].members.choose_peer(&mut self.rng) else {
             return;
         };
+        self.exchange_with(from, &peer);
+    }
+
+    pub(crate) fn exchange_with(&mut self, from: usize, peer: &Member) {
         let to: usize = peer.host[5..]
             .parse()
             .expect("the host name ends in its number");
--- /dev/null
+++ b/crates/indigospur-members/tests/members/joining.rs
@@ -0,0 +1,284 @@
+//! Fleets of daemons that find each other by way of registered daemons, many of which are gone.
+
+use crate::fleet::{Fleet, Node, member};
+use indigospur_members::{Contact, Exchange, Joining, Members, Suspects};
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(50);
+/// Time from the last disruption after which there must be one fleet.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Delay after which a daemon that did not find another one reads the contacts again.
+const BACKOFF: Duration = Duration::from_millis(600);
+/// Start of the names of hosts that are gone.
+const GONE_PREFIX: &str = "gone-";
+
+/// Daemons that join by way of contacts while they gossip.
+struct Site {
+    fleet: Fleet,
+    contacts: Vec<Contact>,
+    joins: Vec<Join>,
+}
+
+/// How far a daemon has come with the contacts.
+struct Join {
+    /// `None` until the contacts have been read.
+    joining: Option<Joining>,
+    /// Time of the next step; `None` once the daemon has joined.
+    next: Option<Instant>,
+}
+
+impl Join {
+    fn starting_at(next: Instant) -> Join {
+        Join {
+            joining: None,
+            next: Some(next),
+        }
+    }
+}
+
+fn gone_contact(index: usize) -> Contact {
+    Contact {
+        host: format!("{GONE_PREFIX}{index:04}").into(),
+        address: format!("127.0.0.2:{index}").into(),
+    }
+}
+
+fn host_index(host: &str) -> usize {
+    let number = host
+        .strip_prefix("host-")
+        .and_then(|rest| rest.parse().ok());
+    number.expect("the name of a living host ends in its number")
+}
+
+fn living_contact(index: usize) -> Contact {
+    let member = member(index);
+    Contact {
+        host: member.host,
+        address: member.address,
+    }
+}
+
+impl Site {
+    /// A site of `size` daemons that start at the same time, with `gone` registered ones that do not
+    /// answer.
+    fn start(size: usize, gone: usize, seed: u64) -> Site {
+        let mut site = Site {
+            fleet: Fleet::new(0, seed),
+            contacts: (0..gone).map(gone_contact).collect(),
+            joins: Vec::new(),
+        };
+        site.add(size);
+        site
+    }
+
+    /// Starts `count` further daemons.
+    fn add(&mut self, count: usize) {
+        let first = self.fleet.nodes.len();
+        for index in first..first + count {
+            self.contacts.push(living_contact(index));
+            self.fleet.nodes.push(self.new_node(index));
+            let at = self.fleet.now + self.start_delay();
+            self.joins.push(Join::starting_at(at));
+        }
+    }
+
+    /// Kills all daemons and starts them again.
+    fn restart_all(&mut self) {
+        for index in 0..self.fleet.nodes.len() {
+            self.fleet.nodes[index] = self.new_node(index);
+            let at = self.fleet.now + self.start_delay();
+            self.joins[index] = Join::starting_at(at);
+        }
+    }
+
+    fn new_node(&self, index: usize) -> Node {
+        let now = self.fleet.now;
+        Node {
+            members: Members::new(now, member(index)),
+            suspects: Suspects::default(),
+            exchange: Exchange::new(now),
+            up: true,
+            bytes: 0,
+        }
+    }
+
+    fn start_delay(&mut self) -> Duration {
+        Duration::from_millis(self.fleet.rng.random_range(0..100))
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            self.fleet.now += STEP;
+            for index in 0..self.fleet.nodes.len() {
+                self.gossip(index);
+                self.join(index);
+            }
+        }
+    }
+
+    fn gossip(&mut self, index: usize) {
+        let node = &mut self.fleet.nodes[index];
+        node.members.tick(self.fleet.now);
+        let rounds = match node.exchange.is_starting(self.fleet.now) {
+            true => 0.2,
+            false => 0.05,
+        };
+        if self.fleet.rng.random_bool(rounds) {
+            self.fleet.exchange(index);
+        }
+    }
+
+    fn join(&mut self, index: usize) {
+        let join = &mut self.joins[index];
+        if join.next.is_none_or(|next| next > self.fleet.now) {
+            return;
+        }
+        let joining = join.joining.take();
+        let joining = joining.unwrap_or_else(|| self.read_contacts(index));
+        self.joins[index] = self.ask(index, joining);
+    }
+
+    fn read_contacts(&mut self, index: usize) -> Joining {
+        let members = &self.fleet.nodes[index].members;
+        let is_other = |contact: &&Contact| contact.host != members.me().host;
+        let others = self.contacts.iter().filter(is_other).cloned().collect();
+        Joining::new(others, members, &mut self.fleet.rng)
+    }
+
+    /// Asks the next contacts. One that is gone holds up the next batch.
+    fn ask(&mut self, index: usize, mut joining: Joining) -> Join {
+        let now = self.fleet.now;
+        while let Some(batch) = joining.next_batch(&self.fleet.nodes[index].members) {
+            let mut all_answered = true;
+            for contact in batch {
+                let is_gone = contact.host.starts_with(GONE_PREFIX);
+                if is_gone || !self.fleet.can_reach(index, host_index(&contact.host)) {
+                    all_answered = false;
+                } else {
+                    let peer = member(host_index(&contact.host));
+                    self.fleet.exchange_with(index, &peer);
+                }
+            }
+            if !all_answered {
+                return Join {
+                    joining: Some(joining),
+                    next: Some(now + Joining::BATCH_TIMEOUT),
+                };
+            }
+        }
+        let is_alone = self.fleet.nodes[index].members.is_empty();
+        Join {
+            joining: None,
+            next: is_alone.then_some(now + BACKOFF),
+        }
+    }
+
+    /// Sizes of the groups of daemons that know of each other, directly or by way of others.
+    fn groups(&self) -> Vec<usize> {
+        let nodes = &self.fleet.nodes;
+        let mut parents: Vec<usize> = (0..nodes.len()).collect();
+        let root = |parents: &[usize], mut index: usize| {
+            while parents[index] != index {
+                index = parents[index];
+            }
+            index
+        };
+        for (index, node) in nodes.iter().enumerate() {
+            for member in node.members.all() {
+                let [one, other] = [index, host_index(&member.host)].map(|at| root(&parents, at));
+                parents[one.max(other)] = one.min(other);
+            }
+        }
+        let mut sizes = vec![0; nodes.len()];
+        for index in 0..nodes.len() {
+            sizes[root(&parents, index)] += 1;
+        }
+        sizes.retain(|size| *size > 0);
+        sizes
+    }
+
+    fn assert_one_fleet(&self, case: &str) {
+        let groups = self.groups();
+        assert_eq!(groups.len(), 1, "{case}: fleets of {groups:?} daemons");
+    }
+}
+
+/// Guards against daemons that form several fleets for good, each with a home of its own for every quota.
+fn assert_joins_after_starts(size: usize, gone: usize, seed: u64) {
+    let mut site = Site::start(size, gone, seed);
+    site.run(RECOVERY);
+    site.assert_one_fleet(&format!("{size} started, {gone} gone, seed {seed}"));
+    site.restart_all();
+    site.run(RECOVERY / 5);
+    site.restart_all();
+    site.run(RECOVERY);
+    site.assert_one_fleet(&format!("{size} killed twice, {gone} gone, seed {seed}"));
+}
+
+/// Guards against daemons that are added beside the fleet and never find it.
+fn assert_joins_when_added(gone: usize) {
+    for seed in 1..=10 {
+        let mut site = Site::start(16, 0, seed);
+        site.run(RECOVERY);
+        site.contacts.extend((0..gone).map(gone_contact));
+        site.add(5);
+        site.run(RECOVERY);
+        site.assert_one_fleet(&format!("5 added to 16, {gone} gone, seed {seed}"));
+    }
+}
+
+#[test]
+fn daemons_that_start_together_form_one_fleet() {
+    for (size, gone) in [(16, 0), (85, 0), (195, 0), (640, 0)] {
+        assert_joins_after_starts(size, gone, 1);
+    }
+}
+
+#[test]
+fn daemons_that_start_together_where_registered_ones_are_gone_form_one_fleet() {
+    for (size, gone) in [
+        (16, 50),
+        (16, 200),
+        (16, 2_000),
+        (85, 200),
+        (85, 2_000),
+        (195, 2_000),
+    ] {
+        for seed in 1..=3 {
+            assert_joins_after_starts(size, gone, seed);
+        }
+    }
+}
+
+#[test]
+fn daemons_that_start_together_where_registered_ones_are_gone_form_one_fleet_of_640() {
+    assert_joins_after_starts(640, 2_000, 1);
+}
+
+#[test]
+fn daemons_that_are_added_together_join_the_fleet() {
+    assert_joins_when_added(0);
+}
+
+#[test]
+fn daemons_that_are_added_together_where_registered_ones_are_gone_join_the_fleet() {
+    for gone in [50, 200, 2_000] {
+        assert_joins_when_added(gone);
+    }
+}
+
+#[test]
+fn a_fleet_whose_halves_were_cut_for_a_minute_is_one_again() {
+    for size in [16, 85] {
+        let mut site = Site::start(size, 0, 1);
+        site.run(RECOVERY);
+        site.assert_one_fleet(&format!("{size} started"));
+        site.fleet.partition = Some(size / 2);
+        site.run(Duration::from_secs(60));
+        site.fleet.partition = None;
+        site.run(RECOVERY);
+        site.assert_one_fleet(&format!("{size} cut in halves"));
+    }
+}
--- a/crates/indigospur-members/tests/members/main.rs
+++ b/crates/indigospur-members/tests/members/main.rs
@@ -2,5 +2,6 @@
 
 mod fleet;
 mod gossip;
+mod joining;
 mod restarts;
 mod urgent;
