Members: ask all registered daemons, shared among those that know each other

Cause: a daemon stopped asking the registered daemons once it knew any other member. With 200 gone beside 16 alive, four asked at a time, the first that answers is a chance partner, and nothing joins the groups later.

Now a daemon goes on until all registered daemons have been asked. Members that know each other share the rest, two of them for each, so that the attempts don't grow with the fleet, and 32 are asked at a time.

Not part of this: a daemon whose link is cut while it is asked, and registrations that end.

--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -100,7 +100,7 @@
     }
 
     /// Registers this daemon and joins the fleet by way of registered daemons, until it is
-    /// registered and either knows another member or is the only one registered.
+    /// registered, has asked the others, and either knows another member or is the only one registered.
     ///
     /// A daemon registers before it reads the contacts, so that of two that register at the same
     /// time at least one finds the other. While it can't register it reads the contacts until it
@@ -170,8 +170,8 @@
         }
     }
 
-    /// Joins the fleet by way of registered daemons that are not known yet. Returns whether another
-    /// member is known then, or no other daemon is registered.
+    /// Joins the fleet by way of registered daemons that are not known yet. Returns, once all have been
+    /// asked, whether another member is known, or no other daemon is registered.
     async fn join_via_contacts(&self, contacts: Vec<Contact>) -> bool {
         let daemon = &self.daemon;
         let others = contacts.into_iter();
@@ -182,10 +182,7 @@
             start_waits::end_fleet_wait(daemon);
             return true;
         }
-        let mut joining = {
-            let fleet = lock(&daemon.fleet);
-            Joining::new(others, &fleet.members, &mut *lock(&daemon.rng))
-        };
+        let mut joining = Joining::new(others, &mut *lock(&daemon.rng));
         loop {
             let batch = joining.next_batch(&lock(&daemon.fleet).members);
             let Some(batch) = batch else {
--- a/crates/indigospur-members/src/joining.rs
+++ b/crates/indigospur-members/src/joining.rs
@@ -1,10 +1,15 @@
 //! Joining the fleet by way of registered daemons.
 
 use crate::members::Members;
+use indigospur_protocol::State;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Members that ask a contact once they know each other, so that one of them may end before it has asked.
+const ASKING_MEMBERS: usize = 2;
 
 /// A registered daemon; others ask it for the member list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,45 +20,59 @@
     pub address: Arc<str>,
 }
 
-/// Contacts that a daemon asks for the member list until it knows another member.
+/// Contacts that a daemon has yet to ask for the member list after its start.
+///
+/// Daemons that start together may find one another in groups, so knowing some members does not show that
+/// the rest of the contacts are gone. A group asks all contacts that it does not know, and shares them
+/// among its members. Of two groups, the one without the daemon that registered first finds that daemon
+/// among its contacts.
 #[derive(Debug)]
 pub struct Joining {
     /// Contacts that have not been asked yet.
     remaining: Vec<Contact>,
-    /// Whether a batch has been asked.
-    started: bool,
 }
 
 impl Joining {
     /// Contacts that are asked at a time.
-    pub const BATCH: usize = 4;
+    pub const BATCH: usize = 32;
     /// Time after which the next ones are asked, if some of them have neither answered nor failed.
     pub const BATCH_TIMEOUT: Duration = Duration::from_millis(400);
 
-    /// Selects the contacts that are not members at their registered address, in random order.
-    pub fn new(mut contacts: Vec<Contact>, members: &Members, rng: &mut impl Rng) -> Joining {
-        contacts.retain(|contact| {
-            let member = members.get(&contact.host);
-            member.is_none_or(|member| member.address != contact.address)
-        });
+    /// Creates the list of contacts to ask, in random order.
+    pub fn new(mut contacts: Vec<Contact>, rng: &mut impl Rng) -> Joining {
         contacts.sort_by(|one, other| one.address.cmp(&other.address));
         contacts.dedup_by(|one, other| one.address == other.address);
         contacts.shuffle(rng);
         Joining {
             remaining: contacts,
-            started: false,
         }
     }
 
-    /// Takes the contacts to ask next. Returns `None` if all have been asked, or if some have and
-    /// another member is known.
+    /// Takes the contacts to ask next: those that are not members at their registered address and that
+    /// fall to this daemon. Returns `None` once there are no more.
     pub fn next_batch(&mut self, members: &Members) -> Option<Vec<Contact>> {
-        let has_joined = self.started && !members.is_empty();
-        if has_joined || self.remaining.is_empty() {
-            return None;
+        let mut batch = Vec::new();
+        while batch.len() < Self::BATCH {
+            let Some(contact) = self.remaining.pop() else {
+                break;
+            };
+            let member = members.get(&contact.host);
+            let is_known = member.is_some_and(|member| member.address == contact.address);
+            if !is_known && !is_asked_by_others(&contact, members) {
+                batch.push(contact);
+            }
         }
-        self.started = true;
-        let rest = self.remaining.len().saturating_sub(Self::BATCH);
-        Some(self.remaining.split_off(rest))
+        (!batch.is_empty()).then_some(batch)
     }
 }
+
+/// Whether a contact falls to other members, by rendezvous hashing over those that are not down.
+fn is_asked_by_others(contact: &Contact, members: &Members) -> bool {
+    let seed = xxh3_64(contact.address.as_bytes());
+    let weight = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
+    let own_weight = weight(&members.me().host);
+    let mut heavier = members
+        .all()
+        .filter(|member| member.state != State::Down && weight(&member.host) > own_weight);
+    heavier.nth(ASKING_MEMBERS - 1).is_some()
+}
--- a/crates/indigospur-members/tests/members/joining.rs
+++ b/crates/indigospur-members/tests/members/joining.rs
@@ -144,7 +144,7 @@
         let members = &self.fleet.nodes[index].members;
         let is_other = |contact: &&Contact| contact.host != members.me().host;
         let others = self.contacts.iter().filter(is_other).cloned().collect();
-        Joining::new(others, members, &mut self.fleet.rng)
+        Joining::new(others, &mut self.fleet.rng)
     }
 
     /// Asks the next contacts. One that is gone holds up the next batch.
