Quotas: a daemon that can't find the fleet doesn't give its quotas

Cause: the wait of quotas ended with the wait of announcements, which must be short. They are apart now: a daemon reports to a home once it knows another member, or once all registered daemons have been asked and none has answered. Until then it admits the portion of a host without a home. That portion assumed 32 hosts; the fleet gives the whole quota meanwhile, so it assumes 2,048 now, more than any fleet has.

What it costs: while the topic of registrations is away, a site that restarts as a whole refuses nearly all requests of workspaces with a quota (docs/design/one-fleet.md).

--- a/crates/indigospur-daemon/src/control/quota.rs
+++ b/crates/indigospur-daemon/src/control/quota.rs
@@ -22,7 +22,7 @@
             runtime::sleep(IDLE_INTERVAL).await;
             continue;
         }
-        if !daemon.start_waits.is_fleet_wait_over() {
+        if !knows_fleet(&daemon) {
             runtime::sleep(FLEET_CHECK_INTERVAL).await;
             continue;
         }
@@ -40,6 +40,15 @@
     }
 }
 
+/// Whether this daemon knows which fleet it acts for: it knows another member, or no registered daemon has
+/// answered. Until then hosts admit a small portion of each quota by themselves.
+fn knows_fleet(daemon: &Daemon) -> bool {
+    if daemon.source.is_none() {
+        return daemon.start_waits.is_fleet_wait_over();
+    }
+    daemon.start_waits.has_asked_contacts() || !lock(&daemon.fleet).members.is_empty()
+}
+
 fn has_quotas(daemon: &Daemon) -> bool {
     let Some(rules) = daemon.rules() else {
         return false;
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -179,6 +179,7 @@
             .filter(|contact| contact.host != *daemon.host())
             .collect();
         if others.is_empty() {
+            daemon.start_waits.record_contacts_asked();
             start_waits::end_fleet_wait(daemon);
             return true;
         }
@@ -186,6 +187,7 @@
         loop {
             let batch = joining.next_batch(&lock(&daemon.fleet).members);
             let Some(batch) = batch else {
+                daemon.start_waits.record_contacts_asked();
                 return !lock(&daemon.fleet).members.is_empty();
             };
             let attempts: Vec<_> = batch
--- a/crates/indigospur-daemon/src/start_waits.rs
+++ b/crates/indigospur-daemon/src/start_waits.rs
@@ -21,6 +21,8 @@
     fleet_answered: AtomicBool,
     /// Whether [`START_WAIT`] has passed.
     timed_out: AtomicBool,
+    /// Whether all daemons that are registered at the source have been asked for the member list.
+    contacts_asked: AtomicBool,
     /// Last announcement that is held back.
     pending: Mutex<Option<Announcement>>,
 }
@@ -30,6 +32,16 @@
     pub(crate) fn is_fleet_wait_over(&self) -> bool {
         self.fleet_answered.load(Ordering::Relaxed)
     }
+
+    /// Whether all daemons that are registered at the source have been asked once.
+    pub(crate) fn has_asked_contacts(&self) -> bool {
+        self.contacts_asked.load(Ordering::Relaxed)
+    }
+
+    /// Takes note that all daemons that are registered at the source have been asked.
+    pub(crate) fn record_contacts_asked(&self) {
+        self.contacts_asked.store(true, Ordering::Relaxed);
+    }
 }
 
 fn holds_back(daemon: &Daemon) -> bool {
--- a/crates/indigospur-quota/src/gate.rs
+++ b/crates/indigospur-quota/src/gate.rs
@@ -21,8 +21,9 @@
 const OVERDUE: Duration = Duration::from_millis(150);
 /// Time for which the counts of an unused workspace are kept.
 const COUNTS_LIFETIME: Duration = RETENTION.saturating_mul(3);
-/// Number of hosts assumed while none are known.
-const DEFAULT_HOSTS: usize = 32;
+/// Number of hosts assumed while none are known. Larger than any fleet: daemons that are added to a fleet
+/// and don't know it yet admit their portions in addition to the whole quota.
+const DEFAULT_HOSTS: usize = 2_048;
 /// Maximum number of reports to one home whose answers are awaited.
 const MAX_UNANSWERED: usize = 16;
 /// Bounds of Retry-After before it is spread, in seconds.
--- a/crates/indigospur-quota/tests/model/decisions.rs
+++ b/crates/indigospur-quota/tests/model/decisions.rs
@@ -186,3 +186,34 @@
     slots(21_000, 1, 80);
     assert_eq!(slots(21_400, 1, 81), SlotSet(u32::MAX));
 }
+
+/// Guards against hosts that are added to a fleet, can't find it and exceed the quota together.
+#[test]
+fn hosts_that_know_no_fleet_stay_within_the_overage() {
+    const WINDOW: f64 = 5.0;
+    const STEPS_PER_SECOND: u32 = 20;
+    // A site of 640 hosts to which three in ten are added.
+    const ADDED: usize = 192;
+    for rate in [20.0, 480.0] {
+        let workspace = workspace("w", Some(Quota { rate, burst: rate }));
+        let now = Instant::now();
+        let mut gates: Vec<QuotaGate> = (0..ADDED)
+            .map(|host| QuotaGate::new(now, name(host), 1))
+            .collect();
+        let admitted = (0..WINDOW as u32 * STEPS_PER_SECOND).map(|step| {
+            let at = now + Duration::from_secs(1) * step / STEPS_PER_SECOND;
+            let admits = |gate: &mut QuotaGate| gate.admit(at, &workspace).is_ok();
+            gates
+                .iter_mut()
+                .map(admits)
+                .filter(|admits| *admits)
+                .count()
+        });
+        let admitted: usize = admitted.sum();
+        let overage = (rate * WINDOW + rate) * 0.1 + 20.0;
+        assert!(
+            admitted as f64 <= overage,
+            "{admitted} admitted at {rate}/s, {overage} beside the quota"
+        );
+    }
+}
