--- a/crates/indigospur-daemon/src/control/quota.rs
+++ b/crates/indigospur-daemon/src/control/quota.rs
@@ -17,12 +17,19 @@
 
 /// Sends reports for as long as the daemon runs. Nothing is sent while no workspace has a quota.
 pub(crate) async fn run(daemon: Arc<Daemon>) {
+    let mut is_reported = false;
     loop {
         if !has_quotas(&daemon) {
             runtime::sleep(IDLE_INTERVAL).await;
             continue;
         }
         if !knows_fleet(&daemon) {
+            if daemon.start_waits.is_fleet_wait_over() && !is_reported {
+                is_reported = true;
+                log::warn!(
+                    "this daemon has not found the other ones; until then it admits a small portion of each quota"
+                );
+            }
             runtime::sleep(FLEET_CHECK_INTERVAL).await;
             continue;
         }
