Quotas: daemons that can't register don't take themselves for the whole fleet

What callers saw: where the store refuses appends and answers reads while daemons start together, each reads that no other daemon is registered, and gave the whole quota of each workspace.

Cause: that the registered daemons have been asked says something only if this daemon was registered before it read them: of two that register at the same time at least one then finds the other. The wait of quotas ended with any read. Now it ends with one that was made while registered.

Evidence: daemons_that_cannot_register_do_not_give_whole_quotas (six daemons, appends refused) failed before with 199 served in 5.0 s, 80.5 allowed, and passes. The rest of that file passes too.

--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -117,11 +117,14 @@
                 self.read_contacts().await;
             }
             let contacts = lock(&self.state).contacts.take();
-            if let Some((read_as, contacts)) = contacts
-                && self.join_via_contacts(contacts).await
-                && self.is_registered_as(read_as)
-            {
-                return;
+            if let Some((read_as, contacts)) = contacts {
+                let has_joined = self.join_via_contacts(contacts).await;
+                if self.is_registered_as(read_as) {
+                    self.daemon.start_waits.record_contacts_asked();
+                    if has_joined {
+                        return;
+                    }
+                }
             }
             backoff.wait(&self.daemon).await;
         }
@@ -179,7 +182,6 @@
             .filter(|contact| contact.host != *daemon.host())
             .collect();
         if others.is_empty() {
-            daemon.start_waits.record_contacts_asked();
             start_waits::end_fleet_wait(daemon);
             return true;
         }
@@ -187,7 +189,6 @@
         loop {
             let batch = joining.next_batch(&lock(&daemon.fleet).members);
             let Some(batch) = batch else {
-                daemon.start_waits.record_contacts_asked();
                 return !lock(&daemon.fleet).members.is_empty();
             };
             let attempts: Vec<_> = batch
--- a/crates/indigospur-daemon/src/start_waits.rs
+++ b/crates/indigospur-daemon/src/start_waits.rs
@@ -21,7 +21,7 @@
     fleet_answered: AtomicBool,
     /// Whether [`START_WAIT`] has passed.
     timed_out: AtomicBool,
-    /// Whether all daemons that are registered at the source have been asked for the member list.
+    /// Whether this daemon has been registered at the source and has then asked all others that are.
     contacts_asked: AtomicBool,
     /// Last announcement that is held back.
     pending: Mutex<Option<Announcement>>,
@@ -33,12 +33,13 @@
         self.fleet_answered.load(Ordering::Relaxed)
     }
 
-    /// Whether all daemons that are registered at the source have been asked once.
+    /// Whether this daemon has been registered at the source and has then asked all others that are. Another
+    /// one that was not among them finds this one.
     pub(crate) fn has_asked_contacts(&self) -> bool {
         self.contacts_asked.load(Ordering::Relaxed)
     }
 
-    /// Takes note that all daemons that are registered at the source have been asked.
+    /// Takes note that this daemon, while registered, has asked all others that are.
     pub(crate) fn record_contacts_asked(&self) {
         self.contacts_asked.store(true, Ordering::Relaxed);
     }
