--- a/crates/indigospur-members/tests/members/joining.rs
+++ b/crates/indigospur-members/tests/members/joining.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{Fleet, Node, member};
 use indigospur_members::{Contact, Exchange, Joining, Members, Suspects};
+use indigospur_protocol::Member;
 use rand::Rng;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,9 @@
     fleet: Fleet,
     contacts: Vec<Contact>,
     joins: Vec<Join>,
+    /// Time until which the contacts can't be read, by the daemons with an index that is a multiple of
+    /// the number.
+    outage: Option<(Instant, usize)>,
 }
 
 /// How far a daemon has come with the contacts.
@@ -67,6 +71,7 @@
             fleet: Fleet::new(0, seed),
             contacts: (0..gone).map(gone_contact).collect(),
             joins: Vec::new(),
+            outage: None,
         };
         site.add(size);
         site
@@ -120,6 +125,9 @@
 
     fn gossip(&mut self, index: usize) {
         let node = &mut self.fleet.nodes[index];
+        if !node.up {
+            return;
+        }
         node.members.tick(self.fleet.now);
         let rounds = match node.exchange.is_starting(self.fleet.now) {
             true => 0.2,
@@ -131,8 +139,14 @@
     }
 
     fn join(&mut self, index: usize) {
+        let now = self.fleet.now;
         let join = &mut self.joins[index];
-        if join.next.is_none_or(|next| next > self.fleet.now) {
+        if !self.fleet.nodes[index].up || join.next.is_none_or(|next| next > now) {
+            return;
+        }
+        let is_away = |(until, step): (Instant, usize)| now < until && index.is_multiple_of(step);
+        if join.joining.is_none() && self.outage.is_some_and(is_away) {
+            join.next = Some(now + BACKOFF);
             return;
         }
         let joining = join.joining.take();
@@ -186,13 +200,14 @@
             index
         };
         for (index, node) in nodes.iter().enumerate() {
-            for member in node.members.all() {
+            let is_up = |member: &&Member| nodes[host_index(&member.host)].up;
+            for member in node.members.all().filter(is_up) {
                 let [one, other] = [index, host_index(&member.host)].map(|at| root(&parents, at));
                 parents[one.max(other)] = one.min(other);
             }
         }
         let mut sizes = vec![0; nodes.len()];
-        for index in 0..nodes.len() {
+        for index in (0..nodes.len()).filter(|index| nodes[*index].up) {
             sizes[root(&parents, index)] += 1;
         }
         sizes.retain(|size| *size > 0);
@@ -282,3 +297,35 @@
         site.assert_one_fleet(&format!("{size} cut in halves"));
     }
 }
+
+/// Guards against daemons that found some others while the store was away and stop looking for the rest.
+#[test]
+fn daemons_form_one_fleet_once_the_store_is_back() {
+    for (size, gone) in [(16, 200), (85, 200)] {
+        for turned_away in [1, 2, 3] {
+            for seed in 1..=5 {
+                let mut site = Site::start(size, gone, seed);
+                let outage = Duration::from_secs(8);
+                site.outage = Some((site.fleet.now + outage, turned_away));
+                site.run(outage + RECOVERY);
+                site.assert_one_fleet(&format!(
+                    "{size}, store away for each {turned_away}, seed {seed}"
+                ));
+            }
+        }
+    }
+}
+
+/// Guards against a registered daemon that falls to members that end before they have asked it.
+#[test]
+fn daemons_form_one_fleet_although_some_end_while_they_join() {
+    for seed in 1..=20 {
+        let mut site = Site::start(16, 200, seed);
+        site.run(Duration::from_millis(150));
+        for index in (0..16).filter(|index| index % 3 == 0) {
+            site.fleet.nodes[index].up = false;
+        }
+        site.run(RECOVERY);
+        site.assert_one_fleet(&format!("a third ended, seed {seed}"));
+    }
+}
