--- a/crates/indigospur-test-support/src/process.rs
+++ b/crates/indigospur-test-support/src/process.rs
@@ -19,7 +19,7 @@
     child: Child,
     addresses: Value,
     /// Keep the system from giving the ports of the process to others after its end.
-    reserved: Vec<Socket>,
+    reserved: Vec<AddressReservation>,
 }
 
 /// A process that has not reported its addresses yet; killed on drop.
@@ -171,10 +171,8 @@
     pub fn wait(&mut self) -> Option<i32> {
         let status = self.child.wait();
         let addresses = self.addresses.as_object().into_iter().flatten();
-        let addresses = addresses.filter_map(|(_, address)| address.as_str()?.parse().ok());
-        self.reserved = addresses
-            .filter_map(|address| reserve(address).ok())
-            .collect();
+        let addresses = addresses.filter_map(|(_, address)| address.as_str());
+        self.reserved = addresses.filter_map(AddressReservation::new).collect();
         status.ok().and_then(|status| status.code())
     }
 
@@ -269,12 +267,23 @@
     true
 }
 
-/// Binds a socket that does not listen. The system picks the port of a bound socket for no other one.
-fn reserve(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    Ok(socket)
+/// An address of a process that has ended. It refuses connections, and the system picks its port for no
+/// other socket, until this value is dropped; a process that is told to listen there still can.
+#[derive(Debug)]
+pub struct AddressReservation {
+    /// Bound, and not listening.
+    _socket: Socket,
+}
+
+impl AddressReservation {
+    /// Reserves an address, an IP and a port; `None` if it is none or can't be bound.
+    pub fn new(address: &str) -> Option<AddressReservation> {
+        let address: SocketAddr = address.parse().ok()?;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+        socket.set_reuse_address(true).ok()?;
+        socket.bind(&address.into()).ok()?;
+        Some(AddressReservation { _socket: socket })
+    }
 }
 
 fn open_append(path: &Path) -> io::Result<File> {
