--- a/crates/indigospur-members/tests/members/fleet.rs
+++ b/crates/indigospur-members/tests/members/fleet.rs
@@ -46,6 +46,19 @@
     pub(crate) failure_rate: f64,
 }
 
+impl Node {
+    /// Creates a daemon that knows no other.
+    pub(crate) fn new(now: Instant, index: usize) -> Node {
+        Node {
+            members: Members::new(now, member(index)),
+            suspects: Suspects::default(),
+            exchange: Exchange::new(now),
+            up: true,
+            bytes: 0,
+        }
+    }
+}
+
 /// Estimated size of an encoded message in bytes.
 fn wire_size(message: &Message) -> usize {
     48 + message.members.len() * 90 + message.crashes.len() * 20
@@ -55,15 +68,9 @@
     pub(crate) fn new(size: usize, seed: u64) -> Fleet {
         let now = Instant::now();
         let node = |index| {
-            let mut members = Members::new(now, member(index));
-            members.merge(now, vec![member(0)]);
-            Node {
-                members,
-                suspects: Suspects::default(),
-                exchange: Exchange::new(now),
-                up: true,
-                bytes: 0,
-            }
+            let mut node = Node::new(now, index);
+            node.members.merge(now, vec![member(0)]);
+            node
         };
         let nodes = (0..size).map(node).collect();
         Fleet {
--- a/crates/indigospur-members/tests/members/joining.rs
+++ b/crates/indigospur-members/tests/members/joining.rs
@@ -1,7 +1,7 @@
 //! Fleets of daemons that find each other by way of registered daemons, many of which are gone.
 
 use crate::fleet::{Fleet, Node, member};
-use indigospur_members::{Contact, Exchange, Joining, Members, Suspects};
+use indigospur_members::{Contact, Joining};
 use indigospur_protocol::Member;
 use rand::Rng;
 use std::time::{Duration, Instant};
@@ -82,7 +82,7 @@
         let first = self.fleet.nodes.len();
         for index in first..first + count {
             self.contacts.push(living_contact(index));
-            self.fleet.nodes.push(self.new_node(index));
+            self.fleet.nodes.push(Node::new(self.fleet.now, index));
             let at = self.fleet.now + self.start_delay();
             self.joins.push(Join::starting_at(at));
         }
@@ -91,23 +91,12 @@
     /// Kills all daemons and starts them again.
     fn restart_all(&mut self) {
         for index in 0..self.fleet.nodes.len() {
-            self.fleet.nodes[index] = self.new_node(index);
+            self.fleet.nodes[index] = Node::new(self.fleet.now, index);
             let at = self.fleet.now + self.start_delay();
             self.joins[index] = Join::starting_at(at);
         }
     }
 
-    fn new_node(&self, index: usize) -> Node {
-        let now = self.fleet.now;
-        Node {
-            members: Members::new(now, member(index)),
-            suspects: Suspects::default(),
-            exchange: Exchange::new(now),
-            up: true,
-            bytes: 0,
-        }
-    }
-
     fn start_delay(&mut self) -> Duration {
         Duration::from_millis(self.fleet.rng.random_range(0..100))
     }
