--- a/crates/indigospur-daemon/src/backend.rs
+++ b/crates/indigospur-daemon/src/backend.rs
@@ -5,7 +5,6 @@
 use crate::crashes;
 use crate::daemon::{Daemon, lock};
 use crate::slots::Slots;
-use crate::start_waits;
 use indigospur_admission::{Admission, Options};
 use indigospur_members::{AnnouncementOutcome, Instance};
 use indigospur_once::{Once, OnceOptions};
@@ -115,8 +114,7 @@
 /// leaves and this was not known yet. One that would bring new work may be held back while the daemon
 /// starts.
 pub(crate) fn handle_announcement(daemon: &Daemon, announcement: &Announcement) -> bool {
-    let brings_work = !announcement.instance.is_empty() && announcement.state != State::Draining;
-    if brings_work && start_waits::hold_back(daemon, announcement) {
+    if daemon.start_waits.hold_back(announcement) {
         return false;
     }
     let now = Instant::now();
--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -3,8 +3,8 @@
 
 use displaydoc::Display;
 use indigospur_members::{Contact, Instance};
-use indigospur_protocol::Version;
-use indigospur_publish::{Era, Position};
+use indigospur_protocol::{Era, Version};
+use indigospur_publish::Position;
 use indigospur_relay::LogError;
 use indigospur_relay::runtime::BoxFuture;
 use indigospur_rules::RuleSet;
--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -8,63 +8,29 @@
 use crate::daemon::{Daemon, lock};
 use crate::start_waits;
 use async_std::channel::{Receiver, Sender, bounded};
-use indigospur_members::Instance;
-use indigospur_publish::Era;
+use indigospur_members::{DepartureLog, Instance, LogCall};
+use indigospur_protocol::Era;
 use indigospur_relay::runtime;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Maximum number of departures in the record of a host.
-const MAX_RECORDED: usize = 8;
 /// Longest wait for a departure to be recorded: the backend server waits a second for the
 /// acknowledgement that follows.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// What the source last confirmed to hold for this host.
-#[derive(Debug)]
-struct Confirmed {
-    era: Era,
-    instances: Vec<Instance>,
-}
-
 #[derive(Debug, Default)]
 struct State {
-    /// Latest era of the source.
-    latest: Era,
-    /// `None` until the source has been read.
-    confirmed: Option<Confirmed>,
-    /// Whether a read has failed.
-    failed: bool,
-    /// Number of changes of the source's address; answers from an earlier address count for nothing.
-    address_changes: u64,
+    log: DepartureLog,
     /// Signalled when the source has confirmed a record.
     waiters: Vec<Sender<()>>,
 }
 
 impl State {
-    /// Takes note of a record that the source holds, and wakes all waiters.
-    fn confirm(&mut self, era: Era, instances: Vec<Instance>) {
-        self.confirmed = Some(Confirmed { era, instances });
-        self.latest = self.latest.max(era);
+    fn wake_waiters(&mut self) {
         for waiter in self.waiters.drain(..) {
             let _ = waiter.try_send(());
         }
     }
-
-    /// Whether the source holds the departures of `instances`.
-    fn holds(&self, instances: &[Instance]) -> bool {
-        let Some(confirmed) = &self.confirmed else {
-            return false;
-        };
-        let mut instances = instances.iter();
-        instances.all(|instance| !self.is_lost() && confirmed.instances.contains(instance))
-    }
-
-    /// Whether the source may have lost the record: it is in a later era than at the confirmation.
-    fn is_lost(&self) -> bool {
-        let confirmed = self.confirmed.as_ref();
-        confirmed.is_some_and(|confirmed| confirmed.era < self.latest)
-    }
 }
 
 /// Record of the departures of this host at the source.
@@ -85,17 +51,6 @@
 }
 
 impl DepartureRecord {
-    /// Whether the departures that were recorded before have been read.
-    fn is_read(&self) -> bool {
-        lock(&self.state).confirmed.is_some()
-    }
-
-    /// Whether the departures that were recorded before have been read, or a read has failed.
-    pub(crate) fn is_read_or_failed(&self) -> bool {
-        let state = lock(&self.state);
-        state.confirmed.is_some() || state.failed
-    }
-
     /// Signals that an instance of the backend server may have left.
     pub(crate) fn update(&self) {
         let _ = self.changed.0.try_send(());
@@ -103,42 +58,21 @@
 
     /// Takes note of the era of an answer of the source at its present address.
     pub(crate) fn observe_era(&self, era: Era) {
-        let mut state = lock(&self.state);
-        if era > state.latest {
-            state.latest = era;
+        if lock(&self.state).log.observe_era(era) {
             self.update();
         }
     }
 
     /// Forgets what is recorded, as the address of the source has changed.
     pub(crate) fn restart(&self) {
-        let mut state = lock(&self.state);
-        *state = State {
-            address_changes: state.address_changes + 1,
-            waiters: std::mem::take(&mut state.waiters),
-            ..State::default()
-        };
+        lock(&self.state).log.change_address();
         self.update();
     }
-
-    /// Runs `apply` on the state unless the address of the source has changed since.
-    fn apply(&self, address_changes: u64, apply: impl FnOnce(&mut State)) -> bool {
-        let mut state = lock(&self.state);
-        let is_current = state.address_changes == address_changes;
-        if is_current {
-            apply(&mut state);
-        }
-        is_current
-    }
 }
 
 /// Instances whose departures the record of this host should hold, the oldest first.
 fn departed_instances(daemon: &Daemon) -> Vec<Instance> {
-    let instances = lock(&daemon.instances);
-    let newest = instances.departed().rev().take(MAX_RECORDED);
-    let mut newest: Vec<Instance> = newest.cloned().collect();
-    newest.reverse();
-    newest
+    DepartureLog::recordable(&lock(&daemon.instances))
 }
 
 /// Waits until the source holds all departures on this host, for at most [`RECORD_TIMEOUT`]. Returns
@@ -153,7 +87,7 @@
             let (sender, confirmed) = bounded(1);
             {
                 let mut state = lock(&daemon.departures.state);
-                if state.holds(&instances) {
+                if state.log.holds(&instances) {
                     return;
                 }
                 state.waiters.retain(|waiter| !waiter.is_closed());
@@ -177,13 +111,14 @@
     let mut backoff = Backoff::default();
     loop {
         let instances = departed_instances(&daemon);
-        let outcome = if !daemon.departures.is_read() {
-            read(&daemon, source.as_ref()).await
-        } else if lock(&daemon.departures.state).holds(&instances) {
-            let _ = daemon.departures.changed.1.recv().await;
-            continue;
-        } else {
-            write(&daemon, source.as_ref()).await
+        let call = lock(&daemon.departures.state).log.next_call(&instances);
+        let outcome = match call {
+            LogCall::Read => read(&daemon, source.as_ref()).await,
+            LogCall::Write => write(&daemon, source.as_ref()).await,
+            LogCall::Nothing => {
+                let _ = daemon.departures.changed.1.recv().await;
+                continue;
+            }
         };
         match outcome {
             Ok(()) => backoff = Backoff::default(),
@@ -196,15 +131,15 @@
 }
 
 async fn read(daemon: &Arc<Daemon>, source: &dyn ConfigurationSource) -> Result<(), SourceError> {
-    let address_changes = lock(&daemon.departures.state).address_changes;
+    let address_changes = lock(&daemon.departures.state).log.address_changes();
     let reader = daemon.clone();
     let outcome = with_timeout(Duration::ZERO, source.departures(), move |departures| {
         restore(&reader, address_changes, departures);
     })
     .await;
     if outcome.is_err() {
-        lock(&daemon.departures.state).failed = true;
-        start_waits::handle_pending(daemon);
+        lock(&daemon.departures.state).log.record_read_failure();
+        start_waits::end_record_wait(daemon);
     }
     outcome
 }
@@ -225,24 +160,24 @@
         backend::handle_departure(daemon, instance);
     }
     let count = own.len();
-    let is_current = daemon.departures.apply(address_changes, |state| {
-        // A late answer does not replace what was confirmed meanwhile.
-        if state.confirmed.is_none() {
-            state.confirm(departures.era, own);
-        }
-    });
+    let is_current = {
+        let mut state = lock(&daemon.departures.state);
+        let is_current = state.log.record_read(address_changes, departures.era, own);
+        state.wake_waiters();
+        is_current
+    };
     if is_current {
         log::info!(count; "departures of this host's backend server read from the configuration source");
         lock(&daemon.instances).complete_history();
-        start_waits::handle_pending(daemon);
+        start_waits::end_record_wait(daemon);
     }
 }
 
 async fn write(daemon: &Arc<Daemon>, source: &dyn ConfigurationSource) -> Result<(), SourceError> {
     let (address_changes, can_wait) = {
         let state = lock(&daemon.departures.state);
-        let can_wait = state.is_lost() && state.waiters.is_empty();
-        (state.address_changes, can_wait)
+        let can_wait = state.log.is_lost() && state.waiters.is_empty();
+        (state.log.address_changes(), can_wait)
     };
     if can_wait {
         let changed = daemon.departures.changed.1.recv();
@@ -256,9 +191,9 @@
     let writer = daemon.clone();
     let call = source.record_departures(departures);
     with_timeout(Duration::ZERO, call, move |era| {
-        writer.departures.apply(address_changes, |state| {
-            state.confirm(era, instances);
-        });
+        let mut state = lock(&writer.departures.state);
+        state.log.record_write(address_changes, era, instances);
+        state.wake_waiters();
     })
     .await
 }
--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -8,7 +8,7 @@
 use crate::start_waits;
 use async_std::channel::{Receiver, Sender, bounded};
 use indigospur_members::{Contact, Joining};
-use indigospur_publish::Era;
+use indigospur_protocol::Era;
 use indigospur_relay::runtime;
 use rand::Rng;
 use std::sync::{Arc, Mutex};
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -183,6 +183,7 @@
         };
         Arc::new(Daemon {
             dialect,
+            start_waits: StartWaits::new(source.is_some()),
             source,
             incarnation,
             nonce,
@@ -194,7 +195,6 @@
             backend: Mutex::default(),
             instances: Mutex::new(instances),
             named_limit: Mutex::default(),
-            start_waits: StartWaits::default(),
             departures: DepartureRecord::default(),
             backend_lost: AtomicBool::new(false),
             last_announced: Mutex::default(),
--- a/crates/indigospur-members/src/instances.rs
+++ b/crates/indigospur-members/src/instances.rs
@@ -54,7 +54,7 @@
     pub rate: Rate,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Departed {
     instance: Instance,
     at: Instant,
@@ -95,7 +95,7 @@
     Unread { since: Instant },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Current {
     instance: Instance,
     /// Sequence number of the last announcement.
@@ -112,7 +112,7 @@
 }
 
 /// Tracks the instances of one backend server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<Current>,
     /// Earlier instances that another one has replaced, the oldest first.
--- a/crates/indigospur-protocol/src/ids.rs
+++ b/crates/indigospur-protocol/src/ids.rs
@@ -14,6 +14,10 @@
 pub type Key = Arc<str>;
 /// Incarnation number of a daemon: each start on the same host has a higher number than the last.
 pub type Incarnation = u64;
+/// Number of a source's history. It rises each time the source is restored from an earlier copy;
+/// offsets are given out again then. Zero if the source reports none.
+pub type Era = u64;
+
 /// Version of the rule set: the log offset of its record.
 pub type Version = u64;
 /// Number of an epoch, which is one member list of a service; zero before the first.
--- a/crates/indigospur-protocol/src/lib.rs
+++ b/crates/indigospur-protocol/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use convert::{RelayMessage, WireError, crashes_from_wire, crashes_to_wire};
 pub use epoch::{EpochRecord, MemberId};
-pub use ids::{Customer, Epoch, HostId, Incarnation, Key, RequestId, ServiceName, Version};
+pub use ids::{Customer, Epoch, Era, HostId, Incarnation, Key, RequestId, ServiceName, Version};
 pub use kind::{KINDS, Kind, KindInfo, Ran, RetryAdvice};
 pub use member::{Member, State};
 pub use rate::Rate;
--- a/crates/indigospur-publish/src/cursor.rs
+++ b/crates/indigospur-publish/src/cursor.rs
@@ -1,8 +1,6 @@
 //! The reading position in a source that may be restored from an earlier copy.
 
-/// Number of a source's history. It rises each time the source is restored from an earlier copy;
-/// offsets are given out again then. Zero if the source reports none.
-pub type Era = u64;
+use indigospur_protocol::Era;
 
 /// Position in a source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/indigospur-publish/src/lib.rs
+++ b/crates/indigospur-publish/src/lib.rs
@@ -11,7 +11,7 @@
 mod record;
 
 pub use chain::{Chain, Link, OfferOutcome};
-pub use cursor::{Cursor, Era, Position};
+pub use cursor::{Cursor, Position};
 pub use follower::{ActiveRules, Change, FetchedRecord, Follower};
 pub use publisher::{Conflict, PublishAttempt, PublishOutcome};
 pub use record::{Body, Record, RecordError};
