A write of the departures that the source executes late doesn't replace a later one

What callers would see (found by the model, reported by nobody): a backend server leaves while the store does not answer, and its departure is written twice, the first write confirmed. The next instance on the host leaves, which is recorded and acknowledged. Then the store executes the second write of the first departure. After a kill of all daemons, a late heartbeat of the instance that left last brings it back for as long as it runs.

Cause: each write replaces the record of the host, and one without an answer may be executed seconds later.

Now each write of a host has a generation that rises across restarts (the clock, or one more than the last write); the store refuses one below the highest it has seen, as an epoch of the producer. A clock that was set back costs one refused write. That works for every order, since a write that was sent earlier has a lower generation, and it needs no further call; a condition on the end of the partition was weighed and would make all hosts wait for each other.

--- a/crates/indigospur-daemon/src/configuration.rs
+++ b/crates/indigospur-daemon/src/configuration.rs
@@ -39,6 +39,16 @@
     pub instances: Vec<Instance>,
 }
 
+/// Place of a write among all writes of the same host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriteOrder {
+    /// Rises with each write, across restarts of the daemon.
+    pub generation: u64,
+    /// Random number of the daemon process. It tells processes apart that use the same generation, as the
+    /// clock was set back between them.
+    pub process: u32,
+}
+
 /// Departures recorded at a source.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Departures {
@@ -57,6 +67,8 @@
     PositionExpired,
     /// the answer of the source can't be decoded
     Malformed,
+    /// the source has executed a later write of this host
+    Outdated,
 }
 
 impl std::error::Error for SourceError {}
@@ -117,11 +129,16 @@
     fn departures(&self) -> BoxFuture<Result<Departures, SourceError>>;
 
     /// Records the departures of a host in place of those recorded for it before. Returns the era in
-    /// which the source confirmed it; a later one may have lost it.
+    /// which the source confirmed it; a later one may have lost it. A write that the source executes late
+    /// must not replace one that comes after it in `order`.
     ///
     /// # Errors
-    /// The source did not confirm the record.
-    fn record_departures(&self, departures: HostDepartures) -> BoxFuture<Result<Era, SourceError>>;
+    /// The source did not confirm the record, or has executed a later write.
+    fn record_departures(
+        &self,
+        departures: HostDepartures,
+        order: WriteOrder,
+    ) -> BoxFuture<Result<Era, SourceError>>;
 }
 
 /// The newest accepted configuration of a source.
--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -2,7 +2,9 @@
 //! all daemons, and reads those that were recorded before this daemon started.
 
 use crate::backend;
-use crate::configuration::{ConfigurationSource, Departures, HostDepartures, SourceError};
+use crate::configuration::{
+    ConfigurationSource, Departures, HostDepartures, SourceError, WriteOrder,
+};
 use crate::control::registration::renewal_delay;
 use crate::control::source_reader::{Backoff, with_timeout};
 use crate::daemon::{Daemon, lock};
@@ -12,7 +14,7 @@
 use indigospur_protocol::Era;
 use indigospur_relay::runtime;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Longest wait for a departure to be recorded: the backend server waits a second for the
 /// acknowledgement that follows.
@@ -123,6 +125,9 @@
         match outcome {
             Ok(()) => backoff = Backoff::default(),
             Err(error) => {
+                if error == SourceError::Outdated {
+                    lock(&daemon.departures.state).log.record_outdated_write();
+                }
                 log::debug!(error:display; "the departures of this host could not be read or recorded at the configuration source; trying again");
                 backoff.wait(&daemon).await;
             }
@@ -188,8 +193,14 @@
         instances: departed_instances(daemon),
     };
     let instances = departures.instances.clone();
+    let clock_ms = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let clock_ms = clock_ms.unwrap_or_default().as_millis() as u64;
+    let order = WriteOrder {
+        generation: lock(&daemon.departures.state).log.begin_write(clock_ms),
+        process: daemon.nonce as u32,
+    };
     let writer = daemon.clone();
-    let call = source.record_departures(departures);
+    let call = source.record_departures(departures, order);
     with_timeout(Duration::ZERO, call, move |era| {
         let mut state = lock(&writer.departures.state);
         state.log.record_write(address_changes, era, instances);
--- a/crates/indigospur-daemon/src/daemon.rs
+++ b/crates/indigospur-daemon/src/daemon.rs
@@ -61,7 +61,7 @@
     /// higher incarnation.
     pub(crate) incarnation: Incarnation,
     /// Random number drawn at each start; makes tokens unique even if the clock is set back.
-    nonce: u64,
+    pub(crate) nonce: u64,
     pub(crate) metrics: Metrics,
     /// Memory for the bodies of messages from and to callers, daemons and the backend server.
     pub(crate) body_memory: Arc<BodyMemory>,
--- a/crates/indigospur-daemon/src/lib.rs
+++ b/crates/indigospur-daemon/src/lib.rs
@@ -44,7 +44,7 @@
 pub use build_info::VERSION;
 pub use configuration::{
     ConfigurationBatch, ConfigurationSource, Departures, HostDepartures, PublishedConfiguration,
-    SourceError,
+    SourceError, WriteOrder,
 };
 pub use contact::LastContact;
 pub use deadline::{Deadline, Moment};
--- a/crates/indigospur-members/src/departure_log.rs
+++ b/crates/indigospur-members/src/departure_log.rs
@@ -6,6 +6,9 @@
 
 /// Maximum number of departures in the record of a host.
 const MAX_RECORDED: usize = 8;
+/// First increase of the generation after the source has refused a write as outdated, in milliseconds;
+/// each further one doubles it.
+const MIN_INCREASE_MS: u64 = 60_000;
 
 /// What the source last confirmed to hold for the host.
 #[derive(Clone, Debug)]
@@ -36,6 +39,11 @@
     has_failed: bool,
     /// Number of changes of the source's address; answers from an earlier address count for nothing.
     address_changes: u64,
+    /// Generation of the last write, in milliseconds since the Unix epoch. It is above those of earlier
+    /// processes unless the clock was set back.
+    generation: u64,
+    /// Number of writes in a row that the source has refused as outdated.
+    outdated_writes: u32,
 }
 
 impl DepartureLog {
@@ -117,11 +125,26 @@
         self.has_failed = true;
     }
 
+    /// Returns the generation of a write that starts at `clock_ms`, in milliseconds since the Unix epoch. It
+    /// is above that of all earlier writes of this process.
+    pub fn begin_write(&mut self, clock_ms: u64) -> u64 {
+        self.generation = clock_ms.max(self.generation + 1);
+        self.generation
+    }
+
+    /// Takes note that the source has refused a write, since it knows one of a later generation.
+    pub fn record_outdated_write(&mut self) {
+        let increase = MIN_INCREASE_MS << self.outdated_writes.min(u32::BITS);
+        self.generation = self.generation.saturating_add(increase);
+        self.outdated_writes += 1;
+    }
+
     /// Takes note of the answer to a write of `instances` that was started after `address_changes` changes
     /// of the address.
     pub fn record_write(&mut self, address_changes: u64, era: Era, instances: Vec<Instance>) {
         if self.address_changes == address_changes {
             self.confirm(era, instances);
+            self.outdated_writes = 0;
         }
     }
 
@@ -129,6 +152,7 @@
     pub fn change_address(&mut self) {
         *self = DepartureLog {
             address_changes: self.address_changes + 1,
+            generation: self.generation,
             ..DepartureLog::default()
         };
     }
--- a/crates/indigospur-members/tests/departure_model.rs
+++ b/crates/indigospur-members/tests/departure_model.rs
@@ -21,6 +21,10 @@
 /// Time without an announcement after which a daemon looks at its backend server.
 const SILENCE: Duration = Duration::from_secs(3);
 
+/// Time of day at the start, and by how much it is set back before each restart.
+const CLOCK_MS: u64 = 1_764_800_000_000;
+const CLOCK_STEP_MS: u64 = 5_000;
+
 /// Instances that run on the host one after the other, by index.
 const NAMES: [&str; 2] = ["i-1", "i-2"];
 
@@ -52,6 +56,8 @@
     appends: usize,
     /// Answers of the source that may be too late for the call that waits for them.
     timeouts: usize,
+    /// Whether all timers act at once and restarts are of all daemons, to bound the number of histories.
+    coarse: bool,
 }
 
 /// What the backend server does next. It sends a message again if it is not acknowledged.
@@ -75,8 +81,16 @@
     /// Number of kills before it was sent.
     process: usize,
     instances: Vec<Instance>,
-    executed: bool,
-    answered: bool,
+    generation: u64,
+    state: AppendState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AppendState {
+    Sent,
+    Executed,
+    Refused,
+    Answered,
 }
 
 /// A daemon process.
@@ -183,8 +197,9 @@
     kills: usize,
     timeouts: usize,
     reads: usize,
-    /// What the source holds for the host.
+    /// What the source holds for the host, and the highest generation of a write.
     record: Vec<Instance>,
+    generation: u64,
     appends: Vec<Append>,
     /// Instance that left last, as another daemon remembers it.
     told: Option<Instance>,
@@ -224,6 +239,7 @@
             timeouts: 0,
             reads: 0,
             record: Vec::new(),
+            generation: 0,
             appends: Vec::new(),
             told: None,
             script: Script::Announce(0),
@@ -256,10 +272,12 @@
             });
         }
         for (index, append) in self.appends.iter().enumerate() {
-            if !append.executed {
-                steps.push(Step::ExecuteAppend(index));
-            } else if !append.answered && append.process == self.kills {
-                steps.push(Step::AnswerAppend(index));
+            match append.state {
+                AppendState::Sent => steps.push(Step::ExecuteAppend(index)),
+                AppendState::Executed | AppendState::Refused if append.process == self.kills => {
+                    steps.push(Step::AnswerAppend(index));
+                }
+                _ => {}
             }
         }
         if process.calling && self.timeouts < self.limits.timeouts {
@@ -276,7 +294,10 @@
             steps.push(Step::GrowOlder);
         }
         if self.kills < self.limits.kills {
-            steps.extend([Step::KillOne, Step::KillAll]);
+            steps.push(Step::KillAll);
+        }
+        if self.kills < self.limits.kills && !self.limits.coarse {
+            steps.push(Step::KillOne);
         }
         steps
     }
@@ -301,16 +322,16 @@
             }
             Step::ExecuteAppend(index) => {
                 let append = &mut self.appends[index];
-                append.executed = true;
-                self.record = append.instances.clone();
-            }
-            Step::AnswerAppend(index) => {
-                let append = &mut self.appends[index];
-                append.answered = true;
-                let log = &mut self.process.log;
-                log.record_write(log.address_changes(), 0, append.instances.clone());
-                self.process.calling = false;
+                // As the platform's store: a write below the highest generation is refused.
+                if append.generation < self.generation {
+                    append.state = AppendState::Refused;
+                } else {
+                    append.state = AppendState::Executed;
+                    self.generation = append.generation;
+                    self.record = append.instances.clone();
+                }
             }
+            Step::AnswerAppend(index) => self.answer_append(index),
             Step::CallTimesOut => {
                 self.timeouts += 1;
                 self.process.calling = false;
@@ -330,8 +351,16 @@
             }
             Step::OtherReads => self.told = self.record.last().cloned(),
             Step::GrowOlder => {
-                self.now = self.process.started + AGES[self.process.age + 1];
-                self.process.grow_older(self.now);
+                let last = AGES.len() - 1;
+                let next = if self.limits.coarse {
+                    last
+                } else {
+                    self.process.age + 1
+                };
+                while self.process.age < next {
+                    self.now = self.process.started + AGES[self.process.age + 1];
+                    self.process.grow_older(self.now);
+                }
             }
             Step::KillOne => self.restart(),
             Step::KillAll => {
@@ -373,16 +402,33 @@
                 self.reads += 1;
                 self.process.reads.push(Read { answer: None });
             }
-            LogCall::Write => self.appends.push(Append {
-                process: self.kills,
-                instances: recordable,
-                executed: false,
-                answered: false,
-            }),
+            LogCall::Write => {
+                // Each restart finds the clock set back.
+                let clock_ms = CLOCK_MS - self.kills as u64 * CLOCK_STEP_MS;
+                self.appends.push(Append {
+                    process: self.kills,
+                    instances: recordable,
+                    generation: self.process.log.begin_write(clock_ms),
+                    state: AppendState::Sent,
+                });
+            }
             LogCall::Nothing => self.process.calling = false,
         }
     }
 
+    fn answer_append(&mut self, index: usize) {
+        let append = &mut self.appends[index];
+        let log = &mut self.process.log;
+        // A refusal that comes late is not waited for.
+        if append.state == AppendState::Executed {
+            log.record_write(log.address_changes(), 0, append.instances.clone());
+        } else if self.process.calling {
+            log.record_outdated_write();
+        }
+        append.state = AppendState::Answered;
+        self.process.calling = false;
+    }
+
     /// Acknowledges the departures that wait, if they are recorded.
     fn acknowledge(&mut self) {
         let recordable = DepartureLog::recordable(&self.process.instances);
@@ -455,6 +501,7 @@
         reads: 2,
         appends: 2,
         timeouts: 1,
+        coarse: false,
     });
 }
 
@@ -467,5 +514,19 @@
         reads: 3,
         appends: 2,
         timeouts: 1,
+        coarse: false,
+    });
+}
+
+/// Guards against a write of the record that the source executes late, in place of a later one.
+#[test]
+fn an_acknowledged_departure_holds_although_writes_are_executed_late() {
+    explore(Limits {
+        instances: 2,
+        kills: 1,
+        reads: 2,
+        appends: 3,
+        timeouts: 1,
+        coarse: true,
     });
 }
