Build: sources that are older than an earlier build are compiled

What would be seen: after a build in target/, sources that were laid with earlier dates are not compiled, cargo says "Finished" in 0.2 s, and the program is the earlier one. Whether that is what happened to those who reported it can't be seen from here.

Cause: cargo compares the times of files. A target/ that plain cargo built from sources of mixed dates is not noticed.

--- a/crates/indigospur-daemon/build.rs
+++ b/crates/indigospur-daemon/build.rs
@@ -1,10 +1,10 @@
 //! Names the sources that the daemon is built of, for its start line and `--version`.
 
-use std::hash::Hasher;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::{env, fs, io};
-use xxhash_rust::xxh3::Xxh3Default;
 
 fn main() -> io::Result<()> {
     let manifest = PathBuf::from(env::var_os("CARGO_MANIFEST_DIR").unwrap_or_default());
@@ -15,7 +15,7 @@
     }
     let mut files = Vec::new();
     for package in packages {
-        for source in ["Cargo.lock", "Cargo.toml", "src"] {
+        for source in ["Cargo.lock", "Cargo.toml", "build.rs", "src"] {
             let path = package.join(source);
             if path.exists() {
                 println!("cargo::rerun-if-changed={}", path.display());
@@ -23,16 +23,9 @@
             }
         }
     }
-    files.sort();
-    let mut hasher = Xxh3Default::new();
-    for file in &files {
-        let name = file.strip_prefix(&root).unwrap_or(file);
-        hasher.write(name.as_os_str().as_encoded_bytes());
-        hasher.write(&fs::read(file)?);
-    }
     println!(
-        "cargo::rustc-env=INDIGOSPUR_SOURCES={:016x}",
-        hasher.finish()
+        "cargo::rustc-env=INDIGOSPUR_SOURCES={}",
+        digest(&root, files)?
     );
     println!("cargo::rustc-env=INDIGOSPUR_COMMIT={}", commit(&root));
     let profile = env::var("PROFILE").unwrap_or_default();
@@ -40,6 +33,28 @@
     Ok(())
 }
 
+/// Digest of files, as `deploy/sources.sh` computes it.
+fn digest(root: &Path, files: Vec<PathBuf>) -> io::Result<String> {
+    let mut named = Vec::new();
+    for file in files {
+        let name = file.strip_prefix(root).unwrap_or(&file);
+        named.push((name.to_string_lossy().into_owned(), fs::read(&file)?));
+    }
+    named.sort();
+    let mut list = Sha256::new();
+    for (name, content) in named {
+        list.update(format!("{}  {name}\n", hex(&Sha256::digest(content))));
+    }
+    Ok(hex(&list.finalize()[..8]))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
 /// Adds `path`, or the files below it.
 fn collect(path: PathBuf, files: &mut Vec<PathBuf>) -> io::Result<()> {
     if !path.is_dir() {
