Departures: remove what the start gate has made unnecessary

Whether a read of the record has failed was kept in the log and in the gate of a starting daemon; the gate alone decides by it. The model has as many states as before.

--- a/crates/indigospur-daemon/src/control/departures.rs
+++ b/crates/indigospur-daemon/src/control/departures.rs
@@ -143,7 +143,6 @@
     })
     .await;
     if outcome.is_err() {
-        lock(&daemon.departures.state).log.record_read_failure();
         start_waits::end_record_wait(daemon);
     }
     outcome
--- a/crates/indigospur-daemon/src/start_waits.rs
+++ b/crates/indigospur-daemon/src/start_waits.rs
@@ -76,9 +76,9 @@
     end_wait(daemon, StartGate::record_departures);
 }
 
-/// Ends all waits after [`StartGate::MAX_WAIT`], for a daemon that does not reach the others or the source. Sets a
-/// backend server aside that has announced itself once only by the time at which a running one has sent
-/// two announcements, unless it is known by then which ones have left.
+/// Ends all waits after [`StartGate::MAX_WAIT`], for a daemon that does not reach the others or the
+/// source. Sets a backend server aside that has announced itself once only by the time at which a running
+/// one has sent two announcements, unless it is known by then which ones have left.
 pub(crate) async fn limit(daemon: Arc<Daemon>) {
     runtime::sleep(StartGate::MAX_WAIT).await;
     end_wait(&daemon, StartGate::time_out);
--- a/crates/indigospur-members/src/departure_log.rs
+++ b/crates/indigospur-members/src/departure_log.rs
@@ -35,8 +35,6 @@
     latest: Era,
     /// `None` until the source has been read.
     confirmed: Option<Confirmed>,
-    /// Whether a read has failed.
-    has_failed: bool,
     /// Number of changes of the source's address; answers from an earlier address count for nothing.
     address_changes: u64,
     /// Generation of the last write, in milliseconds since the Unix epoch. It is above those of earlier
@@ -71,11 +69,6 @@
         self.confirmed.is_some()
     }
 
-    /// Whether the departures that were recorded before have been read, or a read has failed.
-    pub fn is_read_or_failed(&self) -> bool {
-        self.is_read() || self.has_failed
-    }
-
     /// Whether the source holds the departures of `instances`.
     pub fn holds(&self, instances: &[Instance]) -> bool {
         let Some(confirmed) = &self.confirmed else {
@@ -120,11 +113,6 @@
         is_current
     }
 
-    /// Takes note that a read has failed.
-    pub fn record_read_failure(&mut self) {
-        self.has_failed = true;
-    }
-
     /// Returns the generation of a write that starts at `clock_ms`, in milliseconds since the Unix epoch. It
     /// is above that of all earlier writes of this process.
     pub fn begin_write(&mut self, clock_ms: u64) -> u64 {
--- a/crates/indigospur-members/tests/departure_model.rs
+++ b/crates/indigospur-members/tests/departure_model.rs
@@ -336,7 +336,6 @@
                 self.timeouts += 1;
                 self.process.calling = false;
                 if !self.process.log.is_read() {
-                    self.process.log.record_read_failure();
                     self.process.gate.record_departures();
                     self.process.open_gate(now);
                 }
