Joining: contacts that fell to members that are down since are shared anew

What callers would see: two fleets for good, each with a home of its own for every quota.

Cause: each contact falls to two members, and a daemon dropped those that fell to others. Both may end first.

Now a daemon keeps what it has left to others for a minute after its start, looks once a second whether other members are down than before, and if so shares the kept contacts anew.

--- a/crates/indigospur-daemon/src/control/registration.rs
+++ b/crates/indigospur-daemon/src/control/registration.rs
@@ -12,7 +12,7 @@
 use indigospur_relay::runtime;
 use rand::Rng;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Records of a kind that the whole fleet writes a second after the source was restored.
 const RENEWALS_PER_SECOND: u32 = 200;
@@ -69,9 +69,16 @@
     /// Registers this daemon, and again whenever the registration is lost.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
-            self.register_and_join().await;
+            let mut joining = self.register_and_join().await;
             while lock(&self.state).is_registered() {
-                let _ = self.lost.1.recv().await;
+                if joining.needs_review(Instant::now()) {
+                    let lost = self.lost.1.recv();
+                    let _ = runtime::timeout(Joining::REVIEW_INTERVAL, lost).await;
+                    joining.review(&lock(&self.daemon.fleet).members);
+                    self.ask(&mut joining).await;
+                } else {
+                    let _ = self.lost.1.recv().await;
+                }
             }
             log::info!(
                 "this daemon is no longer registered at the configuration source; it registers again"
@@ -101,11 +108,12 @@
 
     /// Registers this daemon and joins the fleet by way of registered daemons, until it is
     /// registered, has asked the others, and either knows another member or is the only one registered.
+    /// Returns the contacts that it has left to other members.
     ///
     /// A daemon registers before it reads the contacts, so that of two that register at the same
     /// time at least one finds the other. While it can't register it reads the contacts until it
     /// knows another member, and reads them once more after it has registered.
-    async fn register_and_join(self: &Arc<Self>) {
+    async fn register_and_join(self: &Arc<Self>) -> Joining {
         let mut backoff = Backoff::default();
         loop {
             if !lock(&self.state).is_registered() {
@@ -118,11 +126,18 @@
             }
             let contacts = lock(&self.state).contacts.take();
             if let Some((read_as, contacts)) = contacts {
-                let has_joined = self.join_via_contacts(contacts).await;
+                let others = self.others(contacts);
+                let is_only_one = others.is_empty();
+                if is_only_one {
+                    start_waits::end_fleet_wait(&self.daemon);
+                }
+                let mut joining =
+                    Joining::new(Instant::now(), others, &mut *lock(&self.daemon.rng));
+                self.ask(&mut joining).await;
                 if self.is_registered_as(read_as) {
                     self.daemon.start_waits.record_contacts_asked();
-                    if has_joined {
-                        return;
+                    if is_only_one || !lock(&self.daemon.fleet).members.is_empty() {
+                        return joining;
                     }
                 }
             }
@@ -173,23 +188,22 @@
         }
     }
 
-    /// Joins the fleet by way of registered daemons that are not known yet. Returns, once all have been
-    /// asked, whether another member is known, or no other daemon is registered.
-    async fn join_via_contacts(&self, contacts: Vec<Contact>) -> bool {
-        let daemon = &self.daemon;
+    /// Contacts of other daemons.
+    fn others(&self, contacts: Vec<Contact>) -> Vec<Contact> {
         let others = contacts.into_iter();
-        let others: Vec<Contact> = others
-            .filter(|contact| contact.host != *daemon.host())
-            .collect();
-        if others.is_empty() {
-            start_waits::end_fleet_wait(daemon);
-            return true;
-        }
-        let mut joining = Joining::new(others, &mut *lock(&daemon.rng));
+        others
+            .filter(|contact| contact.host != *self.daemon.host())
+            .collect()
+    }
+
+    /// Asks registered daemons that are not known yet for the member list, until none is left that falls to
+    /// this daemon.
+    async fn ask(&self, joining: &mut Joining) {
+        let daemon = &self.daemon;
         loop {
             let batch = joining.next_batch(&lock(&daemon.fleet).members);
             let Some(batch) = batch else {
-                return !lock(&daemon.fleet).members.is_empty();
+                return;
             };
             let attempts: Vec<_> = batch
                 .into_iter()
--- a/crates/indigospur-members/tests/members/joining.rs
+++ b/crates/indigospur-members/tests/members/joining.rs
@@ -139,7 +139,8 @@
             return;
         }
         let joining = join.joining.take();
-        let joining = joining.unwrap_or_else(|| self.read_contacts(index));
+        let mut joining = joining.unwrap_or_else(|| self.read_contacts(index));
+        joining.review(&self.fleet.nodes[index].members);
         self.joins[index] = self.ask(index, joining);
     }
 
@@ -147,7 +148,7 @@
         let members = &self.fleet.nodes[index].members;
         let is_other = |contact: &&Contact| contact.host != members.me().host;
         let others = self.contacts.iter().filter(is_other).cloned().collect();
-        Joining::new(others, &mut self.fleet.rng)
+        Joining::new(self.fleet.now, others, &mut self.fleet.rng)
     }
 
     /// Asks the next contacts. One that is gone holds up the next batch.
@@ -171,10 +172,13 @@
                 };
             }
         }
-        let is_alone = self.fleet.nodes[index].members.is_empty();
+        if self.fleet.nodes[index].members.is_empty() {
+            return Join::starting_at(now + BACKOFF);
+        }
+        let needs_review = joining.needs_review(now);
         Join {
-            joining: None,
-            next: is_alone.then_some(now + BACKOFF),
+            next: needs_review.then_some(now + Joining::REVIEW_INTERVAL),
+            joining: needs_review.then_some(joining),
         }
     }
 
