--- a/crates/indigospur-members/tests/departure_model.rs
+++ b/crates/indigospur-members/tests/departure_model.rs
@@ -322,7 +322,7 @@
             }
             Step::ExecuteAppend(index) => {
                 let append = &mut self.appends[index];
-                // As the platform's store: a write below the highest generation is refused.
+                // A source refuses a write below the highest generation that it has seen.
                 if append.generation < self.generation {
                     append.state = AppendState::Refused;
                 } else {
